--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -14,6 +14,7 @@
         self.votes.clear();
         self.reads.clear();
         self.progress.clear();
+        self.learners.clear();
         self.reset_campaign_timer();
     }
 
@@ -26,7 +27,7 @@
         self.reset_campaign_timer();
         let term = self.hard_state.term + 1;
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
-        for other in self.others() {
+        for other in self.other_voters() {
             self.send(other, Message::PreVote { term, last_index, last_term });
         }
         self.count_pre_votes();
@@ -39,7 +40,7 @@
         self.votes = [self.config.name.clone()].into();
         self.reset_campaign_timer();
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
-        for other in self.others() {
+        for other in self.other_voters() {
             self.send(other, Message::Vote { term, last_index, last_term });
         }
         self.count_votes();
@@ -121,11 +122,11 @@
         self.rounds_sent.clear();
         let next = self.log.last_index() + 1;
         self.progress = self
-            .others()
+            .other_voters()
             .into_iter()
             .map(|name| {
-                let round_sent = self.now;
-                (name, Progress { next, round_sent, ..Progress::default() })
+                let (round_sent, heard_at) = (self.now, self.now);
+                (name, Progress { next, round_sent, heard_at, ..Progress::default() })
             })
             .collect();
         // Entries of earlier terms commit only together with one of this term (Raft, 5.4.2).
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -1,6 +1,5 @@
 //! The replica: state shared by election and replication, and the entry points.
 
-use crate::FIRST_IDENTITY;
 use crate::log::Log;
 use crate::message::*;
 use crate::ready::{ReadConfirmed, Ready};
@@ -17,8 +16,9 @@
     pub name: MachineName,
     /// The identity drawn with its data folder.
     pub identity: u64,
-    /// All replicas, this one among them.
-    pub replicas: Vec<MachineName>,
+    /// The voters that were known when this replica started, each with its identity. Empty for a
+    /// replica that has yet to be taken in by the others.
+    pub voters: BTreeMap<MachineName, u64>,
     /// Shortest silence of the leader before a campaign. Also the length of a lease.
     pub election_timeout: Millis,
     /// Time between two heartbeats.
@@ -69,8 +69,10 @@
     pub round_sent: Timestamp,
     /// The identity under which it answered last.
     pub identity: u64,
-    /// A replacement was proposed for this identity.
+    /// A replacement was reported for this identity.
     pub replacement_proposed: u64,
+    /// When it last answered, by the leader's clock.
+    pub heard_at: Timestamp,
 }
 
 /// A read that waits for a majority to confirm the leader.
@@ -86,7 +88,10 @@
 pub struct Raft {
     pub(crate) config: Config,
     pub(crate) rng: ChaCha8Rng,
-    pub(crate) identities: BTreeMap<MachineName, u64>,
+    /// The voters and the identity under which each one counts.
+    pub(crate) voters: BTreeMap<MachineName, u64>,
+    /// Machines that get the log without counting. Kept by the leader only; never durable.
+    pub(crate) learners: BTreeSet<MachineName>,
     pub(crate) hard_state: HardState,
     pub(crate) log: Log,
     pub(crate) commit: LogIndex,
@@ -116,8 +121,7 @@
 impl Raft {
     /// Starts a replica from what it read at `now`.
     pub fn new(config: Config, restored: Restored, now: Timestamp) -> Self {
-        let identities =
-            config.replicas.iter().map(|name| (name.clone(), FIRST_IDENTITY)).collect();
+        let voters = config.voters.clone();
         let rng = ChaCha8Rng::seed_from_u64(config.seed);
         let log = Log::new(restored.snapshot, restored.entries);
         let commit = log.snapshot.index;
@@ -125,7 +129,8 @@
         let mut raft = Self {
             config,
             rng,
-            identities,
+            voters,
+            learners: BTreeSet::new(),
             hard_state: restored.hard_state,
             commit,
             role: Role::Follower,
@@ -182,12 +187,65 @@
 
     /// Whether this replica's own identity is the one that the others count.
     pub fn is_voter(&self) -> bool {
-        self.identities.get(&self.config.name) == Some(&self.config.identity)
+        self.voters.get(&self.config.name) == Some(&self.config.identity)
     }
 
-    /// Records the committed identity of a replica.
+    /// Records the committed identity of a replica; a name that was no voter becomes one.
     pub fn set_identity(&mut self, name: MachineName, identity: u64) {
-        self.identities.insert(name, identity);
+        self.learners.remove(&name);
+        if self.role == Role::Leader && name != self.config.name {
+            self.track(name.clone());
+        }
+        self.voters.insert(name, identity);
+    }
+
+    /// Records that a replica has been removed from the voters by a committed entry.
+    pub fn remove_voter(&mut self, name: &MachineName) {
+        self.voters.remove(name);
+        if !self.learners.contains(name) {
+            self.progress.remove(name);
+        }
+        if self.role == Role::Leader {
+            self.advance_commit();
+        }
+    }
+
+    /// The voters with their identities.
+    pub fn voters(&self) -> &BTreeMap<MachineName, u64> {
+        &self.voters
+    }
+
+    /// Lets a leader send its log to a machine that does not vote. Once the machine holds all
+    /// committed entries it is reported in [`Ready::caught_up`].
+    pub fn add_learner(&mut self, name: MachineName) {
+        if self.role != Role::Leader || self.voters.contains_key(&name) {
+            return;
+        }
+        self.track(name.clone());
+        self.learners.insert(name);
+    }
+
+    /// The identity of a machine that does not count and holds all committed entries.
+    pub fn caught_up_learner(&self, name: &MachineName) -> Option<u64> {
+        let progress = self.progress.get(name)?;
+        let counts = self.voters.get(name) == Some(&progress.identity);
+        let complete = progress.matched >= self.commit && self.commit > 0;
+        (!counts && complete).then_some(progress.identity)
+    }
+
+    /// Time since `name` last answered this leader; `None` if it is not tracked.
+    pub fn silence_of(&self, name: &MachineName) -> Option<Millis> {
+        let progress = self.progress.get(name)?;
+        Some(self.now.since(progress.heard_at))
+    }
+
+    /// Starts to follow how far a replica's log has come.
+    fn track(&mut self, name: MachineName) {
+        let next = self.log.last_index() + 1;
+        let now = self.now;
+        self.progress
+            .entry(name)
+            .or_insert_with(|| Progress { next, round_sent: now, heard_at: now, ..Progress::default() });
     }
 
     /// Until when no other replica can have become leader, by this replica's clock. `None` if
@@ -219,7 +277,7 @@
     /// Takes in a message.
     pub fn step(&mut self, now: Timestamp, envelope: Envelope) {
         self.now = self.now.max(now);
-        if !self.config.replicas.contains(&envelope.from) {
+        if self.is_foreign(&envelope) {
             return;
         }
         self.observe_term(&envelope);
@@ -228,7 +286,7 @@
             return;
         }
         let Envelope { from, identity, message } = envelope;
-        let counts = self.identities.get(&from) == Some(&identity);
+        let counts = self.voters.get(&from) == Some(&identity);
         match message {
             Message::PreVote { term, last_index, last_term } if counts => {
                 self.on_pre_vote(from, term, last_index, last_term);
@@ -333,6 +391,16 @@
         self.log.term_at(index)
     }
 
+    /// A machine that does not vote can neither campaign nor raise the others' term. What a leader
+    /// sends is taken from anyone: a replica that was just made does not know the voters yet.
+    fn is_foreign(&self, envelope: &Envelope) -> bool {
+        let from_leader =
+            matches!(envelope.message, Message::Append { .. } | Message::Install { .. });
+        let known = self.voters.contains_key(&envelope.from)
+            || self.learners.contains(&envelope.from);
+        !from_leader && !known
+    }
+
     fn take_committed(&mut self) -> Vec<Entry> {
         // Committed entries are handed out only once durable here, so that a restart finds them.
         let until = self.commit.min(self.log.last_index());
@@ -383,13 +451,24 @@
         self.hard_state_dirty = true;
     }
 
-    pub(crate) fn others(&self) -> Vec<MachineName> {
+    /// The voters other than this replica.
+    pub(crate) fn other_voters(&self) -> Vec<MachineName> {
         let name = &self.config.name;
-        self.config.replicas.iter().filter(|other| *other != name).cloned().collect()
+        self.voters.keys().filter(|other| *other != name).cloned().collect()
+    }
+
+    /// All machines that get this leader's log.
+    pub(crate) fn followers(&self) -> Vec<MachineName> {
+        self.other_voters().into_iter().chain(self.learners.iter().cloned()).collect()
     }
 
     pub(crate) fn quorum(&self) -> usize {
-        self.config.replicas.len() / 2 + 1
+        self.voters.len() / 2 + 1
+    }
+
+    /// Whether this replica counts itself: a leader that is no voter any more must not.
+    pub(crate) fn own_vote(&self) -> bool {
+        self.is_voter()
     }
 
     pub(crate) fn reset_campaign_timer(&mut self) {
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -44,7 +44,7 @@
     }
 
     pub(crate) fn broadcast_append(&mut self) {
-        for other in self.others() {
+        for other in self.followers() {
             self.send_append(other);
         }
     }
@@ -147,13 +147,16 @@
             return;
         }
         let sent = self.rounds_sent.get(&round).copied();
+        let now = self.now;
         let last = self.log.last_index();
         let Some(progress) = self.progress.get_mut(&from) else {
             return;
         };
+        progress.heard_at = now;
         if progress.identity != identity {
             // A new data folder: nothing that the old one acknowledged counts any more.
-            *progress = Progress { identity, next: last + 1, ..Progress::default() };
+            *progress =
+                Progress { identity, next: last + 1, heard_at: now, ..Progress::default() };
         }
         if accepted {
             progress.matched = progress.matched.max(index);
@@ -177,22 +180,19 @@
     }
 
     fn counts(&self, name: &MachineName, progress: &Progress) -> bool {
-        self.identities.get(name) == Some(&progress.identity)
+        self.voters.get(name) == Some(&progress.identity)
     }
 
     fn note_caught_up(&mut self, name: &MachineName) {
-        let committed = self.commit;
-        let Some(progress) = self.progress.get(name) else {
+        let Some(identity) = self.caught_up_learner(name) else {
             return;
         };
-        let learner = !self.counts(name, progress);
-        let complete = progress.matched >= committed && committed > 0;
-        if learner && complete && progress.replacement_proposed != progress.identity {
-            let identity = progress.identity;
+        let Some(progress) = self.progress.get_mut(name) else {
+            return;
+        };
+        if progress.replacement_proposed != identity {
+            progress.replacement_proposed = identity;
             self.caught_up.push((name.clone(), identity));
-            if let Some(progress) = self.progress.get_mut(name) {
-                progress.replacement_proposed = identity;
-            }
         }
     }
 
@@ -207,7 +207,9 @@
             .filter(|(name, progress)| self.counts(name, progress))
             .map(|(_, progress)| progress.matched)
             .collect();
-        matched.push(self.durable);
+        if self.own_vote() {
+            matched.push(self.durable);
+        }
         matched.sort_unstable_by(|left, right| right.cmp(left));
         let Some(majority) = matched.get(self.quorum() - 1).copied() else {
             return;
@@ -226,7 +228,9 @@
             .filter(|(name, progress)| self.counts(name, progress) && progress.round > 0)
             .map(|(_, progress)| progress.round_sent)
             .collect();
-        times.push(self.now);
+        if self.own_vote() {
+            times.push(self.now);
+        }
         times.sort_unstable_by(|left, right| right.cmp(left));
         times.get(self.quorum() - 1).copied()
     }
@@ -238,7 +242,9 @@
             .filter(|(name, progress)| self.counts(name, progress))
             .map(|(_, progress)| progress.round)
             .collect();
-        rounds.push(self.round);
+        if self.own_vote() {
+            rounds.push(self.round);
+        }
         rounds.sort_unstable_by(|left, right| right.cmp(left));
         let Some(majority) = rounds.get(self.quorum() - 1).copied() else {
             return;
--- a/crates/control-core/src/replica.rs
+++ b/crates/control-core/src/replica.rs
@@ -5,7 +5,7 @@
 use crate::liveness::Liveness;
 use crate::orders::{EngineOrder, Orders};
 use serde::{Deserialize, Serialize};
-use stackpost_consensus::{Config, Raft, Role};
+use stackpost_consensus::{Config, FIRST_IDENTITY, Raft, Role};
 use stackpost_protocol::{Message, Peer};
 use stackpost_storage::{Disk, LogStore, StoreError};
 use stackpost_table::*;
@@ -173,7 +173,7 @@
 impl<D: Disk> Replica<D> {
     /// Makes the data folder of a replica that takes part in a new fleet from the start.
     pub fn initialize(disk: D) -> Result<(), StoreError> {
-        LogStore::create(disk, stackpost_consensus::FIRST_IDENTITY).map(drop)
+        LogStore::create(disk, FIRST_IDENTITY).map(drop)
     }
 
     /// Opens a replica. An empty data folder is taken for a lost one: the replica draws a new
@@ -199,7 +199,11 @@
         let raft_config = Config {
             name: config.name.clone(),
             identity: store.identity(),
-            replicas: config.replicas.clone(),
+            voters: config
+                .replicas
+                .iter()
+                .map(|name| (name.clone(), FIRST_IDENTITY))
+                .collect(),
             election_timeout: config.election_timeout,
             heartbeat_interval: config.heartbeat_interval,
             lease_margin: config.lease_margin,
--- /dev/null
+++ b/crates/coordinator/src/control_node.rs
@@ -0,0 +1,421 @@
+//! What a control process does with its peers, the routers and the engines.
+
+use crate::message::{ControlStatus, FleetMessage, RouterStatus};
+use crate::replica::{PutReply, ReadReply, ReplicaEffect, ReplicaEvent};
+use crate::replica_thread::{ReplicaHandle, ReplicaView};
+use stackpost_gateway_core::{EngineDirectory, EngineNotice, Merge};
+use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
+use stackpost_types::{BackEndName, MachineName, NodeId, Timestamp};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{MissedTickBehavior, interval, timeout};
+
+/// Time between two statuses.
+const STATUS_INTERVAL: Duration = Duration::from_millis(200);
+/// A configuration that a router has not confirmed is sent again after so long.
+const RESEND_AFTER: Duration = Duration::from_millis(600);
+/// Longest wait for the replica's answer.
+const REPLY_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// How a control process is run.
+#[derive(Clone, Debug)]
+pub struct ControlSettings {
+    /// Where it accepts connections of the fleet.
+    pub mesh_address: SocketAddr,
+    /// Where other control processes may be found.
+    pub seeds: Vec<SocketAddr>,
+}
+
+struct Link {
+    peer: PeerInfo,
+    document_known: u64,
+    document_sent: Option<(u64, Instant)>,
+}
+
+struct State {
+    directory: EngineDirectory,
+    /// Engines announced since the last status.
+    refreshed: BTreeSet<BackEndName>,
+    links: BTreeMap<LinkId, Link>,
+    control_peers: BTreeSet<SocketAddr>,
+    puts: HashMap<u64, oneshot::Sender<PutReply>>,
+    reads: HashMap<u64, oneshot::Sender<ReadReply>>,
+    next_token: u64,
+}
+
+/// A control process. Cheap to clone; must be used inside a Tokio `LocalSet`.
+#[derive(Clone)]
+pub struct ControlNode {
+    mesh: Mesh<FleetMessage>,
+    replica: ReplicaHandle,
+    own_address: SocketAddr,
+    started: Instant,
+    state: Rc<RefCell<State>>,
+}
+
+impl ControlNode {
+    /// Starts the process's tasks.
+    pub async fn start(
+        own: PeerInfo,
+        settings: ControlSettings,
+        replica: ReplicaHandle,
+        effects: mpsc::UnboundedReceiver<ReplicaEffect>,
+    ) -> Result<Self, stackpost_types::PeerError> {
+        let (mesh, events) = Mesh::new(own);
+        mesh.listen(settings.mesh_address).await?;
+        let state = State {
+            directory: EngineDirectory::default(),
+            refreshed: BTreeSet::new(),
+            links: BTreeMap::new(),
+            control_peers: BTreeSet::new(),
+            puts: HashMap::new(),
+            reads: HashMap::new(),
+            next_token: 1,
+        };
+        let node = Self {
+            mesh,
+            replica,
+            own_address: settings.mesh_address,
+            started: Instant::now(),
+            state: Rc::new(RefCell::new(state)),
+        };
+        node.add_seeds(&settings.seeds);
+        tokio::task::spawn_local(node.clone().run(events, effects));
+        Ok(node)
+    }
+
+    /// Looks for control processes at further addresses.
+    pub fn add_seeds(&self, seeds: &[SocketAddr]) {
+        for seed in seeds {
+            self.add_control_peer(*seed);
+        }
+    }
+
+    /// Sends a configuration to the replicas.
+    pub async fn put_document(&self, bytes: Arc<[u8]>) -> PutReply {
+        let (sender, reply) = oneshot::channel();
+        let token = self.new_token();
+        self.state.borrow_mut().puts.insert(token, sender);
+        self.replica.send(ReplicaEvent::Put { token, bytes });
+        let reply = timeout(REPLY_LIMIT, reply).await;
+        self.state.borrow_mut().puts.remove(&token);
+        reply.ok().and_then(Result::ok).unwrap_or(PutReply::Unconfirmed)
+    }
+
+    /// Reads the newest configuration.
+    pub async fn read_document(&self) -> ReadReply {
+        let (sender, reply) = oneshot::channel();
+        let token = self.new_token();
+        self.state.borrow_mut().reads.insert(token, sender);
+        self.replica.send(ReplicaEvent::Read { token });
+        let reply = timeout(REPLY_LIMIT, reply).await;
+        self.state.borrow_mut().reads.remove(&token);
+        reply.ok().and_then(Result::ok).unwrap_or(ReadReply::Unsure)
+    }
+
+    /// Takes in an engine's announcement. A change is on its way to everyone when this returns.
+    pub fn announce(&self, notice: EngineNotice) {
+        let now = self.now();
+        let name = notice.engine.clone();
+        let state = &mut *self.state.borrow_mut();
+        match state.directory.merge(now, notice.clone()) {
+            Merge::Old => {}
+            Merge::Refreshed => {
+                state.refreshed.insert(name);
+            }
+            Merge::Changed => {
+                log::info!(engine = name.as_str(), state = notice.state.as_str(); "engine announced");
+                let message = FleetMessage::Engines(vec![notice]);
+                self.mesh.send_all(state.links_to_everyone(), &message);
+            }
+        }
+    }
+
+    /// Takes in that an engine has left.
+    pub fn engine_left(&self, engine: &BackEndName) {
+        let now = self.now();
+        let state = &mut *self.state.borrow_mut();
+        let notice = state.directory.leave(now, engine);
+        log::info!(engine = engine.as_str(); "engine left");
+        let message = FleetMessage::Engines(vec![notice]);
+        self.mesh.send_all(state.links_to_everyone(), &message);
+    }
+
+    /// The replica as of its last round.
+    pub fn replica_view(&self) -> ReplicaView {
+        self.replica.view()
+    }
+
+    fn new_token(&self) -> u64 {
+        let mut state = self.state.borrow_mut();
+        state.next_token += 1;
+        state.next_token
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp(self.started.elapsed().as_millis() as u64 + 1_000)
+    }
+
+    fn add_control_peer(&self, address: SocketAddr) {
+        if address == self.own_address {
+            return;
+        }
+        if self.state.borrow_mut().control_peers.insert(address) {
+            self.mesh.dial(address);
+        }
+    }
+
+    async fn run(
+        self,
+        mut events: mpsc::UnboundedReceiver<LinkEvent<FleetMessage>>,
+        mut effects: mpsc::UnboundedReceiver<ReplicaEffect>,
+    ) {
+        let mut ticks = interval(STATUS_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                Some(event) = events.recv() => self.on_link_event(event),
+                Some(effect) = effects.recv() => self.on_effect(effect),
+                _ = ticks.tick() => self.on_tick(),
+            }
+        }
+    }
+
+    fn on_link_event(&self, event: LinkEvent<FleetMessage>) {
+        match event {
+            LinkEvent::Up { link, peer, .. } => self.on_up(link, peer),
+            LinkEvent::Down { link } => {
+                self.state.borrow_mut().links.remove(&link);
+                self.tell_control_peers();
+            }
+            LinkEvent::Message { link, message } => self.on_message(link, message),
+        }
+    }
+
+    fn on_up(&self, link: LinkId, peer: PeerInfo) {
+        log::info!(peer = peer.node.to_string().as_str(); "connected");
+        let role = peer.role;
+        let node = peer.node.clone();
+        let entry = Link { peer, document_known: 0, document_sent: None };
+        self.state.borrow_mut().links.insert(link, entry);
+        let notices = self.state.borrow().directory.notices(self.now());
+        self.mesh.send(link, &FleetMessage::Engines(notices));
+        self.mesh.send(link, &FleetMessage::ControlStatus(self.status()));
+        match role {
+            PeerRole::Router => self.replica.send(ReplicaEvent::RouterSeen(node)),
+            PeerRole::Control => self.tell_control_peers(),
+        }
+    }
+
+    fn on_message(&self, link: LinkId, message: FleetMessage) {
+        let Some(peer) = self.state.borrow().links.get(&link).map(|link| link.peer.node.clone())
+        else {
+            return;
+        };
+        match message {
+            FleetMessage::Raft(envelope) => self.replica.send(ReplicaEvent::Raft(envelope)),
+            FleetMessage::ControlStatus(status) => {
+                status.control_peers.into_iter().for_each(|peer| self.add_control_peer(peer));
+            }
+            FleetMessage::Engines(notices) => self.on_engines(notices),
+            FleetMessage::RouterStatus(status) => self.on_router_status(link, peer, status),
+            FleetMessage::Farewell(spent) => {
+                self.replica.send(ReplicaEvent::RouterFarewell { router: peer, spent });
+            }
+            FleetMessage::Document(_)
+            | FleetMessage::Allotted(_)
+            | FleetMessage::Recall(_)
+            | FleetMessage::FarewellTaken => {}
+        }
+    }
+
+    /// Passes on to the routers what another control process says and they may not have heard.
+    fn on_engines(&self, notices: Vec<EngineNotice>) {
+        let now = self.now();
+        let state = &mut *self.state.borrow_mut();
+        let changed: Vec<EngineNotice> = notices
+            .into_iter()
+            .filter(|notice| state.directory.merge(now, notice.clone()) == Merge::Changed)
+            .collect();
+        if !changed.is_empty() {
+            self.mesh.send_all(state.links_to(PeerRole::Router), &FleetMessage::Engines(changed));
+        }
+    }
+
+    fn on_router_status(&self, link: LinkId, router: NodeId, status: RouterStatus) {
+        if let Some(entry) = self.state.borrow_mut().links.get_mut(&link) {
+            entry.document_known = status.document_version;
+        }
+        let view = self.replica.view();
+        if view.leads() || status.accepts_unconfirmed {
+            self.send_document(link, &view);
+        }
+        if view.leads() {
+            let accounts = status.accounts;
+            self.replica.send(ReplicaEvent::RouterReport { router, accounts });
+        }
+    }
+
+    /// Sends the configuration to a router that does not have it.
+    fn send_document(&self, link: LinkId, view: &ReplicaView) {
+        let Some(document) = &view.document else {
+            return;
+        };
+        let mut state = self.state.borrow_mut();
+        let Some(entry) = state.links.get_mut(&link) else {
+            return;
+        };
+        let sent_lately = entry.document_sent.is_some_and(|(version, at)| {
+            version >= document.version && at.elapsed() < RESEND_AFTER
+        });
+        if entry.document_known >= document.version || sent_lately {
+            return;
+        }
+        entry.document_sent = Some((document.version, Instant::now()));
+        self.mesh.send(link, &FleetMessage::Document(document.clone()));
+    }
+
+    fn on_effect(&self, effect: ReplicaEffect) {
+        match effect {
+            ReplicaEffect::SendRaft(machine, envelope) => {
+                self.send_to_control(&machine, &FleetMessage::Raft(envelope));
+            }
+            ReplicaEffect::PutReply(token, reply) => {
+                if let Some(sender) = self.state.borrow_mut().puts.remove(&token) {
+                    // Whoever asked may have gone.
+                    let _ = sender.send(reply);
+                }
+            }
+            ReplicaEffect::ReadReply(token, reply) => {
+                if let Some(sender) = self.state.borrow_mut().reads.remove(&token) {
+                    let _ = sender.send(reply);
+                }
+            }
+            ReplicaEffect::DocumentChanged(document) => self.on_document(document.version),
+            ReplicaEffect::Allotted(router, totals) => {
+                self.send_to_router(&router, &FleetMessage::Allotted(totals));
+            }
+            ReplicaEffect::Recall(router, keeps) => {
+                self.send_to_router(&router, &FleetMessage::Recall(keeps));
+            }
+            ReplicaEffect::FarewellTaken(router) => {
+                self.send_to_router(&router, &FleetMessage::FarewellTaken);
+            }
+            ReplicaEffect::RoleChanged(leads) => {
+                log::info!(leads = leads; "role");
+                self.on_tick();
+            }
+        }
+    }
+
+    fn on_document(&self, version: u64) {
+        let view = self.replica.view();
+        log::info!(version = version, leads = view.leads(); "configuration in force");
+        if !view.leads() {
+            return;
+        }
+        let routers = self.state.borrow().links_to(PeerRole::Router);
+        for link in routers {
+            self.send_document(link, &view);
+        }
+    }
+
+    fn on_tick(&self) {
+        let now = self.now();
+        let status = FleetMessage::ControlStatus(self.status());
+        let state = &mut *self.state.borrow_mut();
+        self.mesh.send_all(state.links_to_everyone(), &status);
+        let refreshed: Vec<EngineNotice> = std::mem::take(&mut state.refreshed)
+            .iter()
+            .filter_map(|engine| state.directory.get(engine))
+            .map(|record| EngineNotice {
+                age: now.since(record.announced_at),
+                ..record.notice.clone()
+            })
+            .collect();
+        if !refreshed.is_empty() {
+            self.mesh.send_all(state.links_to_everyone(), &FleetMessage::Engines(refreshed));
+        }
+        state.directory.forget_old(now);
+    }
+
+    fn status(&self) -> ControlStatus {
+        let view = self.replica.view();
+        let state = self.state.borrow();
+        let routers: BTreeSet<&MachineName> = state
+            .links
+            .values()
+            .filter(|link| link.peer.role == PeerRole::Router)
+            .map(|link| &link.peer.node.machine)
+            .collect();
+        ControlStatus {
+            leads: view.leads(),
+            document_version: view.document_version(),
+            routers: routers.len() as u32,
+            control_peers: state
+                .control_peers
+                .iter()
+                .copied()
+                .chain([self.own_address])
+                .collect(),
+        }
+    }
+
+    fn tell_control_peers(&self) {
+        let state = self.state.borrow();
+        let peers = state
+            .links
+            .values()
+            .filter(|link| link.peer.role == PeerRole::Control)
+            .map(|link| link.peer.node.machine.clone())
+            .collect();
+        self.replica.send(ReplicaEvent::ControlPeers(peers));
+    }
+
+    fn send_to_control(&self, machine: &MachineName, message: &FleetMessage) {
+        let link = self.state.borrow().newest_link(|peer| {
+            peer.role == PeerRole::Control && peer.node.machine == *machine
+        });
+        if let Some(link) = link {
+            self.mesh.send(link, message);
+        }
+    }
+
+    fn send_to_router(&self, router: &NodeId, message: &FleetMessage) {
+        let link = self
+            .state
+            .borrow()
+            .newest_link(|peer| peer.role == PeerRole::Router && peer.node == *router);
+        if let Some(link) = link {
+            self.mesh.send(link, message);
+        }
+    }
+}
+
+impl State {
+    fn newest_link(&self, matches: impl Fn(&PeerInfo) -> bool) -> Option<LinkId> {
+        self.links.iter().rev().find(|(_, link)| matches(&link.peer)).map(|(link, _)| *link)
+    }
+
+    /// One connection to each process with `role`.
+    fn links_to(&self, role: PeerRole) -> Vec<LinkId> {
+        let mut by_node = BTreeMap::new();
+        for (link, entry) in &self.links {
+            if entry.peer.role == role {
+                by_node.insert(&entry.peer.node, *link);
+            }
+        }
+        by_node.into_values().collect()
+    }
+
+    fn links_to_everyone(&self) -> Vec<LinkId> {
+        let mut links = self.links_to(PeerRole::Control);
+        links.extend(self.links_to(PeerRole::Router));
+        links
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/lib.rs
@@ -0,0 +1,31 @@
+//! The replicated state of a gateway fleet and the process that keeps it.
+//!
+//! - [`FleetState`]: the configuration document, the prepaid ledger and the voters, changed only by
+//!   committed [`Command`]s.
+//! - [`Replica`]: one replica without sockets; [`ReplicaThread`] runs it beside the reactor.
+//! - [`ControlNode`]: what a control process does with its peers, the routers and the engines.
+//! - [`FleetMessage`]: what processes of a fleet tell one another.
+
+mod control_node;
+mod message;
+mod prepaid_planner;
+mod replica;
+mod replica_thread;
+mod state;
+mod voters;
+
+pub use control_node::{ControlNode, ControlSettings};
+pub use message::{ControlStatus, Document, FleetMessage, RouterStatus};
+pub use replica::{
+    PutReply, ReadReply, Replica, ReplicaConfig, ReplicaEffect, ReplicaError, ReplicaEvent,
+};
+pub use replica_thread::{ReplicaHandle, ReplicaThread, ReplicaView};
+pub use state::{Command, FleetState, Outcome};
+
+use stackpost_gateway_core::{ConfigError, RoutingConfig};
+
+/// Reads configuration documents. The document itself is kept and handed out byte for byte.
+pub trait DocumentCodec: Send + Sync {
+    /// Reads a document; the result has not been validated.
+    fn decode(&self, bytes: &[u8]) -> Result<RoutingConfig, ConfigError>;
+}
--- /dev/null
+++ b/crates/coordinator/src/message.rs
@@ -0,0 +1,66 @@
+//! What processes of a fleet tell one another.
+
+use serde::{Deserialize, Serialize};
+use stackpost_consensus::Envelope;
+use stackpost_gateway_core::EngineNotice;
+use stackpost_prepaid::AccountReport;
+use stackpost_types::{TenantName, Tokens};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// The configuration as the operator sent it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// Given by the operator; the highest holds.
+    pub version: u64,
+    /// Byte for byte as it was sent.
+    pub bytes: Arc<[u8]>,
+}
+
+/// What a control replica says of itself, some times a second.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlStatus {
+    /// Whether it is the leader and no other can have been elected since.
+    pub leads: bool,
+    /// Version of the newest configuration it has applied; zero if there is none.
+    pub document_version: u64,
+    /// Routers connected to it.
+    pub routers: u32,
+    /// Where the control processes it knows accept connections of the fleet.
+    pub control_peers: Vec<SocketAddr>,
+}
+
+/// What a router tells the leader, some times a second.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouterStatus {
+    /// Version of its configuration; zero if it has none.
+    pub document_version: u64,
+    /// Whether it would take a configuration that no leader has confirmed.
+    pub accepts_unconfirmed: bool,
+    /// Its accounts, where they have changed.
+    pub accounts: Vec<(TenantName, AccountReport)>,
+}
+
+/// A message between two processes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FleetMessage {
+    /// Between control replicas: the replicated log.
+    Raft(Envelope),
+    /// From a control replica to everyone.
+    ControlStatus(ControlStatus),
+    /// From a control replica to a router.
+    Document(Document),
+    /// From a control replica to everyone.
+    Engines(Vec<EngineNotice>),
+    /// From a router to control.
+    RouterStatus(RouterStatus),
+    /// From the leader to a router: totals handed to it.
+    Allotted(Vec<(TenantName, Tokens)>),
+    /// From the leader to a router: what it may keep spendable.
+    Recall(Vec<(TenantName, Tokens)>),
+    /// From a router that stops: what it has spent of each tenant's budget.
+    Farewell(BTreeMap<TenantName, Tokens>),
+    /// Answer to `Farewell`: the router's life is closed.
+    FarewellTaken,
+}
--- /dev/null
+++ b/crates/coordinator/src/replica.rs
@@ -0,0 +1,614 @@
+//! One control replica without sockets: the replicated log, its disk and the state.
+//!
+//! `handle` takes one event and returns what is to be done. Everything that must survive is synced
+//! before the effects that promise it are returned.
+
+use crate::DocumentCodec;
+use crate::message::Document;
+use crate::prepaid_planner::PrepaidPlanner;
+use crate::state::{Command, FleetState, Outcome};
+use crate::voters::{VoterStep, VoterView, next_step};
+use stackpost_consensus::{
+    Config, Entry, Envelope, FIRST_IDENTITY, HardState, Raft, Ready, Restored, Role, Snapshot,
+};
+use stackpost_prepaid::AccountReport;
+use stackpost_storage::{Disk, LogStore, StoreError};
+use stackpost_types::{MachineName, Millis, NodeId, TenantName, Timestamp, Tokens};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use thiserror::Error;
+
+/// Entries after which the log is replaced by a snapshot.
+const SNAPSHOT_ENTRIES: u64 = 400;
+/// Longest wait for a change or a read before it is answered as unconfirmed.
+const REPLY_LIMIT: Millis = Millis(900);
+/// A read that could not be confirmed is asked again after so long.
+const ROUND_LIMIT: Millis = Millis(200);
+/// Term and index of the state that a new fleet begins with.
+const FOUNDING: u64 = 1;
+
+/// How a replica is run.
+#[derive(Clone)]
+pub struct ReplicaConfig {
+    /// This machine.
+    pub name: MachineName,
+    /// The voters of a new fleet; `None` unless the whole fleet starts for the first time.
+    pub founders: Option<Vec<MachineName>>,
+    /// Identity for a data folder that has to be made.
+    pub fresh_identity: u64,
+    /// Shortest silence of the leader before a campaign.
+    pub election_timeout: Millis,
+    /// Time between two heartbeats.
+    pub heartbeat_interval: Millis,
+    /// Taken off a lease's end for clocks that run at different speeds.
+    pub lease_margin: Millis,
+    /// Voters wanted.
+    pub voters_wanted: usize,
+    /// Seed for election timeouts.
+    pub seed: u64,
+    /// Reads documents.
+    pub codec: Arc<dyn DocumentCodec>,
+}
+
+/// Why a replica can't go on.
+#[derive(Debug, Error)]
+pub enum ReplicaError {
+    /// The data folder can't be read or written.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// What was stored can't be understood.
+    #[error("storage: entry {index} or the snapshot before it can't be read: {reason}")]
+    Unreadable {
+        /// Position in the log.
+        index: u64,
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+/// Something happened.
+#[derive(Debug)]
+pub enum ReplicaEvent {
+    /// Time has passed.
+    Tick,
+    /// A message of the replicated log.
+    Raft(Envelope),
+    /// An operator sends a configuration.
+    Put {
+        /// Names the answer.
+        token: u64,
+        /// The document as it came.
+        bytes: Arc<[u8]>,
+    },
+    /// An operator reads the configuration.
+    Read {
+        /// Names the answer.
+        token: u64,
+    },
+    /// A router has reported its accounts.
+    RouterReport {
+        /// The router.
+        router: NodeId,
+        /// Its accounts.
+        accounts: Vec<(TenantName, AccountReport)>,
+    },
+    /// A router is connected; earlier lives on the same machine have ended.
+    RouterSeen(NodeId),
+    /// A router stops and says what it has spent.
+    RouterFarewell {
+        /// The router.
+        router: NodeId,
+        /// What it has spent.
+        spent: BTreeMap<TenantName, Tokens>,
+    },
+    /// The control machines that are connected now.
+    ControlPeers(BTreeSet<MachineName>),
+}
+
+/// Answer to a `Put`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PutReply {
+    /// It is in force, or a higher version is.
+    Taken,
+    /// It is not valid and was not taken.
+    Invalid(String),
+    /// Another machine leads.
+    Elsewhere(Option<MachineName>),
+    /// It may or may not be taken.
+    Unconfirmed,
+}
+
+/// Answer to a `Read`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReadReply {
+    /// The newest configuration.
+    Newest(Option<Document>),
+    /// Another machine leads.
+    Elsewhere(Option<MachineName>),
+    /// This replica can't be sure.
+    Unsure,
+}
+
+/// Something to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ReplicaEffect {
+    /// Send a message of the replicated log.
+    SendRaft(MachineName, Envelope),
+    /// Answer a `Put`.
+    PutReply(u64, PutReply),
+    /// Answer a `Read`.
+    ReadReply(u64, ReadReply),
+    /// A newer configuration is in force.
+    DocumentChanged(Document),
+    /// Tell a router its totals.
+    Allotted(NodeId, Vec<(TenantName, Tokens)>),
+    /// Ask a router to give back.
+    Recall(NodeId, Vec<(TenantName, Tokens)>),
+    /// Tell a router that its life is closed.
+    FarewellTaken(NodeId),
+    /// The role has changed; true for a leader.
+    RoleChanged(bool),
+}
+
+struct PendingPut {
+    token: u64,
+    term: u64,
+    index: u64,
+    since: Timestamp,
+}
+
+struct PendingRead {
+    context: u64,
+    since: Timestamp,
+    asked_at: Timestamp,
+}
+
+/// One replica over a disk.
+pub struct Replica<D> {
+    config: ReplicaConfig,
+    raft: Raft,
+    store: LogStore<D>,
+    state: FleetState,
+    applied: u64,
+    puts: Vec<PendingPut>,
+    reads: BTreeMap<u64, PendingRead>,
+    next_context: u64,
+    planner: PrepaidPlanner,
+    control_peers: BTreeSet<MachineName>,
+    voter_change: Option<u64>,
+    was_leading: bool,
+    effects: Vec<ReplicaEffect>,
+}
+
+impl<D: Disk> Replica<D> {
+    /// Opens the data folder, or makes it.
+    pub fn open(config: ReplicaConfig, disk: D, now: Timestamp) -> Result<Self, ReplicaError> {
+        let (store, restored) = open_store(&config, disk)?;
+        let state = read_state(&restored.snapshot)?;
+        let voters = voters_at_start(&state, &restored.entries)?;
+        let raft_config = Config {
+            name: config.name.clone(),
+            identity: store.identity(),
+            voters,
+            election_timeout: config.election_timeout,
+            heartbeat_interval: config.heartbeat_interval,
+            lease_margin: config.lease_margin,
+            seed: config.seed,
+        };
+        let applied = restored.snapshot.index;
+        Ok(Self {
+            raft: Raft::new(raft_config, restored, now),
+            config,
+            store,
+            state,
+            applied,
+            puts: Vec::new(),
+            reads: BTreeMap::new(),
+            next_context: 1,
+            planner: PrepaidPlanner::default(),
+            control_peers: BTreeSet::new(),
+            voter_change: None,
+            was_leading: false,
+            effects: Vec::new(),
+        })
+    }
+
+    /// Takes in events. After an error the replica must be opened anew: what the disk holds is not
+    /// known any more.
+    pub fn handle(
+        &mut self,
+        now: Timestamp,
+        events: impl IntoIterator<Item = ReplicaEvent>,
+    ) -> Result<Vec<ReplicaEffect>, ReplicaError> {
+        for event in events {
+            self.take_in(now, event);
+        }
+        self.drive(now)?;
+        Ok(std::mem::take(&mut self.effects))
+    }
+
+    fn take_in(&mut self, now: Timestamp, event: ReplicaEvent) {
+        match event {
+            ReplicaEvent::Tick => self.tick(now),
+            ReplicaEvent::Raft(envelope) => self.raft.step(now, envelope),
+            ReplicaEvent::Put { token, bytes } => self.put(now, token, bytes),
+            ReplicaEvent::Read { token } => self.read(now, token),
+            ReplicaEvent::RouterReport { router, accounts } => {
+                self.planner.on_report(now, &router, accounts);
+                self.plan_prepaid(now);
+            }
+            ReplicaEvent::RouterSeen(router) => self.planner.on_router_seen(now, &router),
+            ReplicaEvent::RouterFarewell { router, spent } => {
+                self.planner.on_farewell(&router, spent);
+            }
+            ReplicaEvent::ControlPeers(machines) => self.control_peers = machines,
+        }
+    }
+
+    /// The state as of the last applied entry.
+    pub fn state(&self) -> &FleetState {
+        &self.state
+    }
+
+    /// Whether this replica leads and no other can have been elected since.
+    pub fn leads(&self, now: Timestamp) -> bool {
+        self.lease_until().is_some_and(|until| now < until)
+    }
+
+    /// Until when no other replica can have become leader; `None` unless this one leads.
+    pub fn lease_until(&self) -> Option<Timestamp> {
+        self.raft.lease_until()
+    }
+
+    /// The leader, if known.
+    pub fn leader(&self) -> Option<&MachineName> {
+        self.raft.leader()
+    }
+
+    /// The voters.
+    pub fn voters(&self) -> &BTreeMap<MachineName, u64> {
+        self.raft.voters()
+    }
+
+    fn tick(&mut self, now: Timestamp) {
+        self.raft.tick(now);
+        self.answer_overdue(now);
+        if self.raft.role() == Role::Leader {
+            self.plan_prepaid(now);
+            self.plan_voters();
+        }
+    }
+
+    fn put(&mut self, now: Timestamp, token: u64, bytes: Arc<[u8]>) {
+        let decoded = self.config.codec.decode(&bytes);
+        let config = match decoded.and_then(|config| config.validate().map(|()| config)) {
+            Ok(config) => config,
+            Err(error) => return self.reply_put(token, PutReply::Invalid(error.to_string())),
+        };
+        // What is in force here has been committed, so a version that is not above it changes
+        // nothing, whoever leads.
+        if self.state.document.is_some() && config.version <= self.state.document_version() {
+            return self.reply_put(token, PutReply::Taken);
+        }
+        let limits = config.prepaid_limits();
+        let document = Document { version: config.version, bytes };
+        match self.propose(&Command::PutDocument { document, limits }) {
+            Some((term, index)) => self.puts.push(PendingPut { token, term, index, since: now }),
+            None => self.reply_put(token, PutReply::Elsewhere(self.raft.leader().cloned())),
+        }
+    }
+
+    fn read(&mut self, now: Timestamp, token: u64) {
+        if self.raft.role() != Role::Leader {
+            let leader = self.raft.leader().cloned();
+            let reply = ReadReply::Elsewhere(leader);
+            return self.effects.push(ReplicaEffect::ReadReply(token, reply));
+        }
+        let context = self.next_context;
+        self.next_context += 1;
+        // A leader that has not committed anything yet is asked again at the next tick.
+        let _ = self.raft.read_index(context);
+        self.reads.insert(token, PendingRead { context, since: now, asked_at: now });
+    }
+
+    fn reply_put(&mut self, token: u64, reply: PutReply) {
+        self.effects.push(ReplicaEffect::PutReply(token, reply));
+    }
+
+    fn propose(&mut self, command: &Command) -> Option<(u64, u64)> {
+        let data = postcard::to_stdvec(command).expect("a command can be encoded");
+        self.raft.propose(data).ok()
+    }
+
+    fn answer_overdue(&mut self, now: Timestamp) {
+        let overdue = |since: Timestamp| now.since(since) > REPLY_LIMIT;
+        let leading = self.raft.role() == Role::Leader;
+        let puts = std::mem::take(&mut self.puts);
+        for put in puts {
+            if overdue(put.since) {
+                self.reply_put(put.token, PutReply::Unconfirmed);
+            } else {
+                self.puts.push(put);
+            }
+        }
+        for (token, read) in std::mem::take(&mut self.reads) {
+            if overdue(read.since) || !leading {
+                self.effects.push(ReplicaEffect::ReadReply(token, ReadReply::Unsure));
+            } else {
+                let read = self.ask_again(now, read);
+                self.reads.insert(token, read);
+            }
+        }
+    }
+
+    fn ask_again(&mut self, now: Timestamp, mut read: PendingRead) -> PendingRead {
+        if now.since(read.asked_at) > ROUND_LIMIT {
+            read.asked_at = now;
+            // It fails only if this replica leads no more, which the next tick notices.
+            let _ = self.raft.read_index(read.context);
+        }
+        read
+    }
+
+    fn plan_prepaid(&mut self, now: Timestamp) {
+        if self.raft.role() != Role::Leader || !self.leads(now) {
+            return;
+        }
+        for command in self.planner.plan(now, &self.state.ledger) {
+            if let Some((_, index)) = self.propose(&command) {
+                self.planner.on_proposed(now, index);
+            }
+        }
+        for (router, recalls) in self.planner.take_recalls() {
+            self.effects.push(ReplicaEffect::Recall(router, recalls));
+        }
+    }
+
+    fn plan_voters(&mut self) {
+        let in_flight = self.voter_change.is_some_and(|index| index > self.applied);
+        if in_flight || self.raft.lease_until().is_none() {
+            return;
+        }
+        let command = match next_step(&self.voter_view()) {
+            VoterStep::None => return,
+            VoterStep::Teach(machines) => {
+                machines.into_iter().for_each(|machine| self.raft.add_learner(machine));
+                return;
+            }
+            VoterStep::Add(machine, identity) => Command::SetVoter { machine, identity },
+            VoterStep::Remove(machine) => Command::RemoveVoter { machine },
+        };
+        log::info!(step = "membership"; "proposes {command:?}");
+        self.voter_change = self.propose(&command).map(|(_, index)| index);
+    }
+
+    fn voter_view(&self) -> VoterView {
+        let own = self.config.name.clone();
+        let silence = |machine: &MachineName| self.raft.silence_of(machine).unwrap_or(Millis(0));
+        let voters: BTreeMap<MachineName, Millis> =
+            self.raft.voters().keys().map(|name| (name.clone(), silence(name))).collect();
+        let standby: BTreeSet<MachineName> = self
+            .control_peers
+            .iter()
+            .filter(|machine| !voters.contains_key(*machine))
+            .cloned()
+            .collect();
+        let caught_up = voters
+            .keys()
+            .chain(&standby)
+            .filter(|machine| **machine != own)
+            .filter_map(|machine| Some((machine.clone(), self.raft.caught_up_learner(machine)?)))
+            .collect();
+        VoterView { own, voters, standby, caught_up, wanted: self.config.voters_wanted }
+    }
+
+    /// Carries out what the log asks for until it asks for nothing more.
+    fn drive(&mut self, now: Timestamp) -> Result<(), ReplicaError> {
+        loop {
+            let ready = self.raft.ready();
+            if ready.is_empty() {
+                break;
+            }
+            self.carry_out(ready)?;
+        }
+        let leading = self.raft.role() == Role::Leader;
+        if leading != self.was_leading {
+            self.was_leading = leading;
+            self.planner.on_role_change(now);
+            self.voter_change = None;
+            self.effects.push(ReplicaEffect::RoleChanged(leading));
+        }
+        Ok(())
+    }
+
+    fn carry_out(&mut self, ready: Ready) -> Result<(), ReplicaError> {
+        if let Some(snapshot) = &ready.snapshot {
+            self.install(snapshot)?;
+        }
+        if ready.must_sync() {
+            self.store.append(ready.hard_state.as_ref(), &ready.entries)?;
+            self.raft.advance();
+        }
+        for (to, envelope) in ready.messages {
+            self.effects.push(ReplicaEffect::SendRaft(to, envelope));
+        }
+        for entry in ready.committed {
+            self.apply(entry)?;
+        }
+        for read in ready.reads {
+            let token =
+                self.reads.iter().find(|(_, waiting)| waiting.context == read.context);
+            if let Some(token) = token.map(|(token, _)| *token) {
+                self.reads.remove(&token);
+                let reply = ReadReply::Newest(self.state.document.clone());
+                self.effects.push(ReplicaEffect::ReadReply(token, reply));
+            }
+        }
+        Ok(())
+    }
+
+    fn install(&mut self, snapshot: &Snapshot) -> Result<(), ReplicaError> {
+        self.state = read_state(snapshot)?;
+        self.applied = snapshot.index;
+        self.take_over_voters();
+        let following = self.raft.entries_after_snapshot();
+        self.store.install(snapshot, self.raft.hard_state(), &following)?;
+        if let Some(document) = self.state.document.clone() {
+            self.effects.push(ReplicaEffect::DocumentChanged(document));
+        }
+        Ok(())
+    }
+
+    fn take_over_voters(&mut self) {
+        let gone: Vec<MachineName> = self
+            .raft
+            .voters()
+            .keys()
+            .filter(|machine| !self.state.voters.contains_key(*machine))
+            .cloned()
+            .collect();
+        for machine in gone {
+            self.raft.remove_voter(&machine);
+        }
+        for (machine, identity) in &self.state.voters {
+            self.raft.set_identity(machine.clone(), *identity);
+        }
+    }
+
+    fn apply(&mut self, entry: Entry) -> Result<(), ReplicaError> {
+        self.applied = entry.index;
+        if entry.data.is_empty() {
+            return Ok(());
+        }
+        let command = read_command(&entry)?;
+        match &command {
+            Command::SetVoter { machine, identity } => {
+                self.raft.set_identity(machine.clone(), *identity);
+            }
+            Command::RemoveVoter { machine } => self.raft.remove_voter(machine),
+            _ => {}
+        }
+        let touched = self.planner.routers_touched(&command);
+        let closed = match &command {
+            Command::CloseRouter { router, .. } => Some(router.clone()),
+            _ => None,
+        };
+        let outcome = self.state.apply(command);
+        if outcome == Outcome::DocumentTaken
+            && let Some(document) = self.state.document.clone()
+        {
+            self.effects.push(ReplicaEffect::DocumentChanged(document));
+        }
+        self.answer_puts(&entry);
+        self.tell_routers(touched, closed);
+        if entry.index - self.raft.snapshot_index() >= SNAPSHOT_ENTRIES {
+            self.take_snapshot(entry.index)?;
+        }
+        Ok(())
+    }
+
+    fn answer_puts(&mut self, entry: &Entry) {
+        for put in std::mem::take(&mut self.puts) {
+            if put.index > entry.index {
+                self.puts.push(put);
+                continue;
+            }
+            let kept = put.index == entry.index && put.term == entry.term;
+            // Another leader's entry may have taken its place.
+            let reply = if kept { PutReply::Taken } else { PutReply::Unconfirmed };
+            self.reply_put(put.token, reply);
+        }
+    }
+
+    fn tell_routers(&mut self, touched: BTreeSet<NodeId>, closed: Option<NodeId>) {
+        if self.raft.role() != Role::Leader {
+            return;
+        }
+        for router in touched {
+            let totals: Vec<(TenantName, Tokens)> = self
+                .state
+                .ledger
+                .allotments(&router)
+                .map(|(tenant, allotment)| (tenant.clone(), allotment.allotted))
+                .collect();
+            self.effects.push(ReplicaEffect::Allotted(router, totals));
+        }
+        if let Some(router) = closed {
+            self.effects.push(ReplicaEffect::FarewellTaken(router));
+        }
+    }
+
+    fn take_snapshot(&mut self, index: u64) -> Result<(), ReplicaError> {
+        self.raft.compact(index, self.state.to_snapshot());
+        let snapshot = self.raft.snapshot().clone();
+        let following = self.raft.entries_after_snapshot();
+        self.store.install(&snapshot, self.raft.hard_state(), &following)?;
+        Ok(())
+    }
+}
+
+fn open_store<D: Disk>(
+    config: &ReplicaConfig,
+    disk: D,
+) -> Result<(LogStore<D>, Restored), ReplicaError> {
+    if LogStore::exists(&disk).map_err(ReplicaError::Store)? {
+        return Ok(LogStore::open(disk)?);
+    }
+    let founders = config.founders.iter().flatten();
+    let voters: BTreeMap<MachineName, u64> =
+        founders.map(|machine| (machine.clone(), FIRST_IDENTITY)).collect();
+    if !voters.contains_key(&config.name) {
+        let store = LogStore::create(disk, config.fresh_identity)?;
+        return Ok((store, Restored::default()));
+    }
+    let mut store = LogStore::create(disk, FIRST_IDENTITY)?;
+    // Every founder begins with the same state, so that no entry has to carry it.
+    let snapshot = Snapshot {
+        index: FOUNDING,
+        term: FOUNDING,
+        data: FleetState::found(voters).to_snapshot(),
+    };
+    let hard_state = HardState { term: FOUNDING, voted_for: None };
+    store.install(&snapshot, &hard_state, &[])?;
+    Ok((store, Restored { hard_state, snapshot, entries: Vec::new() }))
+}
+
+fn read_state(snapshot: &Snapshot) -> Result<FleetState, ReplicaError> {
+    if snapshot.data.is_empty() {
+        return Ok(FleetState::default());
+    }
+    FleetState::from_snapshot(&snapshot.data).map_err(|error| ReplicaError::Unreadable {
+        index: snapshot.index,
+        reason: error.to_string(),
+    })
+}
+
+fn read_command(entry: &Entry) -> Result<Command, ReplicaError> {
+    postcard::from_bytes(&entry.data).map_err(|error| ReplicaError::Unreadable {
+        index: entry.index,
+        reason: error.to_string(),
+    })
+}
+
+/// The voters for a replica that has just started: those of the snapshot and of all changes after
+/// it but the last. A leader proposes a change only after the one before was committed, so all but
+/// the last are certain; and voters that lag by a single change still share a replica with every
+/// majority.
+fn voters_at_start(
+    state: &FleetState,
+    entries: &[Entry],
+) -> Result<BTreeMap<MachineName, u64>, ReplicaError> {
+    let mut changes = Vec::new();
+    for entry in entries.iter().filter(|entry| !entry.data.is_empty()) {
+        let command = read_command(entry)?;
+        if command.changes_voters() {
+            changes.push(command);
+        }
+    }
+    changes.pop();
+    let mut known = FleetState::found(state.voters.clone());
+    for command in changes {
+        known.apply(command);
+    }
+    Ok(known.voters)
+}
--- /dev/null
+++ b/crates/coordinator/src/replica_thread.rs
@@ -0,0 +1,167 @@
+//! Runs a replica on a thread of its own, so that a slow disk does not hold up the process.
+
+use crate::message::Document;
+use crate::replica::{Replica, ReplicaConfig, ReplicaEffect, ReplicaError, ReplicaEvent};
+use stackpost_storage::{DiskError, FileDisk, StoreError};
+use stackpost_types::{MachineName, Timestamp};
+use std::path::{Path, PathBuf};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, watch};
+
+/// Time between two ticks of the replica.
+const TICK: Duration = Duration::from_millis(25);
+/// Pause before a data folder that could not be used is opened again.
+const REOPEN_PAUSE: Duration = Duration::from_millis(300);
+/// Events taken in before the log is synced.
+const EVENTS_PER_ROUND: usize = 256;
+
+/// What a replica shows of itself.
+#[derive(Clone, Debug, Default)]
+pub struct ReplicaView {
+    /// Until when it certainly leads.
+    pub lease_until: Option<Instant>,
+    /// The leader, if known.
+    pub leader: Option<MachineName>,
+    /// The configuration in force.
+    pub document: Option<Document>,
+}
+
+impl ReplicaView {
+    /// Whether the replica certainly leads.
+    pub fn leads(&self) -> bool {
+        self.lease_until.is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Version of the configuration in force; zero if there is none.
+    pub fn document_version(&self) -> u64 {
+        self.document.as_ref().map_or(0, |document| document.version)
+    }
+}
+
+/// The way to the replica's thread.
+#[derive(Clone)]
+pub struct ReplicaHandle {
+    events: Sender<ReplicaEvent>,
+    view: watch::Receiver<ReplicaView>,
+}
+
+impl ReplicaHandle {
+    /// Hands over an event.
+    pub fn send(&self, event: ReplicaEvent) {
+        // The thread ends only together with the process.
+        let _ = self.events.send(event);
+    }
+
+    /// The replica as of its last round.
+    pub fn view(&self) -> ReplicaView {
+        self.view.borrow().clone()
+    }
+}
+
+/// The thread and what it owns.
+pub struct ReplicaThread {
+    config: ReplicaConfig,
+    folder: PathBuf,
+    started: Instant,
+    events: Receiver<ReplicaEvent>,
+    effects: mpsc::UnboundedSender<ReplicaEffect>,
+    view: watch::Sender<ReplicaView>,
+}
+
+impl ReplicaThread {
+    /// Starts the thread over the data folder, which is made if need be.
+    pub fn start(
+        config: ReplicaConfig,
+        folder: &Path,
+    ) -> std::io::Result<(ReplicaHandle, mpsc::UnboundedReceiver<ReplicaEffect>)> {
+        let (event_sender, events) = channel();
+        let (effects, effect_receiver) = mpsc::unbounded_channel();
+        let (view, view_receiver) = watch::channel(ReplicaView::default());
+        let folder = folder.to_path_buf();
+        let thread = Self { config, folder, started: Instant::now(), events, effects, view };
+        std::thread::Builder::new().name("replica".into()).spawn(move || thread.run())?;
+        Ok((ReplicaHandle { events: event_sender, view: view_receiver }, effect_receiver))
+    }
+
+    fn run(mut self) {
+        loop {
+            if let Err(error) = self.run_until_error() {
+                log::error!(step = "storage"; "{error}: the data folder is opened again");
+            } else {
+                return;
+            }
+            self.view.send_replace(ReplicaView::default());
+            std::thread::sleep(REOPEN_PAUSE);
+            // A folder that has to be made after all must not take up an identity used before.
+            self.config.founders = None;
+            self.config.fresh_identity = rand::random();
+        }
+    }
+
+    /// Returns without an error only if nobody sends events any more.
+    fn run_until_error(&self) -> Result<(), ReplicaError> {
+        let disk = open_disk(&self.folder)?;
+        let mut replica = Replica::open(self.config.clone(), disk, self.now())?;
+        let mut tick_at = Instant::now();
+        loop {
+            let wait = tick_at.saturating_duration_since(Instant::now());
+            let mut round = match self.events.recv_timeout(wait) {
+                Ok(event) => vec![event],
+                Err(RecvTimeoutError::Timeout) => Vec::new(),
+                Err(RecvTimeoutError::Disconnected) => return Ok(()),
+            };
+            while round.len() < EVENTS_PER_ROUND
+                && let Ok(event) = self.events.try_recv()
+            {
+                round.push(event);
+            }
+            if Instant::now() >= tick_at {
+                round.push(ReplicaEvent::Tick);
+                tick_at = Instant::now() + TICK;
+            }
+            let effects = replica.handle(self.now(), round)?;
+            self.publish(&replica);
+            for effect in effects {
+                // The receiver lives as long as the process.
+                let _ = self.effects.send(effect);
+            }
+        }
+    }
+
+    fn publish(&self, replica: &Replica<FileDisk>) {
+        let lease_until = replica.lease_until().map(|until| self.instant(until));
+        let leader = replica.leader();
+        let version = replica.state().document_version();
+        self.view.send_if_modified(|view| {
+            let document_is_new = view.document_version() != version;
+            if document_is_new {
+                view.document = replica.state().document.clone();
+            }
+            let role_is_new = view.leader.as_ref() != leader;
+            view.leader = leader.cloned();
+            view.lease_until = lease_until;
+            document_is_new || role_is_new
+        });
+    }
+
+    /// The replica's clock. Zero stands for "never" in timers, so it starts a little later.
+    fn now(&self) -> Timestamp {
+        Timestamp(self.started.elapsed().as_millis() as u64 + CLOCK_START)
+    }
+
+    fn instant(&self, time: Timestamp) -> Instant {
+        self.started + Duration::from_millis(time.0.saturating_sub(CLOCK_START))
+    }
+}
+
+/// Reading of the replica's clock at its start, in milliseconds.
+const CLOCK_START: u64 = 1_000;
+
+fn open_disk(folder: &Path) -> Result<FileDisk, ReplicaError> {
+    std::fs::create_dir_all(folder).map_err(|source| {
+        let file = folder.display().to_string();
+        StoreError::Disk(DiskError { operation: "create", file, source })
+    })?;
+    Ok(FileDisk::open(folder).map_err(StoreError::Disk)?)
+}
--- /dev/null
+++ b/crates/coordinator/src/state.rs
@@ -0,0 +1,127 @@
+//! The replicated state.
+
+use crate::message::Document;
+use serde::{Deserialize, Serialize};
+use stackpost_prepaid::{Grant, PrepaidLedger};
+use stackpost_types::{MachineName, NodeId, TenantName, Tokens};
+use std::collections::BTreeMap;
+
+/// One entry of the replicated log.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Command {
+    /// Replaces the configuration if its version is higher.
+    PutDocument {
+        /// The document.
+        document: Document,
+        /// The prepaid amounts it names.
+        limits: Vec<(TenantName, Tokens)>,
+    },
+    /// Hands tokens to routers.
+    Grant(Vec<Grant>),
+    /// Takes in what routers have given back in all.
+    GiveBack(Vec<(NodeId, TenantName, Tokens)>),
+    /// Ends a router life.
+    CloseRouter {
+        /// The life.
+        router: NodeId,
+        /// What it has spent; all that it held where a tenant is missing.
+        spent: BTreeMap<TenantName, Tokens>,
+    },
+    /// Makes a machine a voter, or lets a voter count under a new identity.
+    SetVoter {
+        /// The machine.
+        machine: MachineName,
+        /// The identity of its data folder.
+        identity: u64,
+    },
+    /// Removes a voter.
+    RemoveVoter {
+        /// The machine.
+        machine: MachineName,
+    },
+}
+
+impl Command {
+    /// Whether the command changes who votes.
+    pub fn changes_voters(&self) -> bool {
+        matches!(self, Self::SetVoter { .. } | Self::RemoveVoter { .. })
+    }
+}
+
+/// What applying a command did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Nothing to report.
+    Done,
+    /// The configuration is in force.
+    DocumentTaken,
+    /// A configuration with the same or a higher version was in force already.
+    DocumentSuperseded,
+}
+
+/// Everything that the control replicas agree on.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct FleetState {
+    /// The configuration in force.
+    pub document: Option<Document>,
+    /// The prepaid budgets.
+    pub ledger: PrepaidLedger,
+    /// The voters and their identities.
+    pub voters: BTreeMap<MachineName, u64>,
+}
+
+impl FleetState {
+    /// The state of a new fleet.
+    pub fn found(voters: BTreeMap<MachineName, u64>) -> Self {
+        Self { voters, ..Self::default() }
+    }
+
+    /// Version of the configuration in force; zero if there is none.
+    pub fn document_version(&self) -> u64 {
+        self.document.as_ref().map_or(0, |document| document.version)
+    }
+
+    /// Applies a committed command.
+    pub fn apply(&mut self, command: Command) -> Outcome {
+        match command {
+            Command::PutDocument { document, limits } => return self.put(document, &limits),
+            Command::Grant(grants) => {
+                for grant in grants {
+                    self.ledger.allot(&grant.holder, &grant.tenant, grant.amount);
+                }
+            }
+            Command::GiveBack(returns) => {
+                for (router, tenant, total) in returns {
+                    self.ledger.give_back(&router, &tenant, total);
+                }
+            }
+            Command::CloseRouter { router, spent } => self.ledger.close(&router, &spent),
+            Command::SetVoter { machine, identity } => {
+                self.voters.insert(machine, identity);
+            }
+            Command::RemoveVoter { machine } => {
+                self.voters.remove(&machine);
+            }
+        }
+        Outcome::Done
+    }
+
+    fn put(&mut self, document: Document, limits: &[(TenantName, Tokens)]) -> Outcome {
+        if self.document.is_some() && document.version <= self.document_version() {
+            return Outcome::DocumentSuperseded;
+        }
+        self.document = Some(document);
+        self.ledger.set_limits(limits);
+        Outcome::DocumentTaken
+    }
+
+    /// The state as bytes.
+    pub fn to_snapshot(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("the state can be encoded")
+    }
+
+    /// The state from bytes.
+    pub fn from_snapshot(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+}
--- /dev/null
+++ b/crates/gateway-core/src/config.rs
@@ -0,0 +1,223 @@
+//! The configuration of a gateway as one typed document.
+
+use stackpost_types::{Millis, RouteName, ServiceName, TenantName, Tokens};
+use std::collections::{BTreeMap, BTreeSet};
+use thiserror::Error;
+
+/// What may be done with a request again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteKind {
+    /// May run more than once.
+    Repeatable,
+    /// Runs at most once.
+    OnlyOnce,
+    /// Answers with a series of events.
+    Streaming {
+        /// Whether the stream may be taken up at another engine after its last event.
+        resumable: bool,
+    },
+}
+
+impl RouteKind {
+    /// Whether a request that may have run may be sent again.
+    pub fn may_repeat(self) -> bool {
+        matches!(self, Self::Repeatable | Self::Streaming { resumable: true })
+    }
+
+    /// Whether the answer is a series of events.
+    pub fn is_streaming(self) -> bool {
+        matches!(self, Self::Streaming { .. })
+    }
+}
+
+/// One service's part of a route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Split {
+    /// The service.
+    pub service: ServiceName,
+    /// Its part, relative to the others.
+    pub weight: u64,
+}
+
+/// A rule that sends requests to services.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// Its name.
+    pub name: RouteName,
+    /// The host it answers for.
+    pub host: String,
+    /// Paths that begin with this text match.
+    pub path_prefix: String,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Longest time a request is held.
+    pub timeout: Millis,
+    /// Time within which an answer is worth its full value.
+    pub objective: Millis,
+    /// Longest pause between events at which a stream is in time.
+    pub gap_objective: Option<Millis>,
+    /// Urgency; 0 is the highest.
+    pub priority: u32,
+    /// The services and their weights.
+    pub split: Vec<Split>,
+    /// Most engines that one request is sent to.
+    pub max_attempts: u32,
+    /// Whether no key is needed.
+    pub public: bool,
+    /// Whether requests about the same subject gain from the same engine.
+    pub sticky: bool,
+}
+
+/// What is known of a service's model engines.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineProfile {
+    /// Requests an engine runs at once.
+    pub slots: u32,
+    /// Tokens its memory holds.
+    pub cache_tokens: Tokens,
+    /// Most tokens in one event of a stream.
+    pub tokens_per_event: u64,
+}
+
+/// A group of interchangeable engines.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Service {
+    /// Connections that an engine accepts from all callers together.
+    pub max_connections: u32,
+    /// Set for model engines.
+    pub engine: Option<EngineProfile>,
+}
+
+/// What clients may do on their connections.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClientLimits {
+    /// Largest block of headers, in bytes.
+    pub max_header_bytes: usize,
+    /// Largest body, in bytes.
+    pub max_body_bytes: usize,
+    /// Longest time for the headers to come in.
+    pub header_timeout: Millis,
+    /// Longest rest between requests.
+    pub idle_timeout: Millis,
+}
+
+/// A tenant.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tenant {
+    /// Its name.
+    pub name: TenantName,
+    /// Its bearer keys.
+    pub keys: Vec<String>,
+    /// Its urgency, before that of the route.
+    pub priority: Option<u32>,
+    /// Tokens it may be given in all; `None` for no budget.
+    pub prepaid: Option<Tokens>,
+}
+
+/// The whole configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RoutingConfig {
+    /// Given by the operator; the highest holds.
+    pub version: u64,
+    /// The routes.
+    pub routes: Vec<Route>,
+    /// The services.
+    pub services: BTreeMap<ServiceName, Service>,
+    /// What clients may do.
+    pub limits: ClientLimits,
+    /// The tenants; `None` if requests need no keys.
+    pub tenants: Option<Vec<Tenant>>,
+}
+
+/// Why a configuration is not valid.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum ConfigError {
+    /// The document can't be read.
+    #[error("the configuration can't be read: {0}")]
+    Unreadable(String),
+    /// A route names a service that does not exist.
+    #[error("route `{route}` names the unknown service `{service}`")]
+    UnknownService {
+        /// The route.
+        route: RouteName,
+        /// The service.
+        service: ServiceName,
+    },
+    /// Two routes answer for the same place.
+    #[error("two routes share host `{host}` and prefix `{path_prefix}`")]
+    SamePlace {
+        /// The host.
+        host: String,
+        /// The prefix.
+        path_prefix: String,
+    },
+    /// A route's weights add up to nothing.
+    #[error("the weights of route `{0}` add up to 0")]
+    NoWeight(RouteName),
+    /// A route has no time.
+    #[error("route `{0}` has a timeout of 0")]
+    NoTimeout(RouteName),
+    /// Two tenants have the same key.
+    #[error("tenants `{first}` and `{second}` share a key")]
+    SharedKey {
+        /// One tenant.
+        first: TenantName,
+        /// The other.
+        second: TenantName,
+    },
+}
+
+impl RoutingConfig {
+    /// Checks what the types alone do not ensure.
+    pub fn validate(&self) -> Result<(), ConfigError> {
+        let mut places = BTreeSet::new();
+        for route in &self.routes {
+            self.validate_route(route)?;
+            if !places.insert((route.host.as_str(), route.path_prefix.as_str())) {
+                return Err(ConfigError::SamePlace {
+                    host: route.host.clone(),
+                    path_prefix: route.path_prefix.clone(),
+                });
+            }
+        }
+        self.validate_keys()
+    }
+
+    /// The tenants' prepaid amounts.
+    pub fn prepaid_limits(&self) -> Vec<(TenantName, Tokens)> {
+        let tenants = self.tenants.iter().flatten();
+        tenants.filter_map(|tenant| Some((tenant.name.clone(), tenant.prepaid?))).collect()
+    }
+
+    fn validate_route(&self, route: &Route) -> Result<(), ConfigError> {
+        for part in &route.split {
+            if !self.services.contains_key(&part.service) {
+                let (route, service) = (route.name.clone(), part.service.clone());
+                return Err(ConfigError::UnknownService { route, service });
+            }
+        }
+        if route.split.iter().map(|part| part.weight).sum::<u64>() == 0 {
+            return Err(ConfigError::NoWeight(route.name.clone()));
+        }
+        if route.timeout.0 == 0 {
+            return Err(ConfigError::NoTimeout(route.name.clone()));
+        }
+        Ok(())
+    }
+
+    fn validate_keys(&self) -> Result<(), ConfigError> {
+        let mut owners = BTreeMap::new();
+        for tenant in self.tenants.iter().flatten() {
+            for key in &tenant.keys {
+                match owners.insert(key, &tenant.name) {
+                    Some(other) if *other != tenant.name => {
+                        let (first, second) = (other.clone(), tenant.name.clone());
+                        return Err(ConfigError::SharedKey { first, second });
+                    }
+                    _ => {}
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/gateway-core/src/event_stream.rs
@@ -0,0 +1,72 @@
+//! Whole events of a stream of server-sent events.
+
+use bytes::{Bytes, BytesMut};
+
+/// One whole event, byte for byte as it came.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Its bytes with the blank line that ends it.
+    pub bytes: Bytes,
+    /// Its id, if it has one that is a number.
+    pub id: Option<u64>,
+}
+
+/// Splits a stream of bytes into whole events. Bytes of an unfinished event are held back.
+#[derive(Clone, Debug, Default)]
+pub struct EventSplitter {
+    pending: BytesMut,
+    searched: usize,
+}
+
+impl EventSplitter {
+    /// Takes in bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.pending.extend_from_slice(bytes);
+    }
+
+    /// The next whole event.
+    pub fn next_event(&mut self) -> Option<Event> {
+        let Some(end) = self.find_end() else {
+            self.searched = self.pending.len().saturating_sub(3);
+            return None;
+        };
+        self.searched = 0;
+        let bytes = self.pending.split_to(end).freeze();
+        let id = event_id(&bytes);
+        Some(Event { bytes, id })
+    }
+
+    /// Whether bytes of an unfinished event are held.
+    pub fn is_mid_event(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    /// Drops what is held of an unfinished event.
+    pub fn clear(&mut self) {
+        self.pending.clear();
+        self.searched = 0;
+    }
+
+    /// Position after the first blank line.
+    fn find_end(&self) -> Option<usize> {
+        let bytes = &self.pending[..];
+        let mut at = self.searched;
+        while at < bytes.len() {
+            if bytes[at..].starts_with(b"\n\n") {
+                return Some(at + 2);
+            }
+            if bytes[at..].starts_with(b"\n\r\n") {
+                return Some(at + 3);
+            }
+            at += 1;
+        }
+        None
+    }
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    event.split(|byte| *byte == b'\n').find_map(|line| {
+        let value = line.strip_prefix(b"id:")?;
+        std::str::from_utf8(value).ok()?.trim().parse().ok()
+    })
+}
--- /dev/null
+++ b/crates/gateway-core/src/picker.rs
@@ -0,0 +1,270 @@
+//! Which engine a request goes to.
+//!
+//! Requests about the same subject share the beginning of their prompt, and an engine that has
+//! read it needs not read it again. So engines are ranked for each subject by rendezvous hashing,
+//! and the first one that is not overloaded is taken. Requests without a subject go to the engine
+//! with the fewest requests.
+//!
+//! An engine is avoided while it fails, while its zone can't be reached, and while it has not been
+//! announced for some time; it is used all the same if there is no better one.
+
+use crate::directory::{EngineDirectory, EngineRecord, EngineState};
+use stackpost_types::{BackEndName, Digest, Millis, ServiceName, Timestamp, ZoneName};
+use std::collections::HashMap;
+
+/// First time for which a failing engine is avoided; doubled at each further one.
+const FIRST_EJECTION: Millis = Millis(1_500);
+/// Most doublings of the ejection time.
+const MAX_DOUBLINGS: u32 = 3;
+/// Weight of the newest attempt in an engine's failure rate, in thousandths.
+const FAILURE_WEIGHT: u32 = 180;
+/// Failure rate, in thousandths, from which an engine is avoided.
+const FAILURE_LIMIT: u32 = 380;
+/// Failure rate an engine is given back with after it was avoided.
+const PROBATION_RATE: u32 = 250;
+/// An engine that was announced longer ago than this may be gone.
+const ANNOUNCEMENT_LIMIT: Millis = Millis(4_500);
+/// An engine that answered so lately is there, whatever has been announced.
+const ANSWER_TRUST: Millis = Millis(2_000);
+/// Connections to a zone that must fail in a row before the zone is avoided.
+const ZONE_FAILURES: u32 = 3;
+/// How long a zone is avoided before it is tried again.
+const ZONE_EJECTION: Millis = Millis(1_200);
+/// An engine may have this many times the mean load, in thousandths, before a subject moves on.
+const LOAD_BOUND_PERMILLE: u64 = 1_400;
+/// Load that an engine may always have, in requests of this router.
+const LOAD_SLACK: u64 = 2;
+
+/// How an attempt at an engine ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// It answered, well or with a failure that is its own business.
+    Answered,
+    /// It answered with an error of its own.
+    EngineError,
+    /// It said that it has no room.
+    Full,
+    /// No connection came up.
+    Unreachable,
+    /// The connection broke or the answer was not one.
+    Broken,
+    /// The caller went away or the time was over; says nothing about the engine.
+    Abandoned,
+}
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug)]
+pub struct PickQuery<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// Hash of what the request is about.
+    pub subject: Option<u64>,
+    /// Engines that it has been sent to.
+    pub tried: &'a [BackEndName],
+    /// Breaks ties.
+    pub tie_breaker: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Health {
+    in_flight: u64,
+    failure_permille: u32,
+    ejections: u32,
+    ejected_until: Option<Timestamp>,
+    answered_at: Option<Timestamp>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct ZoneHealth {
+    failures: u32,
+    avoided_until: Option<Timestamp>,
+}
+
+/// How much an engine is wanted; lower is better.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Tier {
+    Good,
+    Unannounced,
+    Failing,
+}
+
+/// What this router knows of the engines by its own requests.
+#[derive(Clone, Debug)]
+pub struct EnginePicker {
+    own_zone: ZoneName,
+    engines: HashMap<BackEndName, Health>,
+    zones: HashMap<ZoneName, ZoneHealth>,
+}
+
+struct Candidate<'a> {
+    record: &'a EngineRecord,
+    tier: Tier,
+    in_flight: u64,
+}
+
+impl EnginePicker {
+    /// A picker of a router in `own_zone`.
+    pub fn new(own_zone: ZoneName) -> Self {
+        Self { own_zone, engines: HashMap::new(), zones: HashMap::new() }
+    }
+
+    /// The engine for a request; `None` if no engine of the service takes work.
+    pub fn pick<'a>(
+        &self,
+        now: Timestamp,
+        directory: &'a EngineDirectory,
+        query: &PickQuery<'_>,
+    ) -> Option<&'a EngineRecord> {
+        let mut candidates = self.candidates(now, directory, query);
+        let best = candidates.iter().map(|candidate| candidate.tier).min()?;
+        candidates.retain(|candidate| candidate.tier == best);
+        match query.subject {
+            Some(subject) => self.pick_by_subject(&candidates, subject),
+            None => self.pick_by_load(&candidates, query.tie_breaker),
+        }
+    }
+
+    /// Notes that a request is sent to an engine.
+    pub fn on_start(&mut self, engine: &BackEndName) {
+        self.engines.entry(engine.clone()).or_default().in_flight += 1;
+    }
+
+    /// Notes the end of a request at an engine.
+    pub fn on_end(&mut self, now: Timestamp, engine: &EngineRecord, end: AttemptEnd) {
+        let zone = engine.notice.zone.clone();
+        let health = self.engines.entry(engine.notice.engine.clone()).or_default();
+        health.in_flight = health.in_flight.saturating_sub(1);
+        match end {
+            AttemptEnd::Answered => health.note(now, false),
+            AttemptEnd::EngineError | AttemptEnd::Full | AttemptEnd::Broken => {
+                health.note(now, true);
+            }
+            AttemptEnd::Unreachable => health.eject(now),
+            AttemptEnd::Abandoned => {}
+        }
+        match end {
+            AttemptEnd::Unreachable => self.on_zone_failure(now, zone),
+            AttemptEnd::Answered | AttemptEnd::EngineError | AttemptEnd::Full => {
+                health.answered_at = Some(now);
+                self.zones.remove(&zone);
+            }
+            AttemptEnd::Broken | AttemptEnd::Abandoned => {}
+        }
+    }
+
+    /// Requests that this router has at an engine.
+    pub fn in_flight(&self, engine: &BackEndName) -> u64 {
+        self.engines.get(engine).map_or(0, |health| health.in_flight)
+    }
+
+    /// Forgets engines that the directory no longer knows.
+    pub fn forget_unknown(&mut self, directory: &EngineDirectory) {
+        self.engines
+            .retain(|engine, health| health.in_flight > 0 || directory.get(engine).is_some());
+    }
+
+    fn candidates<'a>(
+        &self,
+        now: Timestamp,
+        directory: &'a EngineDirectory,
+        query: &PickQuery<'_>,
+    ) -> Vec<Candidate<'a>> {
+        directory
+            .iter()
+            .filter(|record| record.notice.state == EngineState::Ready)
+            .filter(|record| record.notice.service == *query.service)
+            .filter(|record| !query.tried.contains(&record.notice.engine))
+            .map(|record| Candidate {
+                record,
+                tier: self.tier(now, record),
+                in_flight: self.in_flight(&record.notice.engine),
+            })
+            .collect()
+    }
+
+    fn tier(&self, now: Timestamp, record: &EngineRecord) -> Tier {
+        let health = self.engines.get(&record.notice.engine);
+        let zone = self.zones.get(&record.notice.zone);
+        let avoided = |until: Option<Timestamp>| until.is_some_and(|until| now < until);
+        let failing = health.is_some_and(|health| avoided(health.ejected_until));
+        if failing || zone.is_some_and(|zone| avoided(zone.avoided_until)) {
+            return Tier::Failing;
+        }
+        let answered_at = health.and_then(|health| health.answered_at);
+        let trusted = answered_at.is_some_and(|at| now.since(at) < ANSWER_TRUST);
+        if trusted || now.since(record.announced_at) < ANNOUNCEMENT_LIMIT {
+            Tier::Good
+        } else {
+            Tier::Unannounced
+        }
+    }
+
+    fn pick_by_subject<'a>(
+        &self,
+        candidates: &[Candidate<'a>],
+        subject: u64,
+    ) -> Option<&'a EngineRecord> {
+        let total: u64 = candidates.iter().map(|candidate| candidate.in_flight).sum();
+        let bound =
+            (total + 1) * LOAD_BOUND_PERMILLE / (1_000 * candidates.len() as u64) + LOAD_SLACK;
+        let rank = |candidate: &&Candidate<'a>| {
+            mix(subject ^ Digest::of(&[candidate.record.notice.engine.as_str().as_bytes()]).to_u64())
+        };
+        let free = candidates.iter().filter(|candidate| candidate.in_flight <= bound);
+        let chosen = free.max_by_key(rank).or_else(|| candidates.iter().max_by_key(rank))?;
+        Some(chosen.record)
+    }
+
+    fn pick_by_load<'a>(
+        &self,
+        candidates: &[Candidate<'a>],
+        tie_breaker: u64,
+    ) -> Option<&'a EngineRecord> {
+        let cost = |candidate: &&Candidate<'a>| {
+            let other_zone = candidate.record.notice.zone != self.own_zone;
+            let name = candidate.record.notice.engine.as_str();
+            let lot = mix(tie_breaker ^ Digest::of(&[name.as_bytes()]).to_u64());
+            (candidate.in_flight, other_zone, lot)
+        };
+        candidates.iter().min_by_key(cost).map(|candidate| candidate.record)
+    }
+
+    fn on_zone_failure(&mut self, now: Timestamp, zone: ZoneName) {
+        if zone == self.own_zone {
+            return;
+        }
+        let health = self.zones.entry(zone).or_default();
+        health.failures += 1;
+        if health.failures >= ZONE_FAILURES {
+            health.avoided_until = Some(now + ZONE_EJECTION);
+        }
+    }
+}
+
+impl Health {
+    fn note(&mut self, now: Timestamp, failed: bool) {
+        let newest = if failed { 1_000 } else { 0 };
+        let kept = self.failure_permille * (1_000 - FAILURE_WEIGHT);
+        self.failure_permille = (kept + newest * FAILURE_WEIGHT) / 1_000;
+        if self.failure_permille >= FAILURE_LIMIT {
+            self.eject(now);
+        } else if !failed && self.failure_permille < PROBATION_RATE / 2 {
+            self.ejections = 0;
+        }
+    }
+
+    fn eject(&mut self, now: Timestamp) {
+        let doublings = self.ejections.min(MAX_DOUBLINGS);
+        self.ejected_until = Some(now + Millis(FIRST_EJECTION.0 << doublings));
+        self.ejections += 1;
+        self.failure_permille = PROBATION_RATE;
+    }
+}
+
+/// Spreads the bits of a number (the finalizer of SplitMix64; Steele, Lea and Flood, 2014).
+fn mix(value: u64) -> u64 {
+    let mut mixed = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,239 @@
+//! One attempt: one request sent to one engine, up to the head of its answer.
+
+use crate::dialect::{CallerRequest, EngineAddressing, EngineVerdict};
+use crate::engine_pool::EngineConnection;
+use crate::router::Router;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderName};
+use hyper::http::response;
+use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
+use stackpost_gateway_core::{AttemptEnd, EngineRecord};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 7] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// What every attempt of a request sends.
+pub(crate) struct Payload {
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub caller: CallerRequest,
+}
+
+/// How an attempt went.
+pub(crate) enum AttemptResult {
+    /// Nothing was sent.
+    Unreachable,
+    /// The engine says that it did not run the request.
+    NotRun,
+    /// The request may have run, and there will be no answer.
+    Broken,
+    /// The time for a head is over; the request may have run.
+    NoHeadInTime,
+    /// The head of the engine's answer.
+    Answered(EngineAnswer),
+}
+
+/// An engine's answer whose body is still to come.
+pub(crate) struct EngineAnswer {
+    pub head: response::Parts,
+    pub body: Incoming,
+    pub hold: EngineHold,
+}
+
+/// A connection in use and the engine's part in the picker's counts. Dropped without
+/// [`Self::finish`] it closes the connection, so that the engine stops.
+pub(crate) struct EngineHold {
+    router: Rc<Router>,
+    engine: EngineRecord,
+    connection: Option<EngineConnection>,
+    ended: bool,
+}
+
+impl EngineHold {
+    fn new(router: Rc<Router>, engine: EngineRecord) -> Self {
+        router.picker.borrow_mut().on_start(&engine.notice.engine);
+        Self { router, engine, connection: None, ended: false }
+    }
+
+    /// The engine.
+    pub fn engine(&self) -> &EngineRecord {
+        &self.engine
+    }
+
+    /// Ends the use. The connection is kept only if `keep` holds the head of an answer that came
+    /// in whole and does not say that the connection ends.
+    pub fn finish(mut self, end: AttemptEnd, keep: Option<&HeaderMap>) {
+        self.end(end);
+        let Some(connection) = self.connection.take() else {
+            return;
+        };
+        match keep {
+            Some(headers) if !says_close(headers) => {
+                let granted = granted_rest(headers);
+                self.router.pool.release(&self.engine.notice.engine, connection, granted);
+            }
+            _ => connection.close(),
+        }
+    }
+
+    fn end(&mut self, end: AttemptEnd) {
+        if !std::mem::replace(&mut self.ended, true) {
+            let now = self.router.now();
+            self.router.picker.borrow_mut().on_end(now, &self.engine, end);
+        }
+    }
+}
+
+impl Drop for EngineHold {
+    fn drop(&mut self) {
+        self.end(AttemptEnd::Abandoned);
+        if let Some(connection) = self.connection.take() {
+            connection.close();
+        }
+    }
+}
+
+/// Sends a request to an engine and waits for the head of the answer until `head_until`.
+pub(crate) async fn send(
+    router: &Rc<Router>,
+    engine: EngineRecord,
+    payload: &Payload,
+    addressing: &EngineAddressing<'_>,
+    fresh: bool,
+    head_until: Instant,
+    on_sent: impl FnOnce(),
+) -> AttemptResult {
+    let mut hold = EngineHold::new(router.clone(), engine);
+    let connecting = router.pool.acquire(&hold.engine, fresh);
+    let mut connection = match timeout_at(head_until, connecting).await {
+        Ok(Ok(connection)) => connection,
+        Ok(Err(error)) => {
+            log_end(payload, &hold, "connect", &error.to_string());
+            hold.finish(AttemptEnd::Unreachable, None);
+            return AttemptResult::Unreachable;
+        }
+        Err(_) => return AttemptResult::Unreachable,
+    };
+    let request = engine_request(router, payload, addressing);
+    on_sent();
+    let answer = connection.sender.try_send_request(request);
+    hold.connection = Some(connection);
+    match timeout_at(head_until, answer).await {
+        Err(_) => {
+            log_end(payload, &hold, "head", "no head in time");
+            hold.finish(AttemptEnd::Broken, None);
+            AttemptResult::NoHeadInTime
+        }
+        Ok(Err(mut error)) => {
+            let not_sent = error.take_message().is_some();
+            log_end(payload, &hold, "send", &error.into_error().to_string());
+            if not_sent {
+                hold.finish(AttemptEnd::Abandoned, None);
+                return AttemptResult::Unreachable;
+            }
+            hold.finish(AttemptEnd::Broken, None);
+            AttemptResult::Broken
+        }
+        Ok(Ok(response)) => judge(router, payload, hold, response),
+    }
+}
+
+fn judge(
+    router: &Router,
+    payload: &Payload,
+    hold: EngineHold,
+    response: hyper::Response<Incoming>,
+) -> AttemptResult {
+    let (head, body) = response.into_parts();
+    match router.dialect.judge_answer(&payload.caller, head.status, &head.headers) {
+        EngineVerdict::NotRun => {
+            log_end(payload, &hold, "answer", "not run");
+            let end = if head.status == StatusCode::SERVICE_UNAVAILABLE {
+                AttemptEnd::Full
+            } else {
+                AttemptEnd::Answered
+            };
+            hold.finish(end, None);
+            AttemptResult::NotRun
+        }
+        EngineVerdict::WrongEngine => {
+            log_end(payload, &hold, "answer", "another engine is there");
+            hold.finish(AttemptEnd::Unreachable, None);
+            AttemptResult::NotRun
+        }
+        EngineVerdict::OtherRequest | EngineVerdict::Unsigned => {
+            log_end(payload, &hold, "answer", "not the answer to this request");
+            hold.finish(AttemptEnd::Broken, None);
+            AttemptResult::Broken
+        }
+        EngineVerdict::Genuine => AttemptResult::Answered(EngineAnswer { head, body, hold }),
+    }
+}
+
+fn engine_request(
+    router: &Router,
+    payload: &Payload,
+    addressing: &EngineAddressing<'_>,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(payload.body.clone()));
+    *request.method_mut() = payload.method.clone();
+    *request.uri_mut() = payload.uri.clone();
+    let mut headers = payload.headers.clone();
+    router.dialect.address_engine(&mut headers, addressing);
+    *request.headers_mut() = headers;
+    request
+}
+
+/// Removes what concerns one connection only.
+pub(crate) fn strip_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
+
+fn says_close(headers: &HeaderMap) -> bool {
+    headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|token| token.trim().eq_ignore_ascii_case("close"))
+}
+
+/// How long the engine keeps a resting connection, if it says so.
+fn granted_rest(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
+
+fn log_end(payload: &Payload, hold: &EngineHold, step: &str, reason: &str) {
+    log::info!(
+        request = payload.caller.id.as_str(),
+        engine = hold.engine.notice.engine.as_str(),
+        step = step;
+        "attempt failed: {reason}"
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/dialect.rs
@@ -0,0 +1,95 @@
+//! What a platform writes into the headers of requests and answers.
+
+use hyper::{HeaderMap, StatusCode};
+use stackpost_types::{BackEndName, Millis, TenantName, Tokens};
+use thiserror::Error;
+
+/// What a request says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CallerRequest {
+    /// Names the attempt of the caller.
+    pub id: String,
+    /// How long the caller waits.
+    pub wait: Option<Millis>,
+    /// The caller's key.
+    pub key: Option<String>,
+    /// Set for requests to model engines.
+    pub generation: Option<Generation>,
+    /// The last event that the caller has of a stream it takes up again.
+    pub last_event: Option<u64>,
+}
+
+/// What a generation needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Generation {
+    /// Tokens of the prompt.
+    pub prompt: Tokens,
+    /// Most tokens to be generated.
+    pub most_generated: Tokens,
+    /// Hash of the last part of the prompt that other requests share.
+    pub subject: Option<u64>,
+}
+
+impl Generation {
+    /// The most that the request can cost.
+    pub fn most(&self) -> Tokens {
+        self.prompt + self.most_generated
+    }
+}
+
+/// A request whose headers can't be understood.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("header `{header}` can't be read")]
+pub struct UnreadableRequest {
+    /// The header.
+    pub header: &'static str,
+}
+
+/// What the router tells an engine beside the caller's own headers.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineAddressing<'a> {
+    /// The engine that is meant; any other must turn the request away.
+    pub engine: &'a BackEndName,
+    /// The caller's tenant, if known.
+    pub tenant: Option<&'a TenantName>,
+    /// How long the engine may work.
+    pub wait: Millis,
+    /// Urgency; 0 is the highest.
+    pub priority: u32,
+    /// The event after which a stream is to go on.
+    pub last_event: Option<u64>,
+    /// Whether callers' keys must not be shown.
+    pub hide_key: bool,
+}
+
+/// What an answer's head says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EngineVerdict {
+    /// The engine did not run the request and never will.
+    NotRun,
+    /// The engine that was meant is not there any more; the request did not run.
+    WrongEngine,
+    /// The answer belongs to another request.
+    OtherRequest,
+    /// The engine's answer to this request.
+    Genuine,
+    /// Nothing shows that an engine made this answer.
+    Unsigned,
+}
+
+/// Reads and writes headers the way a platform has fixed it.
+pub trait Dialect {
+    /// Called once for each request, before anything is decided about it.
+    fn read_request(&self, headers: &HeaderMap) -> Result<CallerRequest, UnreadableRequest>;
+
+    /// Called for each attempt, with the caller's headers, before they are sent to an engine.
+    fn address_engine(&self, headers: &mut HeaderMap, addressing: &EngineAddressing<'_>);
+
+    /// Called when the head of an engine's answer is in.
+    fn judge_answer(
+        &self,
+        request: &CallerRequest,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> EngineVerdict;
+}
--- /dev/null
+++ b/crates/gateway/src/fleet_link.rs
@@ -0,0 +1,237 @@
+//! Keeps a router's knowledge up to date over the connections of the fleet.
+
+use crate::router::Router;
+use stackpost_coordinator::{ControlStatus, Document, FleetMessage, RouterStatus};
+use stackpost_gateway_core::{EngineNotice, Merge, RouteTable};
+use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo};
+use stackpost_prepaid::AccountReport;
+use stackpost_types::{TenantName, Tokens};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{MissedTickBehavior, interval, timeout};
+
+/// Time between two reports to the leader.
+const REPORT_INTERVAL: Duration = Duration::from_millis(150);
+/// Time between two signs of life to the other control processes.
+const SIGN_INTERVAL: Duration = Duration::from_millis(450);
+/// All accounts are reported again after so long, whether they have changed or not.
+const FULL_REPORT_INTERVAL: Duration = Duration::from_millis(2_000);
+/// Time between two rounds of forgetting engines that are gone.
+const FORGET_INTERVAL: Duration = Duration::from_secs(5);
+/// Time between two tries to say farewell.
+const FAREWELL_INTERVAL: Duration = Duration::from_millis(150);
+
+/// The router's end of the connections to control.
+pub struct FleetLink {
+    mesh: Mesh<FleetMessage>,
+    router: Rc<Router>,
+    links: RefCell<BTreeSet<LinkId>>,
+    leader: Cell<Option<LinkId>>,
+    reported: RefCell<BTreeMap<TenantName, AccountReport>>,
+    fully_reported_at: Cell<Instant>,
+    sign_at: Cell<Instant>,
+    farewell_taken: Notify,
+    stopped: Cell<bool>,
+}
+
+impl FleetLink {
+    /// Starts to look for control processes at `seeds`. Must be called inside a `LocalSet`.
+    pub fn start(own: PeerInfo, router: Rc<Router>, seeds: &[SocketAddr]) -> Rc<Self> {
+        let (mesh, events) = Mesh::new(own);
+        let link = Rc::new(Self {
+            mesh,
+            router,
+            links: RefCell::default(),
+            leader: Cell::new(None),
+            reported: RefCell::default(),
+            fully_reported_at: Cell::new(Instant::now()),
+            sign_at: Cell::new(Instant::now()),
+            farewell_taken: Notify::new(),
+            stopped: Cell::new(false),
+        });
+        link.add_seeds(seeds);
+        tokio::task::spawn_local(link.clone().run(events));
+        link
+    }
+
+    /// Looks for control processes at further addresses.
+    pub fn add_seeds(&self, seeds: &[SocketAddr]) {
+        seeds.iter().for_each(|seed| self.mesh.dial(*seed));
+    }
+
+    /// Ends this router's life: all that it holds goes back. Returns once the leader has taken
+    /// that in, or after `limit`.
+    pub async fn say_farewell(&self, limit: Duration) {
+        self.stopped.set(true);
+        self.router.wallet.borrow_mut().give_back_all();
+        let repeat = async {
+            loop {
+                if let Some(leader) = self.leader.get() {
+                    let used = self.router.wallet.borrow().used();
+                    self.mesh.send(leader, &FleetMessage::Farewell(used));
+                }
+                if timeout(FAREWELL_INTERVAL, self.farewell_taken.notified()).await.is_ok() {
+                    return;
+                }
+            }
+        };
+        if timeout(limit, repeat).await.is_err() {
+            log::warn!(step = "farewell"; "no leader has taken the farewell");
+        }
+    }
+
+    async fn run(self: Rc<Self>, mut events: mpsc::UnboundedReceiver<LinkEvent<FleetMessage>>) {
+        let mut reports = interval(REPORT_INTERVAL);
+        reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut forget = interval(FORGET_INTERVAL);
+        loop {
+            tokio::select! {
+                Some(event) = events.recv() => self.on_event(event),
+                () = self.router.wallet_short.notified() => self.report(),
+                _ = reports.tick() => self.report(),
+                _ = forget.tick() => self.forget_old(),
+            }
+        }
+    }
+
+    fn on_event(&self, event: LinkEvent<FleetMessage>) {
+        match event {
+            LinkEvent::Up { link, peer, .. } => {
+                log::info!(peer = peer.node.to_string().as_str(); "control connected");
+                self.links.borrow_mut().insert(link);
+                self.send_sign(link);
+            }
+            LinkEvent::Down { link } => {
+                log::info!("control disconnected");
+                self.links.borrow_mut().remove(&link);
+                if self.leader.get() == Some(link) {
+                    self.leader.set(None);
+                }
+            }
+            LinkEvent::Message { link, message } => self.on_message(link, message),
+        }
+    }
+
+    fn on_message(&self, link: LinkId, message: FleetMessage) {
+        match message {
+            FleetMessage::ControlStatus(status) => self.on_status(link, status),
+            FleetMessage::Document(document) => self.on_document(link, &document),
+            FleetMessage::Engines(notices) => self.on_engines(notices),
+            FleetMessage::Allotted(totals) => self.on_allotted(totals),
+            FleetMessage::Recall(keeps) => {
+                let mut wallet = self.router.wallet.borrow_mut();
+                for (tenant, keep) in keeps {
+                    wallet.give_back_above(&tenant, keep);
+                }
+            }
+            FleetMessage::FarewellTaken => self.farewell_taken.notify_one(),
+            FleetMessage::Raft(_) | FleetMessage::RouterStatus(_) | FleetMessage::Farewell(_) => {}
+        }
+    }
+
+    fn on_status(&self, link: LinkId, status: ControlStatus) {
+        for address in &status.control_peers {
+            self.mesh.dial(*address);
+        }
+        let routers = u64::from(status.routers);
+        self.router.retry_budget.borrow_mut().set_routers(routers);
+        if status.leads {
+            if self.leader.replace(Some(link)) != Some(link) {
+                self.reported.borrow_mut().clear();
+                self.report();
+            }
+            self.router.on_leader_heard(status.document_version);
+        } else if self.leader.get() == Some(link) {
+            self.leader.set(None);
+        }
+    }
+
+    fn on_document(&self, link: LinkId, document: &Document) {
+        match self.router.codec.decode(&document.bytes) {
+            Ok(config) => self.router.set_table(RouteTable::new(config)),
+            Err(error) => log::error!(step = "decode"; "{error}"),
+        }
+        self.send_sign(link);
+    }
+
+    fn on_engines(&self, notices: Vec<EngineNotice>) {
+        let now = self.router.now();
+        let mut directory = self.router.directory.borrow_mut();
+        for notice in notices {
+            let (engine, state) = (notice.engine.clone(), notice.state);
+            if directory.merge(now, notice) == Merge::Changed {
+                log::info!(engine = engine.as_str(), state = state.as_str(); "engine");
+            }
+        }
+    }
+
+    fn on_allotted(&self, totals: Vec<(TenantName, Tokens)>) {
+        let mut wallet = self.router.wallet.borrow_mut();
+        let mut grown = false;
+        for (tenant, total) in totals {
+            grown |= wallet.on_allotted(&tenant, total);
+        }
+        drop(wallet);
+        if grown {
+            self.router.wallet_grown.notify_waiters();
+        }
+    }
+
+    /// Tells the leader what has changed, and everyone else now and then that this router lives.
+    fn report(&self) {
+        let sign_due = self.sign_at.get().elapsed() >= SIGN_INTERVAL;
+        let leader = self.leader.get();
+        if sign_due {
+            self.sign_at.set(Instant::now());
+            let links = self.links.borrow().clone();
+            links.into_iter().filter(|link| Some(*link) != leader).for_each(|link| {
+                self.send_sign(link);
+            });
+        }
+        let Some(leader) = leader.filter(|_| !self.stopped.get()) else {
+            return;
+        };
+        let accounts = self.changed_accounts();
+        if !accounts.is_empty() || sign_due {
+            let status = RouterStatus { accounts, ..self.status() };
+            self.mesh.send(leader, &FleetMessage::RouterStatus(status));
+        }
+    }
+
+    fn changed_accounts(&self) -> Vec<(TenantName, AccountReport)> {
+        let all = self.router.wallet.borrow_mut().report(self.router.now());
+        let mut reported = self.reported.borrow_mut();
+        if self.fully_reported_at.get().elapsed() >= FULL_REPORT_INTERVAL {
+            self.fully_reported_at.set(Instant::now());
+            reported.clear();
+        }
+        all.into_iter()
+            .filter(|(tenant, report)| {
+                reported.insert(tenant.clone(), *report).as_ref() != Some(report)
+            })
+            .collect()
+    }
+
+    fn send_sign(&self, link: LinkId) {
+        self.mesh.send(link, &FleetMessage::RouterStatus(self.status()));
+    }
+
+    fn status(&self) -> RouterStatus {
+        RouterStatus {
+            document_version: self.router.document_version(),
+            accepts_unconfirmed: self.router.accepts_unconfirmed() && !self.router.in_touch(),
+            accounts: Vec::new(),
+        }
+    }
+
+    fn forget_old(&self) {
+        let mut directory = self.router.directory.borrow_mut();
+        directory.forget_old(self.router.now());
+        self.router.picker.borrow_mut().forget_unknown(&directory);
+        self.router.pool.forget_idle(&directory);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,27 @@
+//! The router process of a gateway fleet: callers' requests in, engines' answers out.
+//!
+//! A request's way: [`serve_callers`] accepts the connection, `request` admits it and sets its
+//! tokens aside, `attempt` sends it to an engine over a connection of `engine_pool`, and `relay`
+//! passes a stream on, at another engine if the first one breaks off. `fleet_link` keeps the
+//! router's knowledge up to date. What is written in which header is the affair of a [`Dialect`].
+
+mod attempt;
+mod body;
+mod dialect;
+mod engine_pool;
+mod fleet_link;
+mod refusal;
+mod relay;
+mod request;
+mod reservation;
+mod router;
+mod server;
+
+pub use body::{BodyBroken, GatewayBody};
+pub use dialect::{
+    CallerRequest, Dialect, EngineAddressing, EngineVerdict, Generation, UnreadableRequest,
+};
+pub use fleet_link::FleetLink;
+pub use refusal::Refusal;
+pub use router::{Router, RouterSettings};
+pub use server::{Server, serve_callers};
--- /dev/null
+++ b/crates/gateway/src/refusal.rs
@@ -0,0 +1,114 @@
+//! Final answers that the router makes itself.
+
+use crate::body::GatewayBody;
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use stackpost_types::Millis;
+
+/// Why a request gets no engine's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The router has no configuration yet.
+    NotConfigured,
+    /// No route matches.
+    NoRoute,
+    /// The key is not known.
+    UnknownKey,
+    /// Route or key is not known here, but the router may be behind a change.
+    MayBeBehind,
+    /// A header can't be read.
+    Malformed,
+    /// The body is too long.
+    BodyTooLarge,
+    /// The body did not come in whole.
+    BodyIncomplete,
+    /// The tenant's budget does not cover the request here and now.
+    BudgetExhausted,
+    /// No engine of the service takes work.
+    NoEngine,
+    /// The engines have no room.
+    EnginesFull,
+    /// The engines can't be reached.
+    Unreachable,
+    /// The time is over and the request has not run.
+    TimeOver,
+    /// The request may have run; its answer is lost.
+    AnswerLost,
+    /// The time is over and the request may have run.
+    TimeOverUnknown,
+}
+
+impl Refusal {
+    /// The reason as a code.
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::NotConfigured => "not_configured",
+            Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
+            Self::MayBeBehind => "may_be_behind",
+            Self::Malformed => "malformed",
+            Self::BodyTooLarge => "body_too_large",
+            Self::BodyIncomplete => "body_incomplete",
+            Self::BudgetExhausted => "budget_exhausted",
+            Self::NoEngine => "no_engine",
+            Self::EnginesFull => "engines_full",
+            Self::Unreachable => "unreachable",
+            Self::TimeOver => "time_over",
+            Self::AnswerLost => "answer_lost",
+            Self::TimeOverUnknown => "time_over_unknown",
+        }
+    }
+
+    /// The status. 429 and 503 promise that the request has not run and never will.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::Malformed | Self::BodyIncomplete => StatusCode::BAD_REQUEST,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BudgetExhausted => StatusCode::TOO_MANY_REQUESTS,
+            Self::NotConfigured
+            | Self::MayBeBehind
+            | Self::NoEngine
+            | Self::EnginesFull
+            | Self::Unreachable
+            | Self::TimeOver => StatusCode::SERVICE_UNAVAILABLE,
+            Self::AnswerLost => StatusCode::BAD_GATEWAY,
+            Self::TimeOverUnknown => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// When another try makes sense.
+    fn retry_after(self) -> Option<Millis> {
+        match self {
+            Self::NotConfigured | Self::MayBeBehind => Some(Millis(400)),
+            Self::NoEngine | Self::Unreachable | Self::TimeOver => Some(Millis(200)),
+            Self::EnginesFull => Some(Millis(100)),
+            Self::BudgetExhausted => Some(Millis(500)),
+            _ => None,
+        }
+    }
+
+    /// Whether it is certain that the request did not run.
+    pub fn is_not_run(self) -> bool {
+        !matches!(self, Self::AnswerLost | Self::TimeOverUnknown)
+    }
+
+    /// The answer to the caller.
+    pub fn into_response(self) -> Response<GatewayBody> {
+        let outcome = if self.is_not_run() { "not_run" } else { "unknown" };
+        let code = self.code();
+        let text = format!("{{\"error\":{{\"code\":\"{code}\",\"outcome\":\"{outcome}\"}}}}\n");
+        let mut response = Response::new(GatewayBody::whole(text));
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Some(Millis(pause)) = self.retry_after() {
+            let seconds = format!("{}.{:03}", pause / 1_000, pause % 1_000);
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                headers.insert(RETRY_AFTER, value);
+            }
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,261 @@
+//! Passes a stream of events on to the caller, at another engine if the first one breaks off.
+
+use crate::attempt::{EngineAnswer, EngineHold};
+use crate::body::{BodyBroken, GatewayBody};
+use crate::request::{Progress, RequestContext, response_of};
+use crate::reservation::Reservation;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::HeaderMap;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::http::response;
+use stackpost_gateway_core::{AttemptEnd, Event, EventSplitter};
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout_at};
+
+/// Pieces that may wait for a slow caller.
+const PIECES_AHEAD: usize = 16;
+/// A resumable stream that has paused for this part of its gap objective is taken up elsewhere.
+const GAP_PATIENCE_PERCENT: u64 = 350;
+/// Gap objective of routes that name none.
+const DEFAULT_GAP: Duration = Duration::from_millis(1_000);
+
+type PieceSender = mpsc::Sender<Result<Bytes, BodyBroken>>;
+
+/// A stream ended before its first event.
+pub(crate) struct NoFirstEvent;
+
+/// A stream whose first event is here.
+pub(crate) struct BegunStream {
+    head: response::Parts,
+    source: StreamSource,
+    first: Option<Event>,
+}
+
+/// An engine's stream, event by event.
+struct StreamSource {
+    body: Incoming,
+    headers: HeaderMap,
+    hold: EngineHold,
+    splitter: EventSplitter,
+}
+
+enum NextEvent {
+    Event(Event),
+    /// The stream has ended whole.
+    End,
+    /// The stream has broken off.
+    Broken,
+}
+
+impl StreamSource {
+    async fn next(&mut self) -> NextEvent {
+        loop {
+            if let Some(event) = self.splitter.next_event() {
+                return NextEvent::Event(event);
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.splitter.push(&data);
+                    }
+                }
+                Some(Err(_)) => return NextEvent::Broken,
+                None if self.splitter.is_mid_event() => return NextEvent::Broken,
+                None => return NextEvent::End,
+            }
+        }
+    }
+}
+
+/// Waits for the first event. Until it is here nothing has been promised to the caller.
+pub(crate) async fn begin(
+    answer: EngineAnswer,
+    context: &RequestContext,
+) -> Result<BegunStream, NoFirstEvent> {
+    let EngineAnswer { head, body, hold } = answer;
+    let headers = head.headers.clone();
+    let mut source = StreamSource { body, headers, hold, splitter: EventSplitter::default() };
+    match timeout_at(context.deadline, source.next()).await {
+        Ok(NextEvent::Event(event)) => Ok(BegunStream { head, source, first: Some(event) }),
+        Ok(NextEvent::End) => Ok(BegunStream { head, source, first: None }),
+        Ok(NextEvent::Broken) | Err(_) => {
+            source.hold.finish(AttemptEnd::Broken, None);
+            Err(NoFirstEvent)
+        }
+    }
+}
+
+/// The answer to the caller; the rest of the stream follows on a task of its own.
+pub(crate) fn respond(
+    context: RequestContext,
+    begun: BegunStream,
+    progress: Progress,
+) -> Response<GatewayBody> {
+    let (sender, pieces) = mpsc::channel(PIECES_AHEAD);
+    let BegunStream { head, source, first } = begun;
+    let relay = Relay { context, progress, sender, last_event: None };
+    tokio::task::spawn_local(relay.run(source, first));
+    response_of(head, GatewayBody::Pieces(pieces))
+}
+
+struct Relay {
+    context: RequestContext,
+    progress: Progress,
+    sender: PieceSender,
+    last_event: Option<u64>,
+}
+
+/// Why passing on has stopped.
+enum Stopped {
+    CallerGone,
+    TimeOver,
+}
+
+impl Relay {
+    async fn run(mut self, mut source: StreamSource, first: Option<Event>) {
+        if let Some(event) = first
+            && self.pass(event).await.is_err()
+        {
+            return;
+        }
+        loop {
+            match self.next_of(&mut source).await {
+                Err(Stopped::CallerGone) => return,
+                Err(Stopped::TimeOver) => return self.break_off("time over").await,
+                Ok(NextEvent::Event(event)) => {
+                    if self.pass(event).await.is_err() {
+                        return;
+                    }
+                }
+                Ok(NextEvent::End) => {
+                    self.context.reservation.iter().for_each(Reservation::on_complete);
+                    let StreamSource { headers, hold, .. } = source;
+                    return hold.finish(AttemptEnd::Answered, Some(&headers));
+                }
+                Ok(NextEvent::Broken) => {
+                    source.hold.finish(AttemptEnd::Broken, None);
+                    match self.resume().await {
+                        Some(next) => source = next,
+                        None => return self.break_off("the engine broke off").await,
+                    }
+                }
+            }
+        }
+    }
+
+    /// The next event, unless the caller goes away or the time is over first. A resumable stream
+    /// that pauses for too long counts as broken.
+    async fn next_of(&self, source: &mut StreamSource) -> Result<NextEvent, Stopped> {
+        let until = self.gap_until();
+        tokio::select! {
+            biased;
+            next = timeout_at(until, source.next()) => match next {
+                Ok(next) => Ok(next),
+                Err(_) if until >= self.context.deadline => Err(Stopped::TimeOver),
+                Err(_) => Ok(NextEvent::Broken),
+            },
+            () = self.sender.closed() => Err(Stopped::CallerGone),
+        }
+    }
+
+    fn gap_until(&self) -> Instant {
+        let route = &self.context.route;
+        let attempts_left = (self.progress.tried.len() as u32) < route.max_attempts;
+        if !route.kind.may_repeat() || !attempts_left {
+            return self.context.deadline;
+        }
+        let objective =
+            route.gap_objective.map_or(DEFAULT_GAP, |gap| Duration::from_millis(gap.0));
+        let patience = objective * GAP_PATIENCE_PERCENT as u32 / 100;
+        self.context.deadline.min(Instant::now() + patience)
+    }
+
+    /// Passes an event on. An engine that takes a stream up may repeat events that are here.
+    async fn pass(&mut self, event: Event) -> Result<(), Stopped> {
+        if event.id.is_some() && event.id <= self.last_event {
+            return Ok(());
+        }
+        self.last_event = event.id.or(self.last_event);
+        self.context.reservation.iter().for_each(Reservation::on_event);
+        let sending = self.sender.send(Ok(event.bytes));
+        match timeout_at(self.context.deadline, sending).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(Stopped::CallerGone),
+            Err(_) => Err(Stopped::TimeOver),
+        }
+    }
+
+    /// Takes the stream up at another engine after the last event that was passed on.
+    async fn resume(&mut self) -> Option<StreamSource> {
+        let last_event = self.last_event?;
+        self.progress.may_have_run = true;
+        while self.context.may_go_on(&self.progress) {
+            let engine = self.context.next_engine(&self.progress)?;
+            log::info!(
+                request = self.context.payload.caller.id.as_str(),
+                engine = engine.notice.engine.as_str(),
+                last_event = last_event;
+                "stream taken up"
+            );
+            let attempt = self.context.attempt(engine, &mut self.progress, Some(last_event));
+            let answer = tokio::select! {
+                answer = attempt => answer,
+                () = self.sender.closed() => return None,
+            };
+            if let Some(EngineAnswer { head, body, hold }) = answer {
+                if head.status != hyper::StatusCode::OK {
+                    hold.finish(AttemptEnd::EngineError, None);
+                    continue;
+                }
+                let headers = head.headers;
+                return Some(StreamSource { body, headers, hold, splitter: EventSplitter::default() });
+            }
+        }
+        None
+    }
+
+    async fn break_off(self, reason: &str) {
+        log::info!(
+            request = self.context.payload.caller.id.as_str(),
+            reason = reason;
+            "stream broken off"
+        );
+        // The caller may have gone meanwhile.
+        let _ = self.sender.send(Err(BodyBroken)).await;
+    }
+}
+
+/// Passes on the rest of an answer that is too large to be gathered.
+pub(crate) fn pass_on(
+    deadline: Instant,
+    start: Bytes,
+    mut body: Incoming,
+    hold: EngineHold,
+) -> mpsc::Receiver<Result<Bytes, BodyBroken>> {
+    let (sender, pieces) = mpsc::channel(PIECES_AHEAD);
+    tokio::task::spawn_local(async move {
+        let passing = async {
+            sender.send(Ok(start)).await.ok()?;
+            while let Some(frame) = body.frame().await {
+                if let Ok(data) = frame.ok()?.into_data() {
+                    sender.send(Ok(data)).await.ok()?;
+                }
+            }
+            Some(())
+        };
+        let whole = tokio::select! {
+            passed = timeout_at(deadline, passing) => passed.ok().flatten().is_some(),
+            () = sender.closed() => return,
+        };
+        if whole {
+            hold.finish(AttemptEnd::Answered, None);
+        } else {
+            // The caller may have gone meanwhile.
+            let _ = sender.send(Err(BodyBroken)).await;
+        }
+    });
+    pieces
+}
--- /dev/null
+++ b/crates/gateway/src/request.rs
@@ -0,0 +1,415 @@
+//! Sees one request through to the head of its answer.
+
+use crate::attempt::{self, AttemptResult, EngineAnswer, Payload, strip_connection_headers};
+use crate::body::GatewayBody;
+use crate::dialect::{CallerRequest, EngineAddressing};
+use crate::refusal::Refusal;
+use crate::relay;
+use crate::reservation::Reservation;
+use crate::router::Router;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::header;
+use hyper::http::request;
+use hyper::{Request, Response, StatusCode};
+use stackpost_gateway_core::{
+    Admission, AttemptEnd, EngineRecord, PickQuery, Route, RouteTable, Tenant,
+};
+use stackpost_types::{BackEndName, Digest, Millis, ServiceName};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// Part of the objective after which a repeatable request is tried at another engine.
+const PATIENCE_PERCENT: u64 = 250;
+/// Longest wait for tokens, as a part of the objective: a refusal that comes later costs more
+/// than it saves.
+const TOKEN_WAIT_PERCENT: u64 = 22;
+/// Engines that may be tried without reaching any of them.
+const MOST_UNREACHABLE: u32 = 4;
+/// Largest answer that is gathered before it is passed on.
+pub(crate) const GATHER_LIMIT: usize = 256 * 1024;
+/// Wait of callers that do not say how long they wait.
+const DEFAULT_WAIT: Millis = Millis(15_000);
+
+/// Everything about a request that stays the same over its attempts.
+pub(crate) struct RequestContext {
+    pub router: Rc<Router>,
+    pub table: Rc<RouteTable>,
+    pub route: Route,
+    pub tenant: Option<Tenant>,
+    pub service: ServiceName,
+    pub payload: Payload,
+    pub reservation: Option<Reservation>,
+    /// When the time for the request is over.
+    pub deadline: Instant,
+    pub arrived: Instant,
+}
+
+/// What the attempts of a request have led to so far.
+#[derive(Default)]
+pub(crate) struct Progress {
+    /// Engines that the request was sent to.
+    pub tried: Vec<BackEndName>,
+    /// Engines that could not be reached.
+    pub unreachable: Vec<BackEndName>,
+    /// Whether an engine may have run it.
+    pub may_have_run: bool,
+    /// An engine's own failure, given to the caller if nothing better comes.
+    pub failure: Option<WholeAnswer>,
+}
+
+/// An engine's answer that has come in whole.
+pub(crate) struct WholeAnswer {
+    head: hyper::http::response::Parts,
+    body: Bytes,
+}
+
+/// Answers one request. Dropped when the caller goes away, which ends whatever is under way.
+pub(crate) async fn serve(router: Rc<Router>, request: Request<Incoming>) -> Response<GatewayBody> {
+    let arrived = Instant::now();
+    let (head, body) = request.into_parts();
+    let caller = match router.dialect.read_request(&head.headers) {
+        Ok(caller) => caller,
+        Err(error) => {
+            log::info!("refused: {error}");
+            return Refusal::Malformed.into_response();
+        }
+    };
+    let id = caller.id.clone();
+    match answer(router, head, body, caller, arrived).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            log::info!(
+                request = id.as_str(),
+                reason = refusal.code(),
+                status = refusal.status().as_u16(),
+                held_ms = arrived.elapsed().as_millis() as u64;
+                "refused"
+            );
+            refusal.into_response()
+        }
+    }
+}
+
+async fn answer(
+    router: Rc<Router>,
+    head: request::Parts,
+    body: Incoming,
+    caller: CallerRequest,
+    arrived: Instant,
+) -> Result<Response<GatewayBody>, Refusal> {
+    let table = router.table().ok_or(Refusal::NotConfigured)?;
+    let (route, tenant) = admit(&router, &table, &head, caller.key.as_deref())?;
+    let (route, tenant) = (route.clone(), tenant.cloned());
+    let wait = caller.wait.unwrap_or(DEFAULT_WAIT);
+    let deadline = arrived + Duration::from_millis(wait.0.min(route.timeout.0));
+    let limit = table.config().limits.max_body_bytes;
+    let body = timeout_at(deadline, read_body(body, limit))
+        .await
+        .map_err(|_| Refusal::TimeOver)??;
+    let service = route.service_for(&caller.id).clone();
+    router.retry_budget.borrow_mut().note_request(router.now(), &service);
+    let mut headers = head.headers;
+    strip_connection_headers(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+    let payload = Payload { method: head.method, uri: head.uri, headers, body, caller };
+    let mut context = RequestContext {
+        router,
+        table,
+        route,
+        tenant,
+        service,
+        payload,
+        reservation: None,
+        deadline,
+        arrived,
+    };
+    context.reservation = context.reserve().await?;
+    context.run().await
+}
+
+fn admit<'a>(
+    router: &Router,
+    table: &'a RouteTable,
+    head: &request::Parts,
+    key: Option<&str>,
+) -> Result<(&'a Route, Option<&'a Tenant>), Refusal> {
+    let host = match head.uri.host() {
+        Some(host) => host,
+        None => header_text(head, "host"),
+    };
+    let final_only_in_touch =
+        |refusal| if router.in_touch() { refusal } else { Refusal::MayBeBehind };
+    match table.admit(host, head.uri.path(), key) {
+        Admission::NoRoute => Err(final_only_in_touch(Refusal::NoRoute)),
+        Admission::UnknownKey => Err(final_only_in_touch(Refusal::UnknownKey)),
+        Admission::Admitted { route, tenant } => Ok((route, tenant)),
+    }
+}
+
+fn header_text<'a>(head: &'a request::Parts, name: &str) -> &'a str {
+    head.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+}
+
+async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    if body.size_hint().lower() > limit as u64 {
+        return Err(Refusal::BodyTooLarge);
+    }
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Refusal::BodyIncomplete)?;
+        if let Ok(data) = frame.into_data() {
+            if whole.len() + data.len() > limit {
+                return Err(Refusal::BodyTooLarge);
+            }
+            whole.extend_from_slice(&data);
+        }
+    }
+    Ok(whole.freeze())
+}
+
+impl RequestContext {
+    /// Sets aside the tokens that the request may cost, if its tenant has a budget.
+    async fn reserve(&self) -> Result<Option<Reservation>, Refusal> {
+        let Some(generation) = self.payload.caller.generation else {
+            return Ok(None);
+        };
+        let Some(tenant) = self.tenant.as_ref().filter(|tenant| tenant.prepaid.is_some()) else {
+            return Ok(None);
+        };
+        let wait = Duration::from_millis(self.route.objective.0 * TOKEN_WAIT_PERCENT / 100);
+        let wait_until = self.deadline.min(self.arrived + wait);
+        let per_event = self.tokens_per_event();
+        Reservation::make(&self.router, &tenant.name, generation, per_event, wait_until)
+            .await
+            .map(Some)
+    }
+
+    fn tokens_per_event(&self) -> u64 {
+        let service = self.table.config().services.get(&self.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        engine.map_or(1, |engine| engine.tokens_per_event)
+    }
+
+    async fn run(self) -> Result<Response<GatewayBody>, Refusal> {
+        let mut progress = Progress::default();
+        loop {
+            let Some(engine) = self.next_engine(&progress) else {
+                return self.give_up(progress);
+            };
+            let Some(answer) = self.attempt(engine, &mut progress, None).await else {
+                if self.may_go_on(&progress) {
+                    continue;
+                }
+                return self.give_up(progress);
+            };
+            if is_event_stream(&answer) {
+                match relay::begin(answer, &self).await {
+                    Ok(begun) => return Ok(relay::respond(self, begun, progress)),
+                    Err(relay::NoFirstEvent) => progress.may_have_run = true,
+                }
+            } else {
+                match self.gather(answer, &mut progress).await {
+                    Gathered::Final(response) => return Ok(response),
+                    Gathered::Failed => {}
+                }
+            }
+            if !self.may_go_on(&progress) {
+                return self.give_up(progress);
+            }
+        }
+    }
+
+    /// Sends the request to an engine. `None` if no answer will come of it.
+    pub async fn attempt(
+        &self,
+        engine: EngineRecord,
+        progress: &mut Progress,
+        last_event: Option<u64>,
+    ) -> Option<EngineAnswer> {
+        let name = engine.notice.engine.clone();
+        let remaining = |until: Instant| until.saturating_duration_since(Instant::now());
+        let wait = Millis(remaining(self.deadline).as_millis() as u64);
+        let tenant = self.tenant.as_ref();
+        let priority = tenant.and_then(|tenant| tenant.priority).unwrap_or(self.route.priority);
+        let addressing = EngineAddressing {
+            engine: &name,
+            tenant: tenant.map(|tenant| &tenant.name),
+            wait,
+            priority,
+            last_event: last_event.or(self.payload.caller.last_event),
+            hide_key: self.table.config().tenants.is_some(),
+        };
+        let was_sent = std::cell::Cell::new(false);
+        let on_sent = || {
+            was_sent.set(true);
+            self.reservation.iter().for_each(Reservation::on_sent);
+        };
+        let result = attempt::send(
+            &self.router,
+            engine,
+            &self.payload,
+            &addressing,
+            !self.route.kind.may_repeat(),
+            self.head_until(progress),
+            on_sent,
+        )
+        .await;
+        match result {
+            AttemptResult::Answered(answer) => {
+                progress.tried.push(name);
+                return Some(answer);
+            }
+            AttemptResult::Unreachable => progress.unreachable.push(name),
+            AttemptResult::NotRun => progress.tried.push(name),
+            AttemptResult::Broken | AttemptResult::NoHeadInTime => {
+                progress.tried.push(name);
+                progress.may_have_run = true;
+            }
+        }
+        if was_sent.get() && !progress.may_have_run && last_event.is_none() {
+            self.reservation.iter().for_each(Reservation::on_not_run);
+        }
+        None
+    }
+
+    /// How long to wait for the head of an answer. A repeatable request is tried elsewhere before
+    /// its time is over, as long as another attempt is allowed.
+    fn head_until(&self, progress: &Progress) -> Instant {
+        let last = progress.tried.len() as u32 + 1 >= self.route.max_attempts;
+        if last || !self.route.kind.may_repeat() {
+            return self.deadline;
+        }
+        let patience = Duration::from_millis(self.route.objective.0 * PATIENCE_PERCENT / 100);
+        self.deadline.min(Instant::now() + patience)
+    }
+
+    /// The engine for the next attempt.
+    pub fn next_engine(&self, progress: &Progress) -> Option<EngineRecord> {
+        let tried: Vec<BackEndName> =
+            progress.tried.iter().chain(&progress.unreachable).cloned().collect();
+        let generation = self.payload.caller.generation;
+        let subject = generation.and_then(|generation| generation.subject);
+        let tie_breaker = Digest::of(&[self.payload.caller.id.as_bytes()]).to_u64();
+        let query = PickQuery {
+            service: &self.service,
+            subject: subject.filter(|_| self.route.sticky),
+            tried: &tried,
+            tie_breaker,
+        };
+        let directory = self.router.directory.borrow();
+        let picker = self.router.picker.borrow();
+        picker.pick(self.router.now(), &directory, &query).cloned()
+    }
+
+    /// Whether another attempt is allowed and makes sense. Counts it if so.
+    pub fn may_go_on(&self, progress: &Progress) -> bool {
+        if progress.may_have_run && !self.route.kind.may_repeat() {
+            return false;
+        }
+        if Instant::now() >= self.deadline
+            || progress.unreachable.len() as u32 >= MOST_UNREACHABLE
+            || progress.tried.len() as u32 >= self.route.max_attempts
+        {
+            return false;
+        }
+        let arrives_again = !progress.tried.is_empty();
+        !arrives_again
+            || self.router.retry_budget.borrow_mut().try_repeat(self.router.now(), &self.service)
+    }
+
+    /// The final answer of a request that no engine answers any more.
+    fn give_up(&self, mut progress: Progress) -> Result<Response<GatewayBody>, Refusal> {
+        if let Some(failure) = progress.failure.take() {
+            return Ok(failure.into_response());
+        }
+        let time_is_over = Instant::now() >= self.deadline;
+        Err(match (progress.may_have_run, time_is_over) {
+            (true, true) => Refusal::TimeOverUnknown,
+            (true, false) => Refusal::AnswerLost,
+            (false, true) => Refusal::TimeOver,
+            (false, false) if !progress.tried.is_empty() => Refusal::EnginesFull,
+            (false, false) if !progress.unreachable.is_empty() => Refusal::Unreachable,
+            (false, false) => Refusal::NoEngine,
+        })
+    }
+
+    /// Gathers an answer that is no stream, so that one that breaks off can be replaced.
+    async fn gather(&self, answer: EngineAnswer, progress: &mut Progress) -> Gathered {
+        let EngineAnswer { head, mut body, hold } = answer;
+        let mut whole = BytesMut::new();
+        let reading = async {
+            while let Some(frame) = body.frame().await {
+                if let Ok(data) = frame.map_err(|_| ())?.into_data() {
+                    whole.extend_from_slice(&data);
+                }
+                if whole.len() > GATHER_LIMIT {
+                    return Ok(false);
+                }
+            }
+            Ok::<bool, ()>(true)
+        };
+        match timeout_at(self.deadline, reading).await {
+            Ok(Ok(true)) => {}
+            Ok(Ok(false)) => {
+                let start = whole.freeze();
+                let pieces = relay::pass_on(self.deadline, start, body, hold);
+                return Gathered::Final(response_of(head, GatewayBody::Pieces(pieces)));
+            }
+            Ok(Err(())) => {
+                log::info!(request = self.payload.caller.id.as_str(), engine = hold.engine().notice.engine.as_str(), step = "body"; "attempt failed: the answer broke off");
+                hold.finish(AttemptEnd::Broken, None);
+                progress.may_have_run = true;
+                return Gathered::Failed;
+            }
+            Err(_) => {
+                hold.finish(AttemptEnd::Broken, None);
+                progress.may_have_run = true;
+                return Gathered::Failed;
+            }
+        }
+        let failed = head.status.is_server_error();
+        let end = if failed { AttemptEnd::EngineError } else { AttemptEnd::Answered };
+        hold.finish(end, Some(&head.headers));
+        let whole = WholeAnswer { head, body: whole.freeze() };
+        if failed {
+            progress.may_have_run = true;
+            progress.failure = Some(whole);
+            return Gathered::Failed;
+        }
+        Gathered::Final(whole.into_response())
+    }
+}
+
+enum Gathered {
+    /// The answer for the caller.
+    Final(Response<GatewayBody>),
+    /// The attempt has failed; the engine's own failure, if any, is kept.
+    Failed,
+}
+
+impl WholeAnswer {
+    fn into_response(self) -> Response<GatewayBody> {
+        response_of(self.head, GatewayBody::whole(self.body))
+    }
+}
+
+/// The engine's head with another body.
+pub(crate) fn response_of(
+    mut head: hyper::http::response::Parts,
+    body: GatewayBody,
+) -> Response<GatewayBody> {
+    strip_connection_headers(&mut head.headers);
+    head.headers.remove(header::CONTENT_LENGTH);
+    head.version = hyper::Version::HTTP_11;
+    Response::from_parts(head, body)
+}
+
+fn is_event_stream(answer: &EngineAnswer) -> bool {
+    let content_type = answer.head.headers.get(header::CONTENT_TYPE);
+    answer.head.status == StatusCode::OK
+        && content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+}
--- /dev/null
+++ b/crates/gateway/src/router.rs
@@ -0,0 +1,146 @@
+//! What a router knows, shared by all its requests.
+
+use crate::dialect::Dialect;
+use crate::engine_pool::EnginePool;
+use stackpost_coordinator::DocumentCodec;
+use stackpost_gateway_core::{
+    EngineDirectory, EnginePicker, EngineState, RetryBudget, RetryLimits, RouteTable,
+};
+use stackpost_prepaid::Wallet;
+use stackpost_types::{Millis, Timestamp, ZoneName};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+use tokio::sync::Notify;
+
+/// Silence of the leader after which a router counts itself out of touch.
+const TOUCH_LIMIT: Millis = Millis(750);
+/// A router that has met no leader for so long takes a configuration that none has confirmed.
+const UNCONFIRMED_AFTER: Millis = Millis(1_500);
+/// Routers assumed while control has not told their number.
+const ROUTERS_ASSUMED: u64 = 8;
+
+/// How a router is run.
+#[derive(Clone, Debug)]
+pub struct RouterSettings {
+    /// The zone it stands in.
+    pub zone: ZoneName,
+    /// The fleet's bound on further sends.
+    pub retry_limits: RetryLimits,
+}
+
+/// A router: its decisions and what they rest on. Belongs to one thread.
+pub struct Router {
+    pub(crate) dialect: Box<dyn Dialect>,
+    pub(crate) codec: Arc<dyn DocumentCodec>,
+    pub(crate) pool: EnginePool,
+    pub(crate) directory: RefCell<EngineDirectory>,
+    pub(crate) picker: RefCell<EnginePicker>,
+    pub(crate) wallet: RefCell<Wallet>,
+    pub(crate) retry_budget: RefCell<RetryBudget>,
+    /// Rung when the wallet has grown.
+    pub(crate) wallet_grown: Notify,
+    /// Rung when a request does not fit the wallet.
+    pub(crate) wallet_short: Notify,
+    table: RefCell<Option<Rc<RouteTable>>>,
+    confirmed: Cell<bool>,
+    leader_heard_at: Cell<Option<Timestamp>>,
+    draining: Cell<bool>,
+    started: Instant,
+}
+
+impl Router {
+    /// A router that knows nothing yet.
+    pub fn new(
+        settings: RouterSettings,
+        dialect: Box<dyn Dialect>,
+        codec: Arc<dyn DocumentCodec>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            dialect,
+            codec,
+            pool: EnginePool::default(),
+            directory: RefCell::default(),
+            picker: RefCell::new(EnginePicker::new(settings.zone)),
+            wallet: RefCell::default(),
+            retry_budget: RefCell::new(RetryBudget::new(settings.retry_limits, ROUTERS_ASSUMED)),
+            wallet_grown: Notify::new(),
+            wallet_short: Notify::new(),
+            table: RefCell::default(),
+            confirmed: Cell::new(false),
+            leader_heard_at: Cell::new(None),
+            draining: Cell::new(false),
+            started: Instant::now(),
+        })
+    }
+
+    /// The router's clock. Zero stands for "never", so it starts a little later.
+    pub fn now(&self) -> Timestamp {
+        Timestamp(self.started.elapsed().as_millis() as u64 + 1_000)
+    }
+
+    /// Whether the platform should send callers here.
+    pub fn is_ready(&self) -> bool {
+        !self.draining.get() && self.table().is_some() && self.knows_an_engine()
+    }
+
+    /// Begins a planned stop.
+    pub fn begin_drain(&self) {
+        self.draining.set(true);
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_draining(&self) -> bool {
+        self.draining.get()
+    }
+
+    /// Whether the leader was heard so lately that what it has not said is not so.
+    pub fn in_touch(&self) -> bool {
+        let now = self.now();
+        self.leader_heard_at.get().is_some_and(|at| now.since(at) < TOUCH_LIMIT)
+    }
+
+    /// The configuration, once it may be used.
+    pub(crate) fn table(&self) -> Option<Rc<RouteTable>> {
+        let usable = self.confirmed.get() || self.accepts_unconfirmed();
+        self.table.borrow().clone().filter(|_| usable)
+    }
+
+    /// Version of the configuration that is held, usable or not; zero if there is none.
+    pub(crate) fn document_version(&self) -> u64 {
+        self.table.borrow().as_ref().map_or(0, |table| table.config().version)
+    }
+
+    /// An earlier life of this process may have known a newer configuration, so a restarted
+    /// router waits for a leader, but not for ever.
+    pub(crate) fn accepts_unconfirmed(&self) -> bool {
+        self.confirmed.get()
+            || self.started.elapsed().as_millis() as u64 > UNCONFIRMED_AFTER.0
+                && self.leader_heard_at.get().is_none()
+    }
+
+    /// Takes in a configuration; one that is older than the one held is passed over.
+    pub(crate) fn set_table(&self, table: RouteTable) {
+        let version = table.config().version;
+        if version > self.document_version() {
+            log::info!(version = version; "configuration taken in");
+            *self.table.borrow_mut() = Some(Rc::new(table));
+        }
+    }
+
+    /// Takes in that the leader has spoken and which configuration is in force.
+    pub(crate) fn on_leader_heard(&self, document_version: u64) {
+        if !self.in_touch() {
+            log::info!(version = document_version; "in touch with the leader");
+        }
+        self.leader_heard_at.set(Some(self.now()));
+        if document_version > 0 && self.document_version() >= document_version {
+            self.confirmed.set(true);
+        }
+    }
+
+    fn knows_an_engine(&self) -> bool {
+        self.directory.borrow().iter().any(|record| record.notice.state == EngineState::Ready)
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/connection.rs
@@ -0,0 +1,77 @@
+//! One connection: frames in both directions until it breaks.
+
+use crate::{MAX_FRAME_BYTES, SILENCE_LIMIT};
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use socket2::SockRef;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+/// Longest wait for a connection to come up.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+
+pub(crate) type FrameStream = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// Opens a connection to `address`.
+pub(crate) async fn open(address: SocketAddr) -> io::Result<FrameStream> {
+    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let stream = connecting.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    Ok(framed(stream))
+}
+
+/// Puts frames on an accepted or opened stream.
+pub(crate) fn framed(stream: TcpStream) -> FrameStream {
+    let socket = SockRef::from(&stream);
+    // Both options only shorten delays; a socket that refuses them still works.
+    let _ = socket.set_tcp_nodelay(true);
+    let _ = socket.set_tcp_user_timeout(Some(SILENCE_LIMIT));
+    let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+    Framed::new(stream, codec)
+}
+
+/// The next frame, or why there is none.
+pub(crate) async fn next_frame(stream: &mut FrameStream) -> io::Result<Bytes> {
+    match timeout(SILENCE_LIMIT, stream.next()).await {
+        Ok(Some(frame)) => Ok(frame?.freeze()),
+        Ok(None) => Err(io::ErrorKind::ConnectionAborted.into()),
+        Err(_) => Err(io::ErrorKind::TimedOut.into()),
+    }
+}
+
+/// Carries frames both ways until the connection breaks or `outgoing` is closed.
+pub(crate) async fn run(
+    stream: FrameStream,
+    outgoing: &mut mpsc::Receiver<Bytes>,
+    mut on_frame: impl FnMut(Bytes),
+) -> io::Result<()> {
+    let (mut sink, mut source) = stream.split();
+    let reading = async {
+        loop {
+            match timeout(SILENCE_LIMIT, source.next()).await {
+                Ok(Some(frame)) => on_frame(frame?.freeze()),
+                Ok(None) => return Err(io::Error::from(io::ErrorKind::ConnectionAborted)),
+                Err(_) => return Err(io::ErrorKind::TimedOut.into()),
+            }
+        }
+    };
+    let writing = async {
+        while let Some(frame) = outgoing.recv().await {
+            sink.feed(frame).await?;
+            // Whatever else is waiting goes out in the same write.
+            while let Ok(frame) = outgoing.try_recv() {
+                sink.feed(frame).await?;
+            }
+            sink.flush().await?;
+        }
+        Ok(())
+    };
+    tokio::select! {
+        ended = reading => ended,
+        ended = writing => ended,
+    }
+}
--- a/crates/storage/src/log_store.rs
+++ b/crates/storage/src/log_store.rs
@@ -34,6 +34,10 @@
 enum Record {
     HardState(HardState),
     Entry(Entry),
+    /// All that one `append` wrote. It stands under one checksum: after a loss of power any part
+    /// of the last write may be missing, and an intact entry behind a missing one would look like
+    /// damage to what had been synced.
+    Batch(Vec<Record>),
 }
 
 /// The durable side of one replica. Every method that writes syncs before it returns.
@@ -92,17 +96,13 @@
         hard_state: Option<&HardState>,
         entries: &[Entry],
     ) -> Result<(), StoreError> {
-        let mut bytes = Vec::new();
-        if let Some(hard_state) = hard_state {
-            bytes.extend(frame(&Record::HardState(hard_state.clone())));
-        }
-        for entry in entries {
-            bytes.extend(frame(&Record::Entry(entry.clone())));
-        }
-        if bytes.is_empty() {
+        let hard_state = hard_state.cloned().map(Record::HardState);
+        let records: Vec<Record> =
+            hard_state.into_iter().chain(entries.iter().cloned().map(Record::Entry)).collect();
+        if records.is_empty() {
             return Ok(());
         }
-        self.disk.append(&self.segment, &bytes)?;
+        self.disk.append(&self.segment, &frame(&Record::Batch(records)))?;
         self.disk.sync(&self.segment)?;
         Ok(())
     }
@@ -170,6 +170,7 @@
             }
             restored.entries.push(entry);
         }
+        Record::Batch(records) => records.into_iter().for_each(|record| replay(record, restored)),
     }
 }
 
