--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -200,15 +200,13 @@
     fn on_up(&self, link: LinkId, peer: PeerInfo) {
         log::info!(peer = peer.node.to_string().as_str(); "connected");
         let role = peer.role;
-        let node = peer.node.clone();
         let entry = Link { peer, document_known: 0, document_sent: None };
         self.state.borrow_mut().links.insert(link, entry);
         let notices = self.state.borrow().directory.notices(self.now());
         self.mesh.send(link, &FleetMessage::Engines(notices));
         self.mesh.send(link, &FleetMessage::ControlStatus(self.status()));
-        match role {
-            PeerRole::Router => self.replica.send(ReplicaEvent::RouterSeen(node)),
-            PeerRole::Control => self.tell_control_peers(),
+        if role == PeerRole::Control {
+            self.tell_control_peers();
         }
     }
 
@@ -256,8 +254,7 @@
             self.send_document(link, &view);
         }
         if view.leads() {
-            let accounts = status.accounts;
-            self.replica.send(ReplicaEvent::RouterReport { router, accounts });
+            self.replica.send(ReplicaEvent::RouterReport { router, status });
         }
     }
 
@@ -356,6 +353,7 @@
         ControlStatus {
             leads: view.leads(),
             document_version: view.document_version(),
+            clock: self.replica.now(),
             routers: routers.len() as u32,
             control_peers: state
                 .control_peers
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -3,8 +3,8 @@
 use serde::{Deserialize, Serialize};
 use stackpost_consensus::Envelope;
 use stackpost_gateway_core::EngineNotice;
-use stackpost_prepaid::AccountReport;
-use stackpost_types::{TenantName, Tokens};
+use stackpost_prepaid::{AccountReport, Allotment, Contact};
+use stackpost_types::{TenantName, Timestamp, Tokens};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,6 +25,8 @@
     pub leads: bool,
     /// Version of the newest configuration it has applied; zero if there is none.
     pub document_version: u64,
+    /// Its clock, to be given back by routers; of no meaning to anyone else.
+    pub clock: Timestamp,
     /// Routers connected to it.
     pub routers: u32,
     /// Where the control processes it knows accept connections of the fleet.
@@ -32,16 +34,30 @@
 }
 
 /// What a router tells the leader, some times a second.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouterStatus {
     /// Version of its configuration; zero if it has none.
     pub document_version: u64,
     /// Whether it would take a configuration that no leader has confirmed.
     pub accepts_unconfirmed: bool,
+    /// When its process started, by the clock of its machine.
+    pub started: Contact,
+    /// Its last contact with the leader that this is sent to. Given only if `accounts` holds all
+    /// accounts as they were after that contact.
+    pub contact: Option<LeaderContact>,
     /// Its accounts, where they have changed.
     pub accounts: Vec<(TenantName, AccountReport)>,
 }
 
+/// One moment on two clocks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderContact {
+    /// When the router heard the leader, by the clock of its machine.
+    pub heard: Contact,
+    /// When the leader had spoken, by its own clock.
+    pub spoken: Timestamp,
+}
+
 /// A message between two processes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FleetMessage {
@@ -55,8 +71,8 @@
     Engines(Vec<EngineNotice>),
     /// From a router to control.
     RouterStatus(RouterStatus),
-    /// From the leader to a router: totals handed to it.
-    Allotted(Vec<(TenantName, Tokens)>),
+    /// From the leader to a router: what it has been handed in all.
+    Allotted(Vec<(TenantName, Allotment)>),
     /// From the leader to a router: what it may keep spendable.
     Recall(Vec<(TenantName, Tokens)>),
     /// From a router that stops: what it has spent of each tenant's budget.
--- a/crates/coordinator/src/prepaid_planner.rs
+++ b/crates/coordinator/src/prepaid_planner.rs
@@ -1,24 +1,28 @@
 //! The leader's view of the routers' accounts, and what follows from it.
 
+use crate::message::{LeaderContact, RouterStatus};
 use crate::state::Command;
-use stackpost_prepaid::{AccountReport, PrepaidLedger, plan};
+use stackpost_prepaid::{AccountReport, Contact, LifeEnd, PrepaidLedger, SteadyTime, plan};
 use stackpost_types::{Millis, NodeId, TenantName, Timestamp, Tokens};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Time between two rounds while no request waits.
 const ROUND_INTERVAL: Millis = Millis(250);
+/// Time between two records of when a router was last in touch.
+const CONTACT_INTERVAL: Millis = Millis(400);
 /// A router that has been silent for so long is not planned for.
 const REPORT_LIMIT: Millis = Millis(1_500);
 /// A new leader listens for so long before it hands out anything.
-const SETTLE_TIME: Millis = Millis(300);
+const SETTLE_TIME: Millis = Millis(250);
 /// A proposal that has not been applied for so long is given up.
 const PROPOSAL_LIMIT: Millis = Millis(1_500);
 /// Part of every budget, in thousandths, that is never handed out.
-const RESERVE_PERMILLE: u64 = 8;
+const WITHHELD_PERMILLE: u64 = 5;
 
-#[derive(Default)]
 struct RouterView {
     reported_at: Timestamp,
+    started: Contact,
+    contact: Option<LeaderContact>,
     accounts: BTreeMap<TenantName, AccountReport>,
 }
 
@@ -26,10 +30,13 @@
 #[derive(Default)]
 pub(crate) struct PrepaidPlanner {
     routers: BTreeMap<NodeId, RouterView>,
+    /// Last contacts of router lives that may have ended since.
+    contacts: BTreeMap<NodeId, LeaderContact>,
     farewells: BTreeMap<NodeId, BTreeMap<TenantName, Tokens>>,
     recalls: BTreeMap<NodeId, Vec<(TenantName, Tokens)>>,
     urgent: bool,
     round_at: Timestamp,
+    contacts_at: Timestamp,
     proposed: Option<(u64, Timestamp)>,
 }
 
@@ -40,22 +47,23 @@
     }
 
     /// Takes in a router's report.
-    pub fn on_report(
-        &mut self,
-        now: Timestamp,
-        router: &NodeId,
-        accounts: Vec<(TenantName, AccountReport)>,
-    ) {
-        self.urgent |= accounts.iter().any(|(_, account)| !account.wanted.is_zero());
-        let view = self.routers.entry(router.clone()).or_default();
+    pub fn on_report(&mut self, now: Timestamp, router: &NodeId, status: RouterStatus) {
+        self.urgent |= status.accounts.iter().any(|(_, account)| !account.wanted.is_zero());
+        if !self.routers.contains_key(router) {
+            self.routers.retain(|known, _| known.machine != router.machine);
+        }
+        let view = self.routers.entry(router.clone()).or_insert_with(|| RouterView {
+            reported_at: now,
+            started: status.started,
+            contact: None,
+            accounts: BTreeMap::new(),
+        });
         view.reported_at = now;
-        view.accounts.extend(accounts);
-    }
-
-    /// Notes that a router's process runs, so earlier ones on its machine have ended.
-    pub fn on_router_seen(&mut self, now: Timestamp, router: &NodeId) {
-        self.routers.entry(router.clone()).or_default().reported_at = now;
-        self.routers.retain(|known, _| known.machine != router.machine || known == router);
+        view.accounts.extend(status.accounts);
+        if let Some(contact) = status.contact {
+            view.contact = Some(contact);
+            self.contacts.insert(router.clone(), contact);
+        }
     }
 
     /// Takes in a router's farewell.
@@ -70,15 +78,16 @@
 
     /// The commands of a round; none if it is too early or the last round is under way.
     pub fn plan(&mut self, now: Timestamp, ledger: &PrepaidLedger) -> Vec<Command> {
-        let waiting = self.proposed.is_some_and(|(_, at)| now.since(at) < PROPOSAL_LIMIT);
-        let due = now >= self.round_at || (self.urgent && self.round_at.0 < now.0 + ROUND_INTERVAL.0);
-        if waiting || !due {
+        let under_way = self.proposed.is_some_and(|(_, at)| now.since(at) < PROPOSAL_LIMIT);
+        let settled = self.round_at.0 <= now.0 + ROUND_INTERVAL.0;
+        let due = now >= self.round_at || (self.urgent && settled);
+        if under_way || !due {
             return Vec::new();
         }
         self.urgent = false;
         self.round_at = now + ROUND_INTERVAL;
         self.proposed = None;
-        let mut commands = self.closings(ledger);
+        let mut commands = self.closings(now, ledger);
         self.routers.retain(|_, view| now.since(view.reported_at) < REPORT_LIMIT);
         let reports: BTreeMap<NodeId, BTreeMap<TenantName, AccountReport>> = self
             .routers
@@ -86,7 +95,7 @@
             .map(|(router, view)| (router.clone(), view.accounts.clone()))
             .collect();
         commands.extend(returns(ledger, &reports));
-        let plan = plan(ledger, &reports, RESERVE_PERMILLE);
+        let plan = plan(ledger, &reports, WITHHELD_PERMILLE);
         for recall in plan.recalls {
             let of_router = self.recalls.entry(recall.holder).or_default();
             of_router.push((recall.tenant, recall.keep));
@@ -94,6 +103,7 @@
         if !plan.grants.is_empty() {
             commands.push(Command::Grant(plan.grants));
         }
+        commands.extend(self.new_contacts(now));
         commands
     }
 
@@ -102,35 +112,79 @@
         std::mem::take(&mut self.recalls)
     }
 
-    /// Routers whose totals a command changes. Also ends the wait for the command.
-    pub fn routers_touched(&mut self, command: &Command) -> BTreeSet<NodeId> {
+    /// Routers whose allotments a command changes. Also ends the wait for the round.
+    pub fn routers_touched(&mut self, index: u64, command: &Command) -> BTreeSet<NodeId> {
+        if self.proposed.is_some_and(|(last, _)| last <= index) {
+            self.proposed = None;
+        }
         match command {
-            Command::Grant(grants) => {
-                self.proposed = None;
-                grants.iter().map(|grant| grant.holder.clone()).collect()
-            }
-            Command::GiveBack(_) | Command::CloseRouter { .. } => {
-                self.proposed = None;
-                BTreeSet::new()
-            }
+            Command::Grant(grants) => grants.iter().map(|grant| grant.holder.clone()).collect(),
             _ => BTreeSet::new(),
         }
     }
 
     /// Router lives that have ended: those that said so and those whose machine runs another one.
-    fn closings(&mut self, ledger: &PrepaidLedger) -> Vec<Command> {
+    fn closings(&mut self, now: Timestamp, ledger: &PrepaidLedger) -> Vec<Command> {
         let mut commands = Vec::new();
         for (router, spent) in std::mem::take(&mut self.farewells) {
             self.routers.remove(&router);
-            commands.push(Command::CloseRouter { router, spent });
+            commands.push(Command::CloseRouter { router, end: LifeEnd::Told(spent) });
         }
-        let ended: BTreeSet<NodeId> =
-            self.routers.keys().flat_map(|router| ledger.earlier_lives(router)).collect();
-        for router in ended {
-            commands.push(Command::CloseRouter { router, spent: BTreeMap::new() });
+        for (successor, view) in &self.routers {
+            for router in ledger.earlier_lives(successor) {
+                let end = end_of_life(now, ledger, &router, self.contacts.get(&router), view);
+                log::info!(router = router.to_string().as_str(); "router life ended: {end:?}");
+                commands.push(Command::CloseRouter { router, end });
+            }
         }
         commands
     }
+
+    /// Contacts that the ledger should know, now and then.
+    fn new_contacts(&mut self, now: Timestamp) -> Vec<Command> {
+        if now < self.contacts_at {
+            return Vec::new();
+        }
+        self.contacts_at = now + CONTACT_INTERVAL;
+        let mut commands = Vec::new();
+        for (router, view) in &mut self.routers {
+            if let Some(contact) = view.contact.take() {
+                let gone = view
+                    .accounts
+                    .iter()
+                    .map(|(tenant, account)| (tenant.clone(), account.used + account.returned))
+                    .collect();
+                let (router, contact) = (router.clone(), contact.heard);
+                commands.push(Command::NoteContact { router, contact, gone });
+            }
+        }
+        commands
+    }
+}
+
+/// When a router life had certainly ended: before its successor's process started, or before now,
+/// counted from the last time that this leader spoke to it.
+fn end_of_life(
+    now: Timestamp,
+    ledger: &PrepaidLedger,
+    router: &NodeId,
+    contact: Option<&LeaderContact>,
+    successor: &RouterView,
+) -> LifeEnd {
+    let by_successor = ledger
+        .contact(router)
+        .filter(|known| successor.started.since(*known).is_some())
+        .map(|_| successor.started);
+    let by_leader = contact.map(|contact| Contact {
+        boot: contact.heard.boot,
+        at: SteadyTime(contact.heard.at.0 + now.since(contact.spoken).0),
+    });
+    match (by_successor, by_leader) {
+        (Some(first), Some(second)) if second.at < first.at => LifeEnd::Before(second),
+        (Some(first), _) => LifeEnd::Before(first),
+        (None, Some(second)) => LifeEnd::Before(second),
+        (None, None) => LifeEnd::Unknown,
+    }
 }
 
 /// What routers have given back and the ledger does not know yet.
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -4,14 +4,14 @@
 //! before the effects that promise it are returned.
 
 use crate::DocumentCodec;
-use crate::message::Document;
+use crate::message::{Document, RouterStatus};
 use crate::prepaid_planner::PrepaidPlanner;
 use crate::state::{Command, FleetState, Outcome};
 use crate::voters::{VoterStep, VoterView, next_step};
 use stackpost_consensus::{
     Config, Entry, Envelope, FIRST_IDENTITY, HardState, Raft, Ready, Restored, Role, Snapshot,
 };
-use stackpost_prepaid::AccountReport;
+use stackpost_prepaid::Allotment;
 use stackpost_storage::{Disk, LogStore, StoreError};
 use stackpost_types::{MachineName, Millis, NodeId, TenantName, Timestamp, Tokens};
 use std::collections::{BTreeMap, BTreeSet};
@@ -85,15 +85,13 @@
         /// Names the answer.
         token: u64,
     },
-    /// A router has reported its accounts.
+    /// A router has reported.
     RouterReport {
         /// The router.
         router: NodeId,
-        /// Its accounts.
-        accounts: Vec<(TenantName, AccountReport)>,
+        /// What it says.
+        status: RouterStatus,
     },
-    /// A router is connected; earlier lives on the same machine have ended.
-    RouterSeen(NodeId),
     /// A router stops and says what it has spent.
     RouterFarewell {
         /// The router.
@@ -141,7 +139,7 @@
     /// A newer configuration is in force.
     DocumentChanged(Document),
     /// Tell a router its totals.
-    Allotted(NodeId, Vec<(TenantName, Tokens)>),
+    Allotted(NodeId, Vec<(TenantName, Allotment)>),
     /// Ask a router to give back.
     Recall(NodeId, Vec<(TenantName, Tokens)>),
     /// Tell a router that its life is closed.
@@ -233,11 +231,10 @@
             ReplicaEvent::Raft(envelope) => self.raft.step(now, envelope),
             ReplicaEvent::Put { token, bytes } => self.put(now, token, bytes),
             ReplicaEvent::Read { token } => self.read(now, token),
-            ReplicaEvent::RouterReport { router, accounts } => {
-                self.planner.on_report(now, &router, accounts);
+            ReplicaEvent::RouterReport { router, status } => {
+                self.planner.on_report(now, &router, status);
                 self.plan_prepaid(now);
             }
-            ReplicaEvent::RouterSeen(router) => self.planner.on_router_seen(now, &router),
             ReplicaEvent::RouterFarewell { router, spent } => {
                 self.planner.on_farewell(&router, spent);
             }
@@ -488,7 +485,7 @@
             Command::RemoveVoter { machine } => self.raft.remove_voter(machine),
             _ => {}
         }
-        let touched = self.planner.routers_touched(&command);
+        let touched = self.planner.routers_touched(entry.index, &command);
         let closed = match &command {
             Command::CloseRouter { router, .. } => Some(router.clone()),
             _ => None,
@@ -525,12 +522,7 @@
             return;
         }
         for router in touched {
-            let totals: Vec<(TenantName, Tokens)> = self
-                .state
-                .ledger
-                .allotments(&router)
-                .map(|(tenant, allotment)| (tenant.clone(), allotment.allotted))
-                .collect();
+            let totals = self.state.ledger.allotments(&router);
             self.effects.push(ReplicaEffect::Allotted(router, totals));
         }
         if let Some(router) = closed {
--- a/crates/coordinator/src/replica_thread.rs
+++ b/crates/coordinator/src/replica_thread.rs
@@ -44,6 +44,7 @@
 pub struct ReplicaHandle {
     events: Sender<ReplicaEvent>,
     view: watch::Receiver<ReplicaView>,
+    started: Instant,
 }
 
 impl ReplicaHandle {
@@ -53,6 +54,11 @@
         let _ = self.events.send(event);
     }
 
+    /// The replica's clock.
+    pub fn now(&self) -> Timestamp {
+        reading(self.started)
+    }
+
     /// The replica as of its last round.
     pub fn view(&self) -> ReplicaView {
         self.view.borrow().clone()
@@ -79,9 +85,10 @@
         let (effects, effect_receiver) = mpsc::unbounded_channel();
         let (view, view_receiver) = watch::channel(ReplicaView::default());
         let folder = folder.to_path_buf();
-        let thread = Self { config, folder, started: Instant::now(), events, effects, view };
+        let started = Instant::now();
+        let thread = Self { config, folder, started, events, effects, view };
         std::thread::Builder::new().name("replica".into()).spawn(move || thread.run())?;
-        Ok((ReplicaHandle { events: event_sender, view: view_receiver }, effect_receiver))
+        Ok((ReplicaHandle { events: event_sender, view: view_receiver, started }, effect_receiver))
     }
 
     fn run(mut self) {
@@ -145,9 +152,8 @@
         });
     }
 
-    /// The replica's clock. Zero stands for "never" in timers, so it starts a little later.
     fn now(&self) -> Timestamp {
-        Timestamp(self.started.elapsed().as_millis() as u64 + CLOCK_START)
+        reading(self.started)
     }
 
     fn instant(&self, time: Timestamp) -> Instant {
@@ -155,9 +161,14 @@
     }
 }
 
-/// Reading of the replica's clock at its start, in milliseconds.
+/// Reading of the replica's clock at its start, in milliseconds. Zero stands for "never" in
+/// timers.
 const CLOCK_START: u64 = 1_000;
 
+fn reading(started: Instant) -> Timestamp {
+    Timestamp(started.elapsed().as_millis() as u64 + CLOCK_START)
+}
+
 fn open_disk(folder: &Path) -> Result<FileDisk, ReplicaError> {
     std::fs::create_dir_all(folder).map_err(|source| {
         let file = folder.display().to_string();
--- a/crates/coordinator/src/state.rs
+++ b/crates/coordinator/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::message::Document;
 use serde::{Deserialize, Serialize};
-use stackpost_prepaid::{Grant, PrepaidLedger};
+use stackpost_prepaid::{Contact, Grant, LifeEnd, PrepaidLedger};
 use stackpost_types::{MachineName, NodeId, TenantName, Tokens};
 use std::collections::BTreeMap;
 
@@ -24,8 +24,17 @@
     CloseRouter {
         /// The life.
         router: NodeId,
-        /// What it has spent; all that it held where a tenant is missing.
-        spent: BTreeMap<TenantName, Tokens>,
+        /// What is known of its end.
+        end: LifeEnd,
+    },
+    /// Takes in when a router was last in touch.
+    NoteContact {
+        /// The router.
+        router: NodeId,
+        /// The contact.
+        contact: Contact,
+        /// What was gone of each of its allotments some time after.
+        gone: Vec<(TenantName, Tokens)>,
     },
     /// Makes a machine a voter, or lets a voter count under a new identity.
     SetVoter {
@@ -87,7 +96,7 @@
             Command::PutDocument { document, limits } => return self.put(document, &limits),
             Command::Grant(grants) => {
                 for grant in grants {
-                    self.ledger.allot(&grant.holder, &grant.tenant, grant.amount);
+                    self.ledger.allot(&grant);
                 }
             }
             Command::GiveBack(returns) => {
@@ -95,7 +104,10 @@
                     self.ledger.give_back(&router, &tenant, total);
                 }
             }
-            Command::CloseRouter { router, spent } => self.ledger.close(&router, &spent),
+            Command::CloseRouter { router, end } => self.ledger.close(&router, &end),
+            Command::NoteContact { router, contact, gone } => {
+                self.ledger.note_contact(&router, contact, &gone);
+            }
             Command::SetVoter { machine, identity } => {
                 self.voters.insert(machine, identity);
             }
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -1,11 +1,14 @@
 //! Keeps a router's knowledge up to date over the connections of the fleet.
 
 use crate::router::Router;
-use stackpost_coordinator::{ControlStatus, Document, FleetMessage, RouterStatus};
+use crate::machine_clock::machine_time;
+use stackpost_coordinator::{
+    ControlStatus, Document, FleetMessage, LeaderContact, RouterStatus,
+};
 use stackpost_gateway_core::{EngineNotice, Merge, RouteTable};
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo};
-use stackpost_prepaid::AccountReport;
-use stackpost_types::{TenantName, Tokens};
+use stackpost_prepaid::{AccountReport, Allotment, Contact};
+use stackpost_types::TenantName;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -19,7 +22,7 @@
 /// Time between two signs of life to the other control processes.
 const SIGN_INTERVAL: Duration = Duration::from_millis(450);
 /// All accounts are reported again after so long, whether they have changed or not.
-const FULL_REPORT_INTERVAL: Duration = Duration::from_millis(2_000);
+const FULL_REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Time between two rounds of forgetting engines that are gone.
 const FORGET_INTERVAL: Duration = Duration::from_secs(5);
 /// Time between two tries to say farewell.
@@ -31,6 +34,8 @@
     router: Rc<Router>,
     links: RefCell<BTreeSet<LinkId>>,
     leader: Cell<Option<LinkId>>,
+    leader_contact: Cell<Option<LeaderContact>>,
+    started: Contact,
     reported: RefCell<BTreeMap<TenantName, AccountReport>>,
     fully_reported_at: Cell<Instant>,
     sign_at: Cell<Instant>,
@@ -47,6 +52,8 @@
             router,
             links: RefCell::default(),
             leader: Cell::new(None),
+            leader_contact: Cell::new(None),
+            started: machine_time(),
             reported: RefCell::default(),
             fully_reported_at: Cell::new(Instant::now()),
             sign_at: Cell::new(Instant::now()),
@@ -67,7 +74,6 @@
     /// that in, or after `limit`.
     pub async fn say_farewell(&self, limit: Duration) {
         self.stopped.set(true);
-        self.router.wallet.borrow_mut().give_back_all();
         let repeat = async {
             loop {
                 if let Some(leader) = self.leader.get() {
@@ -121,7 +127,7 @@
             FleetMessage::ControlStatus(status) => self.on_status(link, status),
             FleetMessage::Document(document) => self.on_document(link, &document),
             FleetMessage::Engines(notices) => self.on_engines(notices),
-            FleetMessage::Allotted(totals) => self.on_allotted(totals),
+            FleetMessage::Allotted(allotments) => self.on_allotted(allotments),
             FleetMessage::Recall(keeps) => {
                 let mut wallet = self.router.wallet.borrow_mut();
                 for (tenant, keep) in keeps {
@@ -140,11 +146,14 @@
         let routers = u64::from(status.routers);
         self.router.retry_budget.borrow_mut().set_routers(routers);
         if status.leads {
-            if self.leader.replace(Some(link)) != Some(link) {
+            let leader_is_new = self.leader.replace(Some(link)) != Some(link);
+            let contact = LeaderContact { heard: machine_time(), spoken: status.clock };
+            self.leader_contact.set(Some(contact));
+            self.router.on_leader_heard(status.document_version);
+            if leader_is_new {
                 self.reported.borrow_mut().clear();
                 self.report();
             }
-            self.router.on_leader_heard(status.document_version);
         } else if self.leader.get() == Some(link) {
             self.leader.set(None);
         }
@@ -169,11 +178,11 @@
         }
     }
 
-    fn on_allotted(&self, totals: Vec<(TenantName, Tokens)>) {
+    fn on_allotted(&self, allotments: Vec<(TenantName, Allotment)>) {
         let mut wallet = self.router.wallet.borrow_mut();
         let mut grown = false;
-        for (tenant, total) in totals {
-            grown |= wallet.on_allotted(&tenant, total);
+        for (tenant, allotment) in allotments {
+            grown |= wallet.on_allotted(&tenant, &allotment);
         }
         drop(wallet);
         if grown {
@@ -195,17 +204,19 @@
         let Some(leader) = leader.filter(|_| !self.stopped.get()) else {
             return;
         };
-        let accounts = self.changed_accounts();
-        if !accounts.is_empty() || sign_due {
-            let status = RouterStatus { accounts, ..self.status() };
+        let complete = self.fully_reported_at.get().elapsed() >= FULL_REPORT_INTERVAL;
+        let accounts = self.changed_accounts(complete);
+        if complete || !accounts.is_empty() || sign_due {
+            let contact = self.leader_contact.get().filter(|_| complete);
+            let status = RouterStatus { accounts, contact, ..self.status() };
             self.mesh.send(leader, &FleetMessage::RouterStatus(status));
         }
     }
 
-    fn changed_accounts(&self) -> Vec<(TenantName, AccountReport)> {
+    fn changed_accounts(&self, complete: bool) -> Vec<(TenantName, AccountReport)> {
         let all = self.router.wallet.borrow_mut().report(self.router.now());
         let mut reported = self.reported.borrow_mut();
-        if self.fully_reported_at.get().elapsed() >= FULL_REPORT_INTERVAL {
+        if complete {
             self.fully_reported_at.set(Instant::now());
             reported.clear();
         }
@@ -224,6 +235,8 @@
         RouterStatus {
             document_version: self.router.document_version(),
             accepts_unconfirmed: self.router.accepts_unconfirmed() && !self.router.in_touch(),
+            started: self.started,
+            contact: None,
             accounts: Vec::new(),
         }
     }
--- /dev/null
+++ b/crates/gateway/src/machine_clock.rs
@@ -0,0 +1,25 @@
+//! The steady clock of the machine, which goes on while processes restart.
+
+use rustix::time::{ClockId, clock_gettime};
+use stackpost_prepaid::{Contact, SteadyTime};
+use stackpost_types::Digest;
+
+/// Names the life of the machine: the kernel draws it anew at every start.
+const BOOT_ID_FILE: &str = "/proc/sys/kernel/random/boot_id";
+
+/// This moment in the life of the machine.
+pub(crate) fn machine_time() -> Contact {
+    let reading = clock_gettime(ClockId::Monotonic);
+    let millis = reading.tv_sec as u64 * 1_000 + reading.tv_nsec as u64 / 1_000_000;
+    Contact { boot: boot(), at: SteadyTime(millis) }
+}
+
+/// Read once: it can't change while this process lives.
+fn boot() -> u64 {
+    static BOOT: std::sync::OnceLock<u64> = std::sync::OnceLock::new();
+    *BOOT.get_or_init(|| {
+        // Without it, a clock that has begun anew is told only by its lower reading.
+        let text = std::fs::read(BOOT_ID_FILE).unwrap_or_default();
+        Digest::of(&[&text]).to_u64()
+    })
+}
--- a/crates/gateway/src/reservation.rs
+++ b/crates/gateway/src/reservation.rs
@@ -119,7 +119,7 @@
         let next_try = wait_until.min(Instant::now() + RETRY_INTERVAL);
         // Whether it was rung or not, the wallet decides.
         let _ = timeout_at(next_try, grown).await;
-        if router.wallet.borrow_mut().retry_reserve(tenant, most).is_ok() {
+        if router.wallet.borrow_mut().retry_reserve(router.now(), tenant, most).is_ok() {
             return Ok(());
         }
     }
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -135,6 +135,7 @@
             log::info!(version = document_version; "in touch with the leader");
         }
         self.leader_heard_at.set(Some(self.now()));
+        self.wallet.borrow_mut().on_contact(self.now());
         if document_version > 0 && self.document_version() >= document_version {
             self.confirmed.set(true);
         }
--- a/crates/prepaid/src/ledger.rs
+++ b/crates/prepaid/src/ledger.rs
@@ -1,16 +1,83 @@
 //! The replicated side: what has been handed to whom.
 
 use serde::{Deserialize, Serialize};
-use stackpost_types::{MachineName, NodeId, TenantName, Tokens};
+use stackpost_types::{MachineName, Millis, NodeId, TenantName, Tokens};
 use std::collections::BTreeMap;
 
-/// What one router life has been handed of one tenant's budget. Both totals only grow.
+/// Time out of touch after which a router may begin to draw on its reserve.
+pub const RESERVE_LOCK: Millis = Millis(1_200);
+
+/// A reading of the steady clock of one machine, in milliseconds. It goes on over the restarts of
+/// processes and begins anew, somewhere, when the machine does.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct SteadyTime(pub u64);
+
+impl SteadyTime {
+    /// Time since `earlier`; `None` if that reading is from another life of the machine.
+    pub fn since(self, earlier: Self) -> Option<Millis> {
+        self.0.checked_sub(earlier.0).map(Millis)
+    }
+}
+
+/// A moment in the life of a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contact {
+    /// Names the machine's life; steady clocks of two lives can't be compared.
+    pub boot: u64,
+    /// The moment.
+    pub at: SteadyTime,
+}
+
+impl Contact {
+    /// Time since `earlier`; `None` if that is a moment of another life, or later.
+    pub fn since(self, earlier: Self) -> Option<Millis> {
+        if self.boot == earlier.boot { self.at.since(earlier.at) } else { None }
+    }
+}
+
+/// How fast a reserve may be drawn on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pace {
+    /// At once.
+    pub burst: Tokens,
+    /// Each second after that.
+    pub per_second: Tokens,
+}
+
+impl Pace {
+    /// The most that is drawn in `elapsed` after the lock has opened.
+    pub fn drawn_in(&self, elapsed: Millis) -> Tokens {
+        self.burst + self.per_second.scaled(elapsed.0, 1_000)
+    }
+
+    /// The faster of both, part by part.
+    pub fn or_faster(self, other: Self) -> Self {
+        Self {
+            burst: self.burst.max(other.burst),
+            per_second: self.per_second.max(other.per_second),
+        }
+    }
+}
+
+/// What one router life has been handed of one tenant's budget. All totals only grow, and so does
+/// the pace.
+///
+/// In touch the router spends the hand. What was allotted beyond it is its reserve, for the time
+/// out of touch: it opens [`RESERVE_LOCK`] after the last contact and is drawn on at a bounded
+/// pace, so that what a dead router can have spent is bounded by how long it may have lived.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Allotment {
-    /// Handed out in all.
+    /// Hand and reserve.
     pub allotted: Tokens,
+    /// The hand.
+    pub hand: Tokens,
     /// Given back in all.
     pub returned: Tokens,
+    /// How fast the reserve may be drawn on.
+    pub pace: Pace,
 }
 
 impl Allotment {
@@ -18,6 +85,60 @@
     pub fn outstanding(&self) -> Tokens {
         self.allotted - self.returned
     }
+
+    /// The reserve.
+    pub fn reserve(&self) -> Tokens {
+        self.allotted - self.hand
+    }
+
+    /// What can have been spent `silent_for` after the last contact that is known of.
+    fn spent_at_most(&self, silent_for: Millis) -> Tokens {
+        let open_for = silent_for.0.checked_sub(RESERVE_LOCK.0).map(Millis);
+        let drawn = open_for.map(|open_for| self.pace.drawn_in(open_for)).unwrap_or_default();
+        (self.hand + drawn.min(self.reserve()) - self.returned).min(self.outstanding())
+    }
+
+    /// Takes over totals that may come late or twice.
+    pub fn merge(&mut self, other: &Self) {
+        self.allotted = self.allotted.max(other.allotted);
+        self.hand = self.hand.max(other.hand);
+        self.returned = self.returned.max(other.returned);
+        self.pace = self.pace.or_faster(other.pace);
+    }
+}
+
+/// An addition to what a router holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// The router life.
+    pub holder: NodeId,
+    /// The tenant.
+    pub tenant: TenantName,
+    /// How much more is allotted.
+    pub amount: Tokens,
+    /// How much the hand grows, out of `amount` or out of the reserve.
+    pub to_hand: Tokens,
+    /// The pace for the reserve.
+    pub pace: Pace,
+}
+
+/// One router life.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Holder {
+    /// The last contact with a leader that is known of, by the clock of the router's machine.
+    contact: Option<Contact>,
+    allotments: BTreeMap<TenantName, Allotment>,
+}
+
+/// What is known of the end of a router life.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LifeEnd {
+    /// It stopped as planned and said what it had spent.
+    Told(BTreeMap<TenantName, Tokens>),
+    /// It had ended by then, by the clock of its machine.
+    Before(Contact),
+    /// It has ended, nobody knows when.
+    Unknown,
 }
 
 /// Prepaid amounts and their allotments.
@@ -26,7 +147,7 @@
     limits: BTreeMap<TenantName, Tokens>,
     /// Charged by router lives that have ended.
     closed: BTreeMap<TenantName, Tokens>,
-    holders: BTreeMap<NodeId, BTreeMap<TenantName, Allotment>>,
+    holders: BTreeMap<NodeId, Holder>,
 }
 
 impl PrepaidLedger {
@@ -45,20 +166,25 @@
         self.limits.iter().map(|(tenant, limit)| (tenant, *limit))
     }
 
-    /// Router lives that hold or have held an allotment and are not closed.
-    pub fn holders(&self) -> impl Iterator<Item = &NodeId> {
-        self.holders.keys()
-    }
-
     /// What `holder` has been handed of `tenant`'s budget.
     pub fn allotment(&self, holder: &NodeId, tenant: &TenantName) -> Allotment {
         let of_holder = self.holders.get(holder);
-        of_holder.and_then(|held| held.get(tenant)).copied().unwrap_or_default()
+        of_holder.and_then(|held| held.allotments.get(tenant)).copied().unwrap_or_default()
     }
 
     /// All allotments of a holder.
-    pub fn allotments(&self, holder: &NodeId) -> impl Iterator<Item = (&TenantName, &Allotment)> {
-        self.holders.get(holder).into_iter().flatten()
+    pub fn allotments(&self, holder: &NodeId) -> Vec<(TenantName, Allotment)> {
+        let of_holder = self.holders.get(holder).map(|held| held.allotments.iter());
+        of_holder
+            .into_iter()
+            .flatten()
+            .map(|(tenant, allotment)| (tenant.clone(), *allotment))
+            .collect()
+    }
+
+    /// The last contact of a holder that is known of.
+    pub fn contact(&self, holder: &NodeId) -> Option<Contact> {
+        self.holders.get(holder).and_then(|held| held.contact)
     }
 
     /// The most that may have been spent of `tenant`'s budget.
@@ -67,7 +193,7 @@
         let open: Tokens = self
             .holders
             .values()
-            .filter_map(|held| held.get(tenant))
+            .filter_map(|held| held.allotments.get(tenant))
             .map(Allotment::outstanding)
             .sum();
         closed + open
@@ -78,37 +204,73 @@
         self.limit(tenant).unwrap_or_default() - self.issued(tenant)
     }
 
-    /// Hands out up to `amount`, never more than is available. Returns the holder's new total.
-    pub fn allot(&mut self, holder: &NodeId, tenant: &TenantName, amount: Tokens) -> Tokens {
-        let granted = amount.min(self.available(tenant));
-        let of_holder = self.holders.entry(holder.clone()).or_default();
-        let allotment = of_holder.entry(tenant.clone()).or_default();
-        allotment.allotted += granted;
-        allotment.allotted
+    /// Carries out a grant as far as the budget allows.
+    pub fn allot(&mut self, grant: &Grant) {
+        let amount = grant.amount.min(self.available(&grant.tenant));
+        let of_holder = self.holders.entry(grant.holder.clone()).or_default();
+        let allotment = of_holder.allotments.entry(grant.tenant.clone()).or_default();
+        allotment.allotted += amount;
+        allotment.hand = (allotment.hand + grant.to_hand).min(allotment.allotted);
+        allotment.pace = allotment.pace.or_faster(grant.pace);
     }
 
     /// Takes in that `holder` has given back `total` in all. A holder that is closed can give
     /// nothing back: it has been charged already.
     pub fn give_back(&mut self, holder: &NodeId, tenant: &TenantName, total: Tokens) {
-        let Some(allotment) =
-            self.holders.get_mut(holder).and_then(|held| held.get_mut(tenant))
-        else {
+        let of_holder = self.holders.get_mut(holder);
+        let allotment = of_holder.and_then(|held| held.allotments.get_mut(tenant));
+        if let Some(allotment) = allotment {
+            allotment.returned = allotment.returned.max(total.min(allotment.hand));
+        }
+    }
+
+    /// Takes in that `holder` was in touch at `contact`, and what was gone of each allotment, used
+    /// or given back, some time after. What is gone beyond the hand was drawn from the reserve in
+    /// an earlier time out of touch; it moves to the hand, because from now on the reserve is
+    /// bounded by the time since this contact.
+    pub fn note_contact(
+        &mut self,
+        holder: &NodeId,
+        contact: Contact,
+        gone: &[(TenantName, Tokens)],
+    ) {
+        let Some(held) = self.holders.get_mut(holder) else {
             return;
         };
-        allotment.returned = allotment.returned.max(total.min(allotment.allotted));
+        if held.contact.is_some_and(|known| known.boot == contact.boot && known.at >= contact.at) {
+            return;
+        }
+        held.contact = Some(contact);
+        for (tenant, gone) in gone {
+            if let Some(allotment) = held.allotments.get_mut(tenant) {
+                allotment.hand = allotment.hand.max(*gone).min(allotment.allotted);
+            }
+        }
     }
 
-    /// Ends a router life. It is charged what `spent` says of a tenant, or all that it held where
-    /// nothing is said.
-    pub fn close(&mut self, holder: &NodeId, spent: &BTreeMap<TenantName, Tokens>) {
-        for (tenant, allotment) in self.holders.remove(holder).into_iter().flatten() {
+    /// Ends a router life and charges the most that it can have spent.
+    pub fn close(&mut self, holder: &NodeId, end: &LifeEnd) {
+        let Some(held) = self.holders.remove(holder) else {
+            return;
+        };
+        let silent_for = match (end, held.contact) {
+            (LifeEnd::Before(end), Some(contact)) => end.since(contact),
+            _ => None,
+        };
+        for (tenant, allotment) in held.allotments {
             let outstanding = allotment.outstanding();
-            let charge = spent.get(&tenant).map_or(outstanding, |spent| outstanding.min(*spent));
+            let charge = match (end, silent_for) {
+                (LifeEnd::Told(spent), _) => {
+                    spent.get(&tenant).map_or(outstanding, |spent| outstanding.min(*spent))
+                }
+                (_, Some(silent_for)) => allotment.spent_at_most(silent_for),
+                (_, None) => outstanding,
+            };
             *self.closed.entry(tenant).or_default() += charge;
         }
     }
 
-    /// Open lives of `machine` other than `current`.
+    /// Open lives of the machine of `current` other than that one.
     pub fn earlier_lives(&self, current: &NodeId) -> Vec<NodeId> {
         let machine: &MachineName = &current.machine;
         self.holders
--- a/crates/prepaid/src/policy.rs
+++ b/crates/prepaid/src/policy.rs
@@ -1,23 +1,31 @@
 //! How much each router should hold.
 //!
-//! A router that is cut off from the ledger can spend only what it holds, and what it holds when
-//! it is killed is lost to the tenant. So a router is given some seconds of its own demand, and
-//! less the closer a budget comes to its end.
+//! The hand covers the time until the leader can hand out more; what a router holds beyond that is
+//! its reserve, which covers the time out of touch. What a router holds when its machine loses
+//! power is lost to the tenant, so both shrink the closer a budget comes to its end.
 
-use crate::ledger::PrepaidLedger;
+use crate::ledger::{Grant, Pace, PrepaidLedger};
 use serde::{Deserialize, Serialize};
-use stackpost_types::{NodeId, TenantName, Tokens};
+use stackpost_types::{Millis, NodeId, TenantName, Tokens};
 use std::collections::BTreeMap;
 
-/// Seconds of demand that a router holds while a budget is ample: the longest time out of touch
-/// that it should serve through.
-const TARGET_SECONDS: u64 = 14;
-/// A router is topped up when it holds less than this share of its target.
-const REFILL_PERMILLE: u64 = 800;
-/// A router gives back when it holds more than this share of its target.
-const EXCESS_PERMILLE: u64 = 1_600;
-/// Part of what nobody holds that one round may hand out for future demand.
-const ROUND_PERMILLE: u64 = 500;
+/// Demand that the hand covers.
+const HAND_TIME: Millis = Millis(1_200);
+/// Part of the largest request seen that the hand covers besides, in thousandths; a larger one
+/// asks for what it lacks.
+const HAND_OF_LARGEST: u64 = 250;
+/// Demand that the reserve covers: the longest time out of touch that a router serves through.
+const RESERVE_TIME: Millis = Millis(9_000);
+/// The reserve may be drawn on this much faster than the demand of late, in thousandths.
+const PACE_PERMILLE: u64 = 2_000;
+/// Demand that may be drawn from the reserve at once.
+const PACE_BURST: Millis = Millis(1_000);
+/// A router is topped up when it holds less than this share of what it should, in thousandths.
+const REFILL_PERMILLE: u64 = 850;
+/// A router gives back when it holds more than this share of what it should, in thousandths.
+const EXCESS_PERMILLE: u64 = 1_500;
+/// Part of what nobody holds that one grant may take for future demand, in thousandths.
+const GRANT_PERMILLE: u64 = 400;
 
 /// What a router says about one tenant's budget.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,25 +42,14 @@
     pub rate: Tokens,
 }
 
-/// An amount to be handed to a router.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Grant {
-    /// The router life.
-    pub holder: NodeId,
-    /// The tenant.
-    pub tenant: TenantName,
-    /// How much more.
-    pub amount: Tokens,
-}
-
-/// A request to give back what exceeds `keep`.
+/// A request to give back what the hand has left beyond `keep`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Recall {
     /// The router life.
     pub holder: NodeId,
     /// The tenant.
     pub tenant: TenantName,
-    /// What it may keep spendable.
+    /// What it may keep.
     pub keep: Tokens,
 }
 
@@ -69,27 +66,35 @@
 struct Share<'a> {
     holder: &'a NodeId,
     report: AccountReport,
+    /// What the hand has left.
+    hand: Tokens,
+    /// What has been drawn from the reserve; the hand has to make it good first.
+    overdrawn: Tokens,
+    /// Hand and reserve, less what has been used.
     held: Tokens,
+    pace: Pace,
 }
 
-/// Plans a round over the routers that have reported. `reserve_permille` of every limit is never
+/// What a router should hold.
+struct Target {
+    hand: Tokens,
+    held: Tokens,
+}
+
+/// Plans a round over the routers that have reported. `withheld_permille` of every limit is never
 /// handed out.
 pub fn plan(
     ledger: &PrepaidLedger,
     reports: &BTreeMap<NodeId, BTreeMap<TenantName, AccountReport>>,
-    reserve_permille: u64,
+    withheld_permille: u64,
 ) -> Plan {
     let mut plan = Plan::default();
     for (tenant, limit) in ledger.tenants() {
-        let pool = ledger.available(tenant) - limit.scaled(reserve_permille, 1_000);
+        let pool = ledger.available(tenant) - limit.scaled(withheld_permille, 1_000);
         let shares: Vec<Share<'_>> = reports
             .iter()
             .filter_map(|(holder, accounts)| {
-                let report = *accounts.get(tenant)?;
-                let held = ledger.allotment(holder, tenant).allotted
-                    - report.returned
-                    - report.used;
-                Some(Share { holder, report, held })
+                Some(share(ledger, holder, tenant, *accounts.get(tenant)?))
             })
             .collect();
         plan_tenant(tenant, pool, &shares, &mut plan);
@@ -97,48 +102,101 @@
     plan
 }
 
+fn share<'a>(
+    ledger: &PrepaidLedger,
+    holder: &'a NodeId,
+    tenant: &TenantName,
+    report: AccountReport,
+) -> Share<'a> {
+    let allotment = ledger.allotment(holder, tenant);
+    let gone = report.returned.max(allotment.returned) + report.used;
+    Share {
+        holder,
+        report,
+        hand: allotment.hand - gone,
+        overdrawn: gone - allotment.hand,
+        held: allotment.allotted - gone,
+        pace: allotment.pace,
+    }
+}
+
 fn plan_tenant(tenant: &TenantName, pool: Tokens, shares: &[Share<'_>], plan: &mut Plan) {
     let total: Tokens = pool + shares.iter().map(|share| share.held).sum();
     let rate: Tokens = shares.iter().map(|share| share.report.rate).sum();
     let mut left = pool;
     for share in shares {
         let target = target(share, total, rate);
-        let need = shortage(share, target);
-        if !need.is_zero() {
-            let urgent = share.report.wanted - share.held;
-            let amount = need.min(urgent.max(left.scaled(ROUND_PERMILLE, 1_000))).min(left);
-            if !amount.is_zero() && amount >= urgent {
-                left = left - amount;
-                let holder = share.holder.clone();
-                plan.grants.push(Grant { holder, tenant: tenant.clone(), amount });
-            }
+        let grant = grant(tenant, share, &target, left);
+        if let Some(grant) = grant {
+            left = left - grant.amount;
+            plan.grants.push(grant);
         }
     }
     let starved = shares.iter().any(|share| share.report.wanted > share.held + left);
     for share in shares {
         let target = target(share, total, rate);
-        let allowed = if starved { target } else { target.scaled(EXCESS_PERMILLE, 1_000) };
-        if share.held > allowed + share.report.largest {
-            let holder = share.holder.clone();
-            let keep = target;
-            plan.recalls.push(Recall { holder, tenant: tenant.clone(), keep });
+        let excess = if starved { 1_000 } else { EXCESS_PERMILLE };
+        if share.held > target.held.scaled(excess, 1_000) + share.report.largest {
+            recall(tenant, share, &target, plan);
         }
     }
 }
 
-/// Some seconds of demand, but no more than the router's fair part of all that is left.
-fn target(share: &Share<'_>, total: Tokens, rate: Tokens) -> Tokens {
-    let by_time = Tokens(share.report.rate.0.saturating_mul(TARGET_SECONDS));
-    let fair = total.scaled(share.report.rate.0, rate.0.max(1));
-    by_time.min(fair)
+/// What a router lacks, as far as there is some left.
+fn grant(
+    tenant: &TenantName,
+    share: &Share<'_>,
+    target: &Target,
+    left: Tokens,
+) -> Option<Grant> {
+    let urgent = share.report.wanted - share.held;
+    let lacks_much = share.held < target.held.scaled(REFILL_PERMILLE, 1_000);
+    let wish = if lacks_much { target.held - share.held } else { Tokens::ZERO };
+    let amount = wish.min(left.scaled(GRANT_PERMILLE, 1_000)).max(urgent).min(left);
+    let held = share.held + amount;
+    let hand_wish = target.hand.max(share.report.wanted).min(held);
+    let hand_lacks = share.hand < target.hand.scaled(REFILL_PERMILLE, 1_000)
+        || share.hand < share.report.wanted;
+    let lacking = hand_wish - share.hand + share.overdrawn;
+    let to_hand = if hand_lacks { lacking } else { Tokens::ZERO };
+    let pace = pace(share);
+    let faster = pace.per_second > share.pace.per_second.scaled(1_200, 1_000);
+    if amount.is_zero() && to_hand.is_zero() && !faster {
+        return None;
+    }
+    let holder = share.holder.clone();
+    Some(Grant { holder, tenant: tenant.clone(), amount, to_hand, pace })
 }
 
-/// How much a router lacks; at least what its waiting request needs.
-fn shortage(share: &Share<'_>, target: Tokens) -> Tokens {
-    let urgent = share.report.wanted - share.held;
-    if share.held < target.scaled(REFILL_PERMILLE, 1_000) {
-        (target - share.held).max(urgent)
-    } else {
-        urgent
+fn pace(share: &Share<'_>) -> Pace {
+    let rate = share.report.rate;
+    Pace {
+        burst: rate.scaled(PACE_BURST.0, 1_000),
+        per_second: rate.scaled(PACE_PERMILLE, 1_000),
     }
 }
+
+/// Only the hand can be given back, so the excess moves there first.
+fn recall(tenant: &TenantName, share: &Share<'_>, target: &Target, plan: &mut Plan) {
+    let excess = share.held - target.held;
+    let in_hand = share.hand - target.hand;
+    let holder = share.holder.clone();
+    let tenant = tenant.clone();
+    if in_hand < excess {
+        let (amount, pace) = (Tokens::ZERO, Pace::default());
+        let to_hand = excess - in_hand + share.overdrawn;
+        let grant = Grant { holder: holder.clone(), tenant: tenant.clone(), amount, to_hand, pace };
+        plan.grants.push(grant);
+    }
+    plan.recalls.push(Recall { holder, tenant, keep: target.hand });
+}
+
+/// Some time of its own demand, but no more than the router's fair part of all that is left.
+fn target(share: &Share<'_>, total: Tokens, rate: Tokens) -> Target {
+    let own = share.report.rate;
+    let largest = share.report.largest.scaled(HAND_OF_LARGEST, 1_000);
+    let fair = total.scaled(own.0, rate.0.max(1));
+    let hand = (own.scaled(HAND_TIME.0, 1_000) + largest).min(fair);
+    let held = (hand + own.scaled(RESERVE_TIME.0, 1_000)).min(fair);
+    Target { hand, held }
+}
--- a/crates/prepaid/src/wallet.rs
+++ b/crates/prepaid/src/wallet.rs
@@ -1,11 +1,12 @@
 //! The router's side: what it holds, has reserved and has spent.
 
+use crate::ledger::{Allotment, RESERVE_LOCK};
 use crate::policy::AccountReport;
 use crate::rate::DemandRate;
-use stackpost_types::{TenantName, Timestamp, Tokens};
+use stackpost_types::{Millis, TenantName, Timestamp, Tokens};
 use std::collections::BTreeMap;
 
-/// A reservation that does not fit what the router holds.
+/// A reservation that does not fit what the router may spend now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shortfall {
     /// Tokens that are missing.
@@ -14,8 +15,7 @@
 
 #[derive(Clone, Debug, Default)]
 struct Account {
-    allotted: Tokens,
-    returned: Tokens,
+    allotment: Allotment,
     spent: Tokens,
     reserved: Tokens,
     /// Largest amount asked for and not yet covered.
@@ -25,8 +25,21 @@
 }
 
 impl Account {
-    fn spendable(&self) -> Tokens {
-        self.allotted - self.returned - self.spent - self.reserved
+    fn used(&self) -> Tokens {
+        self.spent + self.reserved
+    }
+
+    /// What the hand has left.
+    fn hand_left(&self) -> Tokens {
+        self.allotment.hand - self.allotment.returned - self.used()
+    }
+
+    /// What may be reserved when the last contact was `silent_for` ago.
+    fn spendable(&self, silent_for: Millis) -> Tokens {
+        let open_for = silent_for.0.checked_sub(RESERVE_LOCK.0).map(Millis);
+        let drawn = open_for.map(|open| self.allotment.pace.drawn_in(open)).unwrap_or_default();
+        let unlocked = self.allotment.hand + drawn.min(self.allotment.reserve());
+        unlocked - self.allotment.returned - self.used()
     }
 }
 
@@ -34,9 +47,21 @@
 #[derive(Clone, Debug, Default)]
 pub struct Wallet {
     accounts: BTreeMap<TenantName, Account>,
+    /// Last contact with a leader.
+    contact: Timestamp,
 }
 
 impl Wallet {
+    /// Notes a contact with a leader. The reserve stays locked for [`RESERVE_LOCK`] from now.
+    pub fn on_contact(&mut self, now: Timestamp) {
+        self.contact = self.contact.max(now);
+    }
+
+    /// The last contact with a leader.
+    pub fn contact(&self) -> Timestamp {
+        self.contact
+    }
+
     /// Sets `amount` aside before a request is sent.
     pub fn reserve(
         &mut self,
@@ -47,20 +72,19 @@
         let account = self.accounts.entry(tenant.clone()).or_default();
         account.demand.note(now, amount);
         account.largest = account.largest.max(amount);
-        Self::take(account, amount)
+        self.retry_reserve(now, tenant, amount)
     }
 
     /// Tries again for a request whose demand has been noted before.
     pub fn retry_reserve(
         &mut self,
+        now: Timestamp,
         tenant: &TenantName,
         amount: Tokens,
     ) -> Result<(), Shortfall> {
-        Self::take(self.accounts.entry(tenant.clone()).or_default(), amount)
-    }
-
-    fn take(account: &mut Account, amount: Tokens) -> Result<(), Shortfall> {
-        let spendable = account.spendable();
+        let silent_for = now.since(self.contact);
+        let account = self.accounts.entry(tenant.clone()).or_default();
+        let spendable = account.spendable(silent_for);
         if spendable < amount {
             account.wanted = account.wanted.max(amount);
             return Err(Shortfall { missing: amount - spendable });
@@ -77,34 +101,24 @@
         }
     }
 
-    /// Takes in the total that the ledger has handed to this life. Returns whether it has grown.
-    pub fn on_allotted(&mut self, tenant: &TenantName, total: Tokens) -> bool {
+    /// Takes in what the ledger has handed to this life. Returns whether the hand has grown.
+    pub fn on_allotted(&mut self, tenant: &TenantName, allotment: &Allotment) -> bool {
         let account = self.accounts.entry(tenant.clone()).or_default();
-        let grown = total > account.allotted;
-        account.allotted = account.allotted.max(total);
-        if grown {
-            account.wanted = Tokens::ZERO;
-        }
-        grown
+        let before = account.allotment.hand;
+        account.allotment.merge(allotment);
+        account.allotment.hand > before
     }
 
-    /// Gives back what can be spent beyond `keep`.
+    /// Gives back what the hand has left beyond `keep`.
     pub fn give_back_above(&mut self, tenant: &TenantName, keep: Tokens) {
         if let Some(account) = self.accounts.get_mut(tenant) {
-            account.returned += account.spendable() - keep;
-        }
-    }
-
-    /// Gives back all that can be spent, for a planned stop.
-    pub fn give_back_all(&mut self) {
-        for account in self.accounts.values_mut() {
-            account.returned += account.spendable();
+            account.allotment.returned += account.hand_left() - keep;
         }
     }
 
-    /// Tokens of `tenant` that can be reserved now.
-    pub fn spendable(&self, tenant: &TenantName) -> Tokens {
-        self.accounts.get(tenant).map(Account::spendable).unwrap_or_default()
+    /// What the hand of `tenant` has left.
+    pub fn hand_left(&self, tenant: &TenantName) -> Tokens {
+        self.accounts.get(tenant).map(Account::hand_left).unwrap_or_default()
     }
 
     /// What the ledger's leader needs to know. A request that still waits asks again and is named
@@ -112,8 +126,8 @@
     pub fn report(&mut self, now: Timestamp) -> Vec<(TenantName, AccountReport)> {
         let report = |(tenant, account): (&TenantName, &mut Account)| {
             let report = AccountReport {
-                returned: account.returned,
-                used: account.spent + account.reserved,
+                returned: account.allotment.returned,
+                used: account.used(),
                 wanted: std::mem::take(&mut account.wanted),
                 largest: account.largest,
                 rate: account.demand.per_second(now),
@@ -127,7 +141,7 @@
     pub fn used(&self) -> BTreeMap<TenantName, Tokens> {
         self.accounts
             .iter()
-            .map(|(tenant, account)| (tenant.clone(), account.spent + account.reserved))
+            .map(|(tenant, account)| (tenant.clone(), account.used()))
             .collect()
     }
 }
