Let every control replica keep the routers' clocks, and log what ended lives are charged

Change: routers echo each control replica's clock; demand is averaged over three seconds at least. Lives that end in a loss of power of everything stay unbounded.

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -253,9 +253,7 @@
         if view.leads() || status.accepts_unconfirmed {
             self.send_document(link, &view);
         }
-        if view.leads() {
-            self.replica.send(ReplicaEvent::RouterReport { router, status });
-        }
+        self.replica.send(ReplicaEvent::RouterReport { router, status });
     }
 
     /// Sends the configuration to a router that does not have it.
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -15,7 +15,7 @@
 mod voters;
 
 pub use control_node::{ControlNode, ControlSettings};
-pub use message::{ControlStatus, Document, FleetMessage, LeaderContact, RouterStatus};
+pub use message::{ClockEcho, ControlStatus, Document, FleetMessage, RouterStatus};
 pub use replica::{
     PutReply, ReadReply, Replica, ReplicaConfig, ReplicaEffect, ReplicaError, ReplicaEvent,
 };
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -42,19 +42,21 @@
     pub accepts_unconfirmed: bool,
     /// When its process started, by the clock of its machine.
     pub started: Contact,
-    /// Its last contact with the leader that this is sent to. Given only if `accounts` holds all
-    /// accounts as they were after that contact.
-    pub contact: Option<LeaderContact>,
+    /// When it last heard the control process that this is sent to.
+    pub echo: Option<ClockEcho>,
+    /// Its last contact with a leader. Given only if `accounts` holds all accounts as they were
+    /// after that contact.
+    pub contact: Option<Contact>,
     /// Its accounts, where they have changed.
     pub accounts: Vec<(TenantName, AccountReport)>,
 }
 
 /// One moment on two clocks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeaderContact {
-    /// When the router heard the leader, by the clock of its machine.
+pub struct ClockEcho {
+    /// When the router heard the control process, by the clock of its machine.
     pub heard: Contact,
-    /// When the leader had spoken, by its own clock.
+    /// When the control process had spoken, by its own clock.
     pub spoken: Timestamp,
 }
 
--- a/crates/coordinator/src/prepaid_planner.rs
+++ b/crates/coordinator/src/prepaid_planner.rs
@@ -1,6 +1,6 @@
 //! The leader's view of the routers' accounts, and what follows from it.
 
-use crate::message::{LeaderContact, RouterStatus};
+use crate::message::{ClockEcho, RouterStatus};
 use crate::state::Command;
 use stackpost_prepaid::{AccountReport, Contact, LifeEnd, PrepaidLedger, SteadyTime, plan};
 use stackpost_types::{Millis, NodeId, TenantName, Timestamp, Tokens};
@@ -22,7 +22,7 @@
 struct RouterView {
     reported_at: Timestamp,
     started: Contact,
-    contact: Option<LeaderContact>,
+    contact: Option<Contact>,
     accounts: BTreeMap<TenantName, AccountReport>,
 }
 
@@ -30,8 +30,9 @@
 #[derive(Default)]
 pub(crate) struct PrepaidPlanner {
     routers: BTreeMap<NodeId, RouterView>,
-    /// Last contacts of router lives that may have ended since.
-    contacts: BTreeMap<NodeId, LeaderContact>,
+    /// When router lives last heard this replica, those among them that may have ended since.
+    /// Kept by followers, too, so that a new leader knows.
+    echoes: BTreeMap<NodeId, ClockEcho>,
     farewells: BTreeMap<NodeId, BTreeMap<TenantName, Tokens>>,
     recalls: BTreeMap<NodeId, Vec<(TenantName, Tokens)>>,
     urgent: bool,
@@ -43,7 +44,13 @@
 impl PrepaidPlanner {
     /// A new leader begins with an empty view; a former one forgets its own.
     pub fn on_role_change(&mut self, now: Timestamp) {
-        *self = Self { round_at: now + SETTLE_TIME, ..Self::default() };
+        let echoes = std::mem::take(&mut self.echoes);
+        *self = Self { round_at: now + SETTLE_TIME, echoes, ..Self::default() };
+    }
+
+    /// Takes in when a router last heard this replica.
+    pub fn on_echo(&mut self, router: &NodeId, echo: ClockEcho) {
+        self.echoes.insert(router.clone(), echo);
     }
 
     /// Takes in a router's report.
@@ -62,7 +69,6 @@
         view.accounts.extend(status.accounts);
         if let Some(contact) = status.contact {
             view.contact = Some(contact);
-            self.contacts.insert(router.clone(), contact);
         }
     }
 
@@ -132,7 +138,7 @@
         }
         for (successor, view) in &self.routers {
             for router in ledger.earlier_lives(successor) {
-                let end = end_of_life(now, ledger, &router, self.contacts.get(&router), view);
+                let end = end_of_life(now, ledger, &router, self.echoes.get(&router), view);
                 log::info!(router = router.to_string().as_str(); "router life ended: {end:?}");
                 commands.push(Command::CloseRouter { router, end });
             }
@@ -154,7 +160,7 @@
                     .iter()
                     .map(|(tenant, account)| (tenant.clone(), account.used + account.returned))
                     .collect();
-                let (router, contact) = (router.clone(), contact.heard);
+                let router = router.clone();
                 commands.push(Command::NoteContact { router, contact, gone });
             }
         }
@@ -163,23 +169,23 @@
 }
 
 /// When a router life had certainly ended: before its successor's process started, or before now,
-/// counted from the last time that this leader spoke to it.
+/// counted from the last time that it heard this replica.
 fn end_of_life(
     now: Timestamp,
     ledger: &PrepaidLedger,
     router: &NodeId,
-    contact: Option<&LeaderContact>,
+    echo: Option<&ClockEcho>,
     successor: &RouterView,
 ) -> LifeEnd {
     let by_successor = ledger
         .contact(router)
         .filter(|known| successor.started.since(*known).is_some())
         .map(|_| successor.started);
-    let by_leader = contact.map(|contact| Contact {
-        boot: contact.heard.boot,
-        at: SteadyTime(contact.heard.at.0 + now.since(contact.spoken).0),
+    let by_echo = echo.map(|echo| Contact {
+        boot: echo.heard.boot,
+        at: SteadyTime(echo.heard.at.0 + now.since(echo.spoken).0),
     });
-    match (by_successor, by_leader) {
+    match (by_successor, by_echo) {
         (Some(first), Some(second)) if second.at < first.at => LifeEnd::Before(second),
         (Some(first), _) => LifeEnd::Before(first),
         (None, Some(second)) => LifeEnd::Before(second),
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -232,8 +232,13 @@
             ReplicaEvent::Put { token, bytes } => self.put(now, token, bytes),
             ReplicaEvent::Read { token } => self.read(now, token),
             ReplicaEvent::RouterReport { router, status } => {
-                self.planner.on_report(now, &router, status);
-                self.plan_prepaid(now);
+                if let Some(echo) = status.echo {
+                    self.planner.on_echo(&router, echo);
+                }
+                if self.raft.role() == Role::Leader {
+                    self.planner.on_report(now, &router, status);
+                    self.plan_prepaid(now);
+                }
             }
             ReplicaEvent::RouterFarewell { router, spent } => {
                 self.planner.on_farewell(&router, spent);
--- a/crates/coordinator/src/state.rs
+++ b/crates/coordinator/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::message::Document;
 use serde::{Deserialize, Serialize};
-use stackpost_prepaid::{Contact, Grant, LifeEnd, PrepaidLedger};
+use stackpost_prepaid::{Charge, Contact, Grant, LifeEnd, PrepaidLedger};
 use stackpost_types::{MachineName, NodeId, TenantName, Tokens};
 use std::collections::BTreeMap;
 
@@ -104,7 +104,11 @@
                     self.ledger.give_back(&router, &tenant, total);
                 }
             }
-            Command::CloseRouter { router, end } => self.ledger.close(&router, &end),
+            Command::CloseRouter { router, end } => {
+                for charge in self.ledger.close(&router, &end) {
+                    log_charge(&router, &end, &charge);
+                }
+            }
             Command::NoteContact { router, contact, gone } => {
                 self.ledger.note_contact(&router, contact, &gone);
             }
@@ -137,3 +141,19 @@
         postcard::from_bytes(bytes)
     }
 }
+
+fn log_charge(router: &NodeId, end: &LifeEnd, charge: &Charge) {
+    let end = match end {
+        LifeEnd::Told(_) => "told",
+        LifeEnd::Before(_) => "bounded",
+        LifeEnd::Unknown => "unknown",
+    };
+    log::info!(
+        router = router.to_string().as_str(),
+        tenant = charge.tenant.as_str(),
+        end = end,
+        outstanding = charge.outstanding.0,
+        charge = charge.charge.0;
+        "router life charged"
+    );
+}
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -3,7 +3,7 @@
 use crate::router::Router;
 use crate::machine_clock::machine_time;
 use stackpost_coordinator::{
-    ControlStatus, Document, FleetMessage, LeaderContact, RouterStatus,
+    ClockEcho, ControlStatus, Document, FleetMessage, RouterStatus,
 };
 use stackpost_gateway_core::{EngineNotice, Merge, RouteTable};
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo};
@@ -34,7 +34,8 @@
     router: Rc<Router>,
     links: RefCell<BTreeSet<LinkId>>,
     leader: Cell<Option<LinkId>>,
-    leader_contact: Cell<Option<LeaderContact>>,
+    leader_contact: Cell<Option<Contact>>,
+    echoes: RefCell<BTreeMap<LinkId, ClockEcho>>,
     started: Contact,
     reported: RefCell<BTreeMap<TenantName, AccountReport>>,
     fully_reported_at: Cell<Instant>,
@@ -53,6 +54,7 @@
             links: RefCell::default(),
             leader: Cell::new(None),
             leader_contact: Cell::new(None),
+            echoes: RefCell::default(),
             started: machine_time(),
             reported: RefCell::default(),
             fully_reported_at: Cell::new(Instant::now()),
@@ -114,6 +116,7 @@
             LinkEvent::Down { link } => {
                 log::info!("control disconnected");
                 self.links.borrow_mut().remove(&link);
+                self.echoes.borrow_mut().remove(&link);
                 if self.leader.get() == Some(link) {
                     self.leader.set(None);
                 }
@@ -143,12 +146,13 @@
         for address in &status.control_peers {
             self.mesh.dial(*address);
         }
+        let heard = machine_time();
+        self.echoes.borrow_mut().insert(link, ClockEcho { heard, spoken: status.clock });
         let routers = u64::from(status.routers);
         self.router.retry_budget.borrow_mut().set_routers(routers);
         if status.leads {
             let leader_is_new = self.leader.replace(Some(link)) != Some(link);
-            let contact = LeaderContact { heard: machine_time(), spoken: status.clock };
-            self.leader_contact.set(Some(contact));
+            self.leader_contact.set(Some(heard));
             self.router.on_leader_heard(status.document_version);
             if leader_is_new {
                 self.reported.borrow_mut().clear();
@@ -208,7 +212,7 @@
         let accounts = self.changed_accounts(complete);
         if complete || !accounts.is_empty() || sign_due {
             let contact = self.leader_contact.get().filter(|_| complete);
-            let status = RouterStatus { accounts, contact, ..self.status() };
+            let status = RouterStatus { accounts, contact, ..self.status(leader) };
             self.mesh.send(leader, &FleetMessage::RouterStatus(status));
         }
     }
@@ -228,14 +232,15 @@
     }
 
     fn send_sign(&self, link: LinkId) {
-        self.mesh.send(link, &FleetMessage::RouterStatus(self.status()));
+        self.mesh.send(link, &FleetMessage::RouterStatus(self.status(link)));
     }
 
-    fn status(&self) -> RouterStatus {
+    fn status(&self, link: LinkId) -> RouterStatus {
         RouterStatus {
             document_version: self.router.document_version(),
             accepts_unconfirmed: self.router.accepts_unconfirmed() && !self.router.in_touch(),
             started: self.started,
+            echo: self.echoes.borrow().get(&link).copied(),
             contact: None,
             accounts: Vec::new(),
         }
--- a/crates/prepaid/src/ledger.rs
+++ b/crates/prepaid/src/ledger.rs
@@ -141,6 +141,17 @@
     Unknown,
 }
 
+/// What a router life that has ended costs one tenant.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Charge {
+    /// The tenant.
+    pub tenant: TenantName,
+    /// What the life may have spent or still held.
+    pub outstanding: Tokens,
+    /// What it is charged; the rest can be handed out again.
+    pub charge: Tokens,
+}
+
 /// Prepaid amounts and their allotments.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PrepaidLedger {
@@ -248,10 +259,11 @@
         }
     }
 
-    /// Ends a router life and charges the most that it can have spent.
-    pub fn close(&mut self, holder: &NodeId, end: &LifeEnd) {
+    /// Ends a router life and charges the most that it can have spent. Returns the charges.
+    pub fn close(&mut self, holder: &NodeId, end: &LifeEnd) -> Vec<Charge> {
+        let mut charges = Vec::new();
         let Some(held) = self.holders.remove(holder) else {
-            return;
+            return charges;
         };
         let silent_for = match (end, held.contact) {
             (LifeEnd::Before(end), Some(contact)) => end.since(contact),
@@ -266,8 +278,10 @@
                 (_, Some(silent_for)) => allotment.spent_at_most(silent_for),
                 (_, None) => outstanding,
             };
-            *self.closed.entry(tenant).or_default() += charge;
+            *self.closed.entry(tenant.clone()).or_default() += charge;
+            charges.push(Charge { tenant, outstanding, charge });
         }
+        charges
     }
 
     /// Open lives of the machine of `current` other than that one.
--- a/crates/prepaid/src/rate.rs
+++ b/crates/prepaid/src/rate.rs
@@ -7,6 +7,10 @@
 /// Buckets over which the rate is averaged.
 const BUCKETS: usize = 8;
 
+/// Buckets that count even if fewer have passed, so that the first requests do not look like a
+/// flood.
+const LEAST_BUCKETS: u64 = 6;
+
 /// Tokens asked for per second, averaged over the last four seconds.
 #[derive(Clone, Debug, Default)]
 pub struct DemandRate {
@@ -31,8 +35,7 @@
         };
         let span = (self.current - first + 1).min(BUCKETS as u64);
         let total: u64 = self.buckets.iter().sum();
-        // Two buckets at least, so that a single request does not look like a flood.
-        Tokens(total.saturating_mul(1_000) / (span.max(2) * BUCKET.0))
+        Tokens(total.saturating_mul(1_000) / (span.max(LEAST_BUCKETS) * BUCKET.0))
     }
 
     fn advance(&mut self, now: Timestamp) {
