Leave farewells with other routers, freeze bounds when a successor appears

Change: it leaves its farewell with other routers, which pass it on; any replica that first hears a successor freezes the bound of the earlier life; a router started out of touch is not ready; smaller hand and slower pace.

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -19,6 +19,8 @@
 const STATUS_INTERVAL: Duration = Duration::from_millis(200);
 /// A configuration that a router has not confirmed is sent again after so long.
 const RESEND_AFTER: Duration = Duration::from_millis(600);
+/// Other routers that each router is told of.
+const PEERS_PER_ROUTER: usize = 4;
 /// Longest wait for the replica's answer.
 const REPLY_LIMIT: Duration = Duration::from_millis(1_500);
 
@@ -205,8 +207,9 @@
         let notices = self.state.borrow().directory.notices(self.now());
         self.mesh.send(link, &FleetMessage::Engines(notices));
         self.mesh.send(link, &FleetMessage::ControlStatus(self.status()));
-        if role == PeerRole::Control {
-            self.tell_control_peers();
+        match role {
+            PeerRole::Control => self.tell_control_peers(),
+            PeerRole::Router => self.tell_router_peers(),
         }
     }
 
@@ -225,7 +228,11 @@
             FleetMessage::Farewell(spent) => {
                 self.replica.send(ReplicaEvent::RouterFarewell { router: peer, spent });
             }
+            FleetMessage::Custody(router, spent) => {
+                self.replica.send(ReplicaEvent::RouterFarewell { router, spent });
+            }
             FleetMessage::Document(_)
+            | FleetMessage::RouterPeers(_)
             | FleetMessage::Allotted(_)
             | FleetMessage::Recall(_)
             | FleetMessage::FarewellTaken => {}
@@ -373,6 +380,23 @@
         self.replica.send(ReplicaEvent::ControlPeers(peers));
     }
 
+    /// Tells every router of a few others, which it may need when it can't reach control.
+    fn tell_router_peers(&self) {
+        let state = self.state.borrow();
+        let routers: BTreeMap<SocketAddr, LinkId> = state
+            .links
+            .iter()
+            .filter(|(_, link)| link.peer.role == PeerRole::Router)
+            .map(|(link, entry)| (entry.peer.listens_at, *link))
+            .collect();
+        let addresses: Vec<SocketAddr> = routers.keys().copied().collect();
+        for (position, link) in routers.values().enumerate() {
+            let others = addresses.iter().cycle().skip(position + 1);
+            let peers = others.take(PEERS_PER_ROUTER.min(addresses.len() - 1)).copied().collect();
+            self.mesh.send(*link, &FleetMessage::RouterPeers(peers));
+        }
+    }
+
     fn send_to_control(&self, machine: &MachineName, message: &FleetMessage) {
         let link = self.state.borrow().newest_link(|peer| {
             peer.role == PeerRole::Control && peer.node.machine == *machine
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -4,7 +4,7 @@
 use stackpost_consensus::Envelope;
 use stackpost_gateway_core::EngineNotice;
 use stackpost_prepaid::{AccountReport, Allotment, Contact};
-use stackpost_types::{TenantName, Timestamp, Tokens};
+use stackpost_types::{NodeId, TenantName, Timestamp, Tokens};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -79,6 +79,11 @@
     Recall(Vec<(TenantName, Tokens)>),
     /// From a router that stops: what it has spent of each tenant's budget.
     Farewell(BTreeMap<TenantName, Tokens>),
-    /// Answer to `Farewell`: the router's life is closed.
+    /// Answer to `Farewell` and `Custody`: it will reach the ledger.
     FarewellTaken,
+    /// From a router that stops out of touch to another one, and from that one to the leader: what
+    /// the first has spent.
+    Custody(NodeId, BTreeMap<TenantName, Tokens>),
+    /// From control to a router: where other routers accept connections of the fleet.
+    RouterPeers(Vec<SocketAddr>),
 }
--- a/crates/coordinator/src/prepaid_planner.rs
+++ b/crates/coordinator/src/prepaid_planner.rs
@@ -19,7 +19,12 @@
 /// Part of every budget, in thousandths, that is never handed out.
 const WITHHELD_PERMILLE: u64 = 5;
 
+/// A new life of a machine is seen for so long before earlier ones are charged: what they have
+/// left with other routers may still be on its way.
+const CUSTODY_TIME: Millis = Millis(700);
+
 struct RouterView {
+    first_seen: Timestamp,
     reported_at: Timestamp,
     started: Contact,
     contact: Option<Contact>,
@@ -33,6 +38,8 @@
     /// When router lives last heard this replica, those among them that may have ended since.
     /// Kept by followers, too, so that a new leader knows.
     echoes: BTreeMap<NodeId, ClockEcho>,
+    /// When earlier lives had certainly ended, by the clocks of their machines.
+    ended: BTreeMap<NodeId, Contact>,
     farewells: BTreeMap<NodeId, BTreeMap<TenantName, Tokens>>,
     recalls: BTreeMap<NodeId, Vec<(TenantName, Tokens)>>,
     urgent: bool,
@@ -45,12 +52,25 @@
     /// A new leader begins with an empty view; a former one forgets its own.
     pub fn on_role_change(&mut self, now: Timestamp) {
         let echoes = std::mem::take(&mut self.echoes);
-        *self = Self { round_at: now + SETTLE_TIME, echoes, ..Self::default() };
+        let ended = std::mem::take(&mut self.ended);
+        *self = Self { round_at: now + SETTLE_TIME, echoes, ended, ..Self::default() };
     }
 
-    /// Takes in when a router last heard this replica.
-    pub fn on_echo(&mut self, router: &NodeId, echo: ClockEcho) {
-        self.echoes.insert(router.clone(), echo);
+    /// Takes in when a router last heard this replica. The first echo of a new life ends the
+    /// earlier ones on its machine.
+    pub fn on_echo(&mut self, now: Timestamp, router: &NodeId, echo: ClockEcho) {
+        if self.echoes.insert(router.clone(), echo).is_some() {
+            return;
+        }
+        for (earlier, echo) in &self.echoes {
+            if earlier.machine == router.machine && earlier != router {
+                let ended = Contact {
+                    boot: echo.heard.boot,
+                    at: SteadyTime(echo.heard.at.0 + now.since(echo.spoken).0),
+                };
+                self.ended.entry(earlier.clone()).or_insert(ended);
+            }
+        }
     }
 
     /// Takes in a router's report.
@@ -60,6 +80,7 @@
             self.routers.retain(|known, _| known.machine != router.machine);
         }
         let view = self.routers.entry(router.clone()).or_insert_with(|| RouterView {
+            first_seen: now,
             reported_at: now,
             started: status.started,
             contact: None,
@@ -134,11 +155,17 @@
         let mut commands = Vec::new();
         for (router, spent) in std::mem::take(&mut self.farewells) {
             self.routers.remove(&router);
+            if ledger.allotments(&router).is_empty() {
+                continue;
+            }
             commands.push(Command::CloseRouter { router, end: LifeEnd::Told(spent) });
         }
         for (successor, view) in &self.routers {
+            if now.since(view.first_seen) < CUSTODY_TIME {
+                continue;
+            }
             for router in ledger.earlier_lives(successor) {
-                let end = end_of_life(now, ledger, &router, self.echoes.get(&router), view);
+                let end = end_of_life(ledger, &router, self.ended.get(&router), view);
                 log::info!(router = router.to_string().as_str(); "router life ended: {end:?}");
                 commands.push(Command::CloseRouter { router, end });
             }
@@ -168,27 +195,22 @@
     }
 }
 
-/// When a router life had certainly ended: before its successor's process started, or before now,
-/// counted from the last time that it heard this replica.
+/// When a router life had certainly ended: before its successor's process started, and before this
+/// replica first heard of the successor.
 fn end_of_life(
-    now: Timestamp,
     ledger: &PrepaidLedger,
     router: &NodeId,
-    echo: Option<&ClockEcho>,
+    by_echo: Option<&Contact>,
     successor: &RouterView,
 ) -> LifeEnd {
     let by_successor = ledger
         .contact(router)
         .filter(|known| successor.started.since(*known).is_some())
         .map(|_| successor.started);
-    let by_echo = echo.map(|echo| Contact {
-        boot: echo.heard.boot,
-        at: SteadyTime(echo.heard.at.0 + now.since(echo.spoken).0),
-    });
     match (by_successor, by_echo) {
-        (Some(first), Some(second)) if second.at < first.at => LifeEnd::Before(second),
+        (Some(first), Some(second)) if second.at < first.at => LifeEnd::Before(*second),
         (Some(first), _) => LifeEnd::Before(first),
-        (None, Some(second)) => LifeEnd::Before(second),
+        (None, Some(second)) => LifeEnd::Before(*second),
         (None, None) => LifeEnd::Unknown,
     }
 }
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -233,7 +233,7 @@
             ReplicaEvent::Read { token } => self.read(now, token),
             ReplicaEvent::RouterReport { router, status } => {
                 if let Some(echo) = status.echo {
-                    self.planner.on_echo(&router, echo);
+                    self.planner.on_echo(now, &router, echo);
                 }
                 if self.raft.role() == Role::Leader {
                     self.planner.on_report(now, &router, status);
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -6,9 +6,9 @@
     ClockEcho, ControlStatus, Document, FleetMessage, RouterStatus,
 };
 use stackpost_gateway_core::{EngineNotice, Merge, RouteTable};
-use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo};
+use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
 use stackpost_prepaid::{AccountReport, Allotment, Contact};
-use stackpost_types::TenantName;
+use stackpost_types::{NodeId, PeerError, TenantName, Tokens};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -28,8 +28,18 @@
 /// Time between two tries to say farewell.
 const FAREWELL_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Times that a farewell kept for another router is sent to the leader.
+const CUSTODY_DELIVERIES: u32 = 5;
+
+/// What another router left here when it stopped.
+struct Custody {
+    spent: BTreeMap<TenantName, Tokens>,
+    delivered: u32,
+}
+
 /// The router's end of the connections to control.
 pub struct FleetLink {
+    node: NodeId,
     mesh: Mesh<FleetMessage>,
     router: Rc<Router>,
     links: RefCell<BTreeSet<LinkId>>,
@@ -41,14 +51,27 @@
     fully_reported_at: Cell<Instant>,
     sign_at: Cell<Instant>,
     farewell_taken: Notify,
+    /// Other routers, to be dialed only when this one stops out of touch.
+    peers: RefCell<Vec<SocketAddr>>,
+    peer_links: RefCell<BTreeSet<LinkId>>,
+    /// What routers that stopped out of touch have spent, to be passed on to the leader.
+    custody: RefCell<BTreeMap<NodeId, Custody>>,
     stopped: Cell<bool>,
 }
 
 impl FleetLink {
     /// Starts to look for control processes at `seeds`. Must be called inside a `LocalSet`.
-    pub fn start(own: PeerInfo, router: Rc<Router>, seeds: &[SocketAddr]) -> Rc<Self> {
+    pub async fn start(
+        own: PeerInfo,
+        router: Rc<Router>,
+        seeds: &[SocketAddr],
+    ) -> Result<Rc<Self>, PeerError> {
+        let listens_at = own.listens_at;
+        let node = own.node.clone();
         let (mesh, events) = Mesh::new(own);
+        mesh.listen(listens_at).await?;
         let link = Rc::new(Self {
+            node,
             mesh,
             router,
             links: RefCell::default(),
@@ -60,11 +83,14 @@
             fully_reported_at: Cell::new(Instant::now()),
             sign_at: Cell::new(Instant::now()),
             farewell_taken: Notify::new(),
+            peers: RefCell::default(),
+            peer_links: RefCell::default(),
+            custody: RefCell::default(),
             stopped: Cell::new(false),
         });
         link.add_seeds(seeds);
         tokio::task::spawn_local(link.clone().run(events));
-        link
+        Ok(link)
     }
 
     /// Looks for control processes at further addresses.
@@ -76,12 +102,10 @@
     /// that in, or after `limit`.
     pub async fn say_farewell(&self, limit: Duration) {
         self.stopped.set(true);
+        let used = self.router.wallet.borrow().used();
         let repeat = async {
             loop {
-                if let Some(leader) = self.leader.get() {
-                    let used = self.router.wallet.borrow().used();
-                    self.mesh.send(leader, &FleetMessage::Farewell(used));
-                }
+                self.send_farewell(&used);
                 if timeout(FAREWELL_INTERVAL, self.farewell_taken.notified()).await.is_ok() {
                     return;
                 }
@@ -92,6 +116,38 @@
         }
     }
 
+    /// To the leader, or out of touch to other routers, which pass it on.
+    fn send_farewell(&self, used: &BTreeMap<TenantName, Tokens>) {
+        if let Some(leader) = self.leader.get().filter(|_| self.router.in_touch()) {
+            return self.mesh.send(leader, &FleetMessage::Farewell(used.clone()));
+        }
+        for peer in self.peers.borrow().iter() {
+            self.mesh.dial(*peer);
+        }
+        let links = self.peer_links.borrow().clone();
+        self.mesh.send_all(links, &FleetMessage::Custody(self.node.clone(), used.clone()));
+    }
+
+    fn on_custody(&self, link: LinkId, router: NodeId, spent: BTreeMap<TenantName, Tokens>) {
+        log::info!(router = router.to_string().as_str(); "farewell kept for another router");
+        self.custody.borrow_mut().insert(router, Custody { spent, delivered: 0 });
+        self.mesh.send(link, &FleetMessage::FarewellTaken);
+        self.deliver_custody();
+    }
+
+    /// Passes on what other routers have left here, some times, since a message may be lost.
+    fn deliver_custody(&self) {
+        let Some(leader) = self.leader.get().filter(|_| self.router.in_touch()) else {
+            return;
+        };
+        self.custody.borrow_mut().retain(|router, custody| {
+            let message = FleetMessage::Custody(router.clone(), custody.spent.clone());
+            self.mesh.send(leader, &message);
+            custody.delivered += 1;
+            custody.delivered < CUSTODY_DELIVERIES
+        });
+    }
+
     async fn run(self: Rc<Self>, mut events: mpsc::UnboundedReceiver<LinkEvent<FleetMessage>>) {
         let mut reports = interval(REPORT_INTERVAL);
         reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -100,7 +156,10 @@
             tokio::select! {
                 Some(event) = events.recv() => self.on_event(event),
                 () = self.router.wallet_short.notified() => self.report(),
-                _ = reports.tick() => self.report(),
+                _ = reports.tick() => {
+                    self.report();
+                    self.deliver_custody();
+                }
                 _ = forget.tick() => self.forget_old(),
             }
         }
@@ -108,14 +167,19 @@
 
     fn on_event(&self, event: LinkEvent<FleetMessage>) {
         match event {
+            LinkEvent::Up { link, peer, .. } if peer.role == PeerRole::Router => {
+                self.peer_links.borrow_mut().insert(link);
+            }
             LinkEvent::Up { link, peer, .. } => {
                 log::info!(peer = peer.node.to_string().as_str(); "control connected");
                 self.links.borrow_mut().insert(link);
                 self.send_sign(link);
             }
             LinkEvent::Down { link } => {
-                log::info!("control disconnected");
-                self.links.borrow_mut().remove(&link);
+                self.peer_links.borrow_mut().remove(&link);
+                if self.links.borrow_mut().remove(&link) {
+                    log::info!("control disconnected");
+                }
                 self.echoes.borrow_mut().remove(&link);
                 if self.leader.get() == Some(link) {
                     self.leader.set(None);
@@ -138,7 +202,10 @@
                 }
             }
             FleetMessage::FarewellTaken => self.farewell_taken.notify_one(),
-            FleetMessage::Raft(_) | FleetMessage::RouterStatus(_) | FleetMessage::Farewell(_) => {}
+            FleetMessage::Custody(router, spent) => self.on_custody(link, router, spent),
+            FleetMessage::RouterPeers(peers) => *self.peers.borrow_mut() = peers,
+            FleetMessage::Raft(_)
+            | FleetMessage::RouterStatus(_) | FleetMessage::Farewell(_) => {}
         }
     }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -21,8 +21,9 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
-/// Part of the objective after which a repeatable request is tried at another engine.
-const PATIENCE_PERCENT: u64 = 250;
+/// Part of the objective after which a repeatable request is tried at another engine, if half of
+/// its time is not over sooner.
+const PATIENCE_PERCENT: u64 = 220;
 /// Longest wait for tokens, as a part of the objective: a refusal that comes later costs more
 /// than it saves.
 const TOKEN_WAIT_PERCENT: u64 = 22;
@@ -283,8 +284,10 @@
         if last || !self.route.kind.may_repeat() {
             return self.deadline;
         }
+        let now = Instant::now();
         let patience = Duration::from_millis(self.route.objective.0 * PATIENCE_PERCENT / 100);
-        self.deadline.min(Instant::now() + patience)
+        let half = self.deadline.saturating_duration_since(now) / 2;
+        now + patience.min(half)
     }
 
     /// The engine for the next attempt.
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -11,13 +11,15 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
 /// Silence of the leader after which a router counts itself out of touch.
 const TOUCH_LIMIT: Millis = Millis(750);
 /// A router that has met no leader for so long takes a configuration that none has confirmed.
 const UNCONFIRMED_AFTER: Millis = Millis(1_500);
+/// A router that has been out of touch for so long since its start takes callers all the same.
+const ALONE_AFTER: Duration = Duration::from_secs(8);
 /// Routers assumed while control has not told their number.
 const ROUTERS_ASSUMED: u64 = 8;
 
@@ -82,7 +84,13 @@
 
     /// Whether the platform should send callers here.
     pub fn is_ready(&self) -> bool {
-        !self.draining.get() && self.table().is_some() && self.knows_an_engine()
+        !self.draining.get() && self.table().is_some() && self.knows_an_engine() && self.can_pay()
+    }
+
+    /// A router that was started out of touch has nothing to spend; callers are better served by
+    /// others, unless it goes on for so long that there may be none.
+    fn can_pay(&self) -> bool {
+        self.confirmed.get() || self.started.elapsed() > ALONE_AFTER
     }
 
     /// Begins a planned stop.
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -39,6 +39,8 @@
     pub role: PeerRole,
     /// The zone it stands in.
     pub zone: ZoneName,
+    /// Where it accepts connections of the fleet.
+    pub listens_at: SocketAddr,
 }
 
 /// Names one connection for as long as it lasts.
--- a/crates/prepaid/src/policy.rs
+++ b/crates/prepaid/src/policy.rs
@@ -9,17 +9,14 @@
 use stackpost_types::{Millis, NodeId, TenantName, Tokens};
 use std::collections::BTreeMap;
 
-/// Demand that the hand covers.
-const HAND_TIME: Millis = Millis(1_200);
-/// Part of the largest request seen that the hand covers besides, in thousandths; a larger one
-/// asks for what it lacks.
-const HAND_OF_LARGEST: u64 = 250;
+/// Demand that the hand covers; a request that does not fit asks for what it lacks.
+const HAND_TIME: Millis = Millis(600);
 /// Demand that the reserve covers: the longest time out of touch that a router serves through.
-const RESERVE_TIME: Millis = Millis(9_000);
+const RESERVE_TIME: Millis = Millis(8_000);
 /// The reserve may be drawn on this much faster than the demand of late, in thousandths.
-const PACE_PERMILLE: u64 = 2_000;
+const PACE_PERMILLE: u64 = 1_600;
 /// Demand that may be drawn from the reserve at once.
-const PACE_BURST: Millis = Millis(1_000);
+const PACE_BURST: Millis = Millis(300);
 /// A router is topped up when it holds less than this share of what it should, in thousandths.
 const REFILL_PERMILLE: u64 = 850;
 /// A router gives back when it holds more than this share of what it should, in thousandths.
@@ -194,9 +191,8 @@
 /// Some time of its own demand, but no more than the router's fair part of all that is left.
 fn target(share: &Share<'_>, total: Tokens, rate: Tokens) -> Target {
     let own = share.report.rate;
-    let largest = share.report.largest.scaled(HAND_OF_LARGEST, 1_000);
     let fair = total.scaled(own.0, rate.0.max(1));
-    let hand = (own.scaled(HAND_TIME.0, 1_000) + largest).min(fair);
+    let hand = own.scaled(HAND_TIME.0, 1_000).min(fair);
     let held = (hand + own.scaled(RESERVE_TIME.0, 1_000)).min(fair);
     Target { hand, held }
 }
