--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -125,7 +125,11 @@
             self.mesh.dial(*peer);
         }
         let links = self.peer_links.borrow().clone();
-        self.mesh.send_all(links, &FleetMessage::Custody(self.node.clone(), used.clone()));
+        self.mesh.send_all(links.clone(), &FleetMessage::Custody(self.node.clone(), used.clone()));
+        for (router, custody) in self.custody.borrow().iter() {
+            let message = FleetMessage::Custody(router.clone(), custody.spent.clone());
+            self.mesh.send_all(links.clone(), &message);
+        }
     }
 
     fn on_custody(&self, link: LinkId, router: NodeId, spent: BTreeMap<TenantName, Tokens>) {
@@ -203,6 +207,7 @@
             }
             FleetMessage::FarewellTaken => self.farewell_taken.notify_one(),
             FleetMessage::Custody(router, spent) => self.on_custody(link, router, spent),
+            FleetMessage::Scarce(tenants) => *self.router.scarce.borrow_mut() = tenants,
             FleetMessage::RouterPeers(peers) => *self.peers.borrow_mut() = peers,
             FleetMessage::Raft(_)
             | FleetMessage::RouterStatus(_) | FleetMessage::Farewell(_) => {}
