--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -27,9 +27,6 @@
 /// Longest wait for tokens, as a part of the objective: a refusal that comes later costs more
 /// than it saves.
 const TOKEN_WAIT_PERCENT: u64 = 22;
-/// Requests of this priority and less urgent ones do not draw on a scarce budget, so that what is
-/// left serves the others.
-const DEFERRABLE_PRIORITY: u32 = 2;
 /// Engines that may be tried without reaching any of them.
 const MOST_UNREACHABLE: u32 = 4;
 /// Largest answer that is gathered before it is passed on.
@@ -184,10 +181,6 @@
         let Some(tenant) = self.tenant.as_ref().filter(|tenant| tenant.prepaid.is_some()) else {
             return Ok(None);
         };
-        let scarce = self.router.scarce.borrow().contains(&tenant.name);
-        if scarce && self.route.priority >= DEFERRABLE_PRIORITY {
-            return Err(Refusal::BudgetExhausted);
-        }
         let wait = Duration::from_millis(self.route.objective.0 * TOKEN_WAIT_PERCENT / 100);
         let wait_until = self.deadline.min(self.arrived + wait);
         let per_event = self.tokens_per_event();
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -7,9 +7,8 @@
     EngineDirectory, EnginePicker, EngineState, RetryBudget, RetryLimits, RouteTable,
 };
 use stackpost_prepaid::Wallet;
-use stackpost_types::{Millis, TenantName, Timestamp, ZoneName};
+use stackpost_types::{Millis, Timestamp, ZoneName};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -42,8 +41,6 @@
     pub(crate) picker: RefCell<EnginePicker>,
     pub(crate) wallet: RefCell<Wallet>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
-    /// Tenants whose budgets are scarce, by the leader's word.
-    pub(crate) scarce: RefCell<BTreeSet<TenantName>>,
     /// Rung when the wallet has grown.
     pub(crate) wallet_grown: Notify,
     /// Rung when a request does not fit the wallet.
@@ -70,7 +67,6 @@
             picker: RefCell::new(EnginePicker::new(settings.zone)),
             wallet: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(settings.retry_limits, ROUTERS_ASSUMED)),
-            scarce: RefCell::default(),
             wallet_grown: Notify::new(),
             wallet_short: Notify::new(),
             table: RefCell::default(),
--- a/crates/prepaid/src/ledger.rs
+++ b/crates/prepaid/src/ledger.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 /// Time out of touch after which a router may begin to draw on its reserve.
-pub const RESERVE_LOCK: Millis = Millis(900);
+pub const RESERVE_LOCK: Millis = Millis(1_200);
 
 /// A reading of the steady clock of one machine, in milliseconds. It goes on over the restarts of
 /// processes and begins anew, somewhere, when the machine does.
--- a/crates/prepaid/src/policy.rs
+++ b/crates/prepaid/src/policy.rs
@@ -7,16 +7,16 @@
 use crate::ledger::{Grant, Pace, PrepaidLedger};
 use serde::{Deserialize, Serialize};
 use stackpost_types::{Millis, NodeId, TenantName, Tokens};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// Demand that the hand covers; a request that does not fit asks for what it lacks.
-const HAND_TIME: Millis = Millis(1_000);
+const HAND_TIME: Millis = Millis(1_200);
 /// Demand that the reserve covers: the longest time out of touch that a router serves through.
 const RESERVE_TIME: Millis = Millis(8_500);
 /// The reserve may be drawn on this much faster than the demand of late, in thousandths.
-const PACE_PERMILLE: u64 = 3_000;
+const PACE_PERMILLE: u64 = 2_000;
 /// Demand that may be drawn from the reserve at once.
-const PACE_BURST: Millis = Millis(1_500);
+const PACE_BURST: Millis = Millis(1_000);
 /// A router is topped up when it holds less than this share of what it should, in thousandths.
 const REFILL_PERMILLE: u64 = 850;
 /// A router gives back when it holds more than this share of what it should, in thousandths.
@@ -24,9 +24,6 @@
 /// Part of what nobody holds that one grant may take for future demand, in thousandths.
 const GRANT_PERMILLE: u64 = 400;
 
-/// A budget is scarce when less than this part of its limit is left, in thousandths.
-const SCARCE_PERMILLE: u64 = 130;
-
 /// What a router says about one tenant's budget.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AccountReport {
@@ -60,8 +57,6 @@
     pub grants: Vec<Grant>,
     /// To be asked of routers.
     pub recalls: Vec<Recall>,
-    /// Tenants whose budget is so low that the least urgent requests should not draw on it.
-    pub scarce: BTreeSet<TenantName>,
 }
 
 /// One router's part in a tenant's budget.
@@ -99,10 +94,6 @@
                 Some(share(ledger, holder, tenant, *accounts.get(tenant)?))
             })
             .collect();
-        let left = pool + shares.iter().map(|share| share.held).sum();
-        if left < limit.scaled(SCARCE_PERMILLE, 1_000) {
-            plan.scarce.insert(tenant.clone());
-        }
         plan_tenant(tenant, pool, &shares, &mut plan);
     }
     plan
