--- a/crates/gateway-core/src/picker.rs
+++ b/crates/gateway-core/src/picker.rs
@@ -253,11 +253,15 @@
         }
     }
 
+    /// Requests that were under way when the engine was first avoided say nothing new.
     fn eject(&mut self, now: Timestamp) {
+        self.failure_permille = PROBATION_RATE;
+        if self.ejected_until.is_some_and(|until| now < until) {
+            return;
+        }
         let doublings = self.ejections.min(MAX_DOUBLINGS);
         self.ejected_until = Some(now + Millis(FIRST_EJECTION.0 << doublings));
         self.ejections += 1;
-        self.failure_permille = PROBATION_RATE;
     }
 }
 
--- /dev/null
+++ b/crates/gateway-core/tests/engines.rs
@@ -0,0 +1,150 @@
+//! The directory of engines and the choice among them.
+
+use stackpost_gateway_core::*;
+use stackpost_types::*;
+
+fn notice(engine: &str, sequence: u64, state: EngineState) -> EngineNotice {
+    EngineNotice {
+        engine: BackEndName::new(engine),
+        sequence,
+        service: "models".into(),
+        address: ([10, 0, 0, engine.as_bytes()[1]], 80).into(),
+        zone: if engine.ends_with('x') { "hall".into() } else { "jetty".into() },
+        slots: 64,
+        state,
+        age: Millis(0),
+    }
+}
+
+fn directory(now: Timestamp, engines: &[&str]) -> EngineDirectory {
+    let mut directory = EngineDirectory::default();
+    for engine in engines {
+        directory.merge(now, notice(engine, 1, EngineState::Ready));
+    }
+    directory
+}
+
+fn pick<'a>(
+    picker: &EnginePicker,
+    now: Timestamp,
+    directory: &'a EngineDirectory,
+    subject: Option<u64>,
+    tried: &[BackEndName],
+) -> Option<&'a str> {
+    let service = ServiceName::new("models");
+    let query = PickQuery { service: &service, subject, tried, tie_breaker: 3 };
+    picker.pick(now, directory, &query).map(|record| record.notice.engine.as_str())
+}
+
+#[test]
+fn late_notices_change_nothing_and_the_gone_never_come_back() {
+    let now = Timestamp(1_000);
+    let mut directory = directory(now, &["e1"]);
+    assert_eq!(directory.merge(now, notice("e1", 5, EngineState::Draining)), Merge::Changed);
+    assert_eq!(directory.merge(now, notice("e1", 4, EngineState::Ready)), Merge::Old);
+    directory.leave(now, &BackEndName::new("e1"));
+    assert_eq!(directory.merge(now, notice("e1", 9, EngineState::Ready)), Merge::Old);
+}
+
+#[test]
+fn a_farewell_of_an_unknown_engine_is_remembered() {
+    let now = Timestamp(1_000);
+    let mut directory = EngineDirectory::default();
+    directory.leave(now, &BackEndName::new("e1"));
+    assert_eq!(directory.merge(now, notice("e1", 1, EngineState::Ready)), Merge::Old);
+}
+
+#[test]
+fn a_new_engine_takes_the_place_of_the_one_at_its_address() {
+    let now = Timestamp(1_000);
+    let mut directory = directory(now, &["e1"]);
+    let successor = EngineNotice { engine: "f9".into(), ..notice("e1", 1, EngineState::Ready) };
+    directory.merge(now, successor);
+    let old = directory.get(&BackEndName::new("e1")).expect("it is remembered");
+    assert_eq!(old.notice.state, EngineState::Gone);
+}
+
+#[test]
+fn draining_and_tried_engines_are_not_picked() {
+    let now = Timestamp(1_000);
+    let mut directory = directory(now, &["e1", "e2"]);
+    directory.merge(now, notice("e1", 2, EngineState::Draining));
+    let picker = EnginePicker::new("jetty".into());
+    assert_eq!(pick(&picker, now, &directory, None, &[]), Some("e2"));
+    assert_eq!(pick(&picker, now, &directory, None, &["e2".into()]), None);
+}
+
+#[test]
+fn a_subject_keeps_its_engine_until_that_is_overloaded() {
+    let now = Timestamp(1_000);
+    let directory = directory(now, &["e1", "e2", "e3"]);
+    let mut picker = EnginePicker::new("jetty".into());
+    let home = pick(&picker, now, &directory, Some(77), &[]).expect("there are engines").to_owned();
+    for _ in 0..3 {
+        assert_eq!(pick(&picker, now, &directory, Some(77), &[]), Some(home.as_str()));
+        picker.on_start(&BackEndName::new(&home));
+    }
+    for _ in 0..20 {
+        picker.on_start(&BackEndName::new(&home));
+    }
+    assert_ne!(pick(&picker, now, &directory, Some(77), &[]), Some(home.as_str()));
+}
+
+#[test]
+fn failing_engines_are_avoided_and_tried_again_later() {
+    let now = Timestamp(1_000);
+    let directory = directory(now, &["e1", "e2"]);
+    let mut picker = EnginePicker::new("jetty".into());
+    let failing = directory.get(&BackEndName::new("e1")).expect("known").clone();
+    for _ in 0..6 {
+        picker.on_start(&failing.notice.engine);
+        picker.on_end(now, &failing, AttemptEnd::Broken);
+    }
+    for subject in 0..40 {
+        assert_eq!(pick(&picker, now, &directory, Some(subject), &[]), Some("e2"));
+    }
+    let later = now + Millis(3_000);
+    let back = (0..40).any(|s| pick(&picker, later, &directory, Some(s), &[]) == Some("e1"));
+    assert!(back, "an engine that was avoided gets another chance");
+}
+
+#[test]
+fn a_failing_engine_is_better_than_none() {
+    let now = Timestamp(1_000);
+    let directory = directory(now, &["e1"]);
+    let mut picker = EnginePicker::new("jetty".into());
+    let only = directory.get(&BackEndName::new("e1")).expect("known").clone();
+    picker.on_start(&only.notice.engine);
+    picker.on_end(now, &only, AttemptEnd::Unreachable);
+    assert_eq!(pick(&picker, now, &directory, None, &[]), Some("e1"));
+}
+
+#[test]
+fn a_zone_that_can_not_be_reached_is_avoided() {
+    let now = Timestamp(1_000);
+    let directory = directory(now, &["e1x", "e2x", "e3x", "e4x", "e5"]);
+    let mut picker = EnginePicker::new("jetty".into());
+    for engine in ["e1x", "e2x", "e3x"] {
+        let record = directory.get(&BackEndName::new(engine)).expect("known").clone();
+        picker.on_start(&record.notice.engine);
+        picker.on_end(now, &record, AttemptEnd::Unreachable);
+    }
+    for subject in 0..40 {
+        assert_eq!(pick(&picker, now, &directory, Some(subject), &[]), Some("e5"));
+    }
+}
+
+#[test]
+fn an_engine_that_is_announced_no_more_comes_after_the_others() {
+    let start = Timestamp(1_000);
+    let mut directory = directory(start, &["e1", "e2"]);
+    let now = start + Millis(6_000);
+    directory.merge(now, notice("e2", 2, EngineState::Ready));
+    let mut picker = EnginePicker::new("jetty".into());
+    assert_eq!(pick(&picker, now, &directory, None, &[]), Some("e2"));
+    let silent = directory.get(&BackEndName::new("e1")).expect("known").clone();
+    picker.on_start(&silent.notice.engine);
+    picker.on_end(now, &silent, AttemptEnd::Answered);
+    let used = (0..40).any(|subject| pick(&picker, now, &directory, Some(subject), &[]) == Some("e1"));
+    assert!(used, "an engine that answers is there, whatever is announced");
+}
