--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -56,7 +56,11 @@
         let granted = self.is_voter()
             && !self.has_live_leader()
             && self.is_up_to_date(last_index, last_term)
-            && term > self.hard_state.term;
+            && term > self.hard_state.term
+            && !self.goes_first(&from, last_index, last_term);
+        if granted {
+            self.campaign_at = self.campaign_at.max(self.now + self.config.heartbeat_interval);
+        }
         let term = if granted { term } else { self.hard_state.term };
         self.send(from, Message::PreVoteReply { term, granted });
     }
@@ -135,6 +139,13 @@
         self.broadcast_append();
     }
 
+    /// Whether this replica asks for pre-votes itself and should win against `other`. If both
+    /// granted each other's pre-vote, both would campaign in the same term and neither could win.
+    fn goes_first(&self, other: &MachineName, last_index: LogIndex, last_term: Term) -> bool {
+        let equal_log = (last_term, last_index) == (self.log.last_term(), self.log.last_index());
+        self.role == Role::PreCandidate && equal_log && self.config.name < *other
+    }
+
     fn has_live_leader(&self) -> bool {
         self.role == Role::Leader || self.in_lease_of_leader()
     }
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -243,9 +243,12 @@
     fn track(&mut self, name: MachineName) {
         let next = self.log.last_index() + 1;
         let now = self.now;
-        self.progress
-            .entry(name)
-            .or_insert_with(|| Progress { next, round_sent: now, heard_at: now, ..Progress::default() });
+        self.progress.entry(name).or_insert_with(|| Progress {
+            next,
+            round_sent: now,
+            heard_at: now,
+            ..Progress::default()
+        });
     }
 
     /// Until when no other replica can have become leader, by this replica's clock. `None` if
@@ -396,8 +399,8 @@
     fn is_foreign(&self, envelope: &Envelope) -> bool {
         let from_leader =
             matches!(envelope.message, Message::Append { .. } | Message::Install { .. });
-        let known = self.voters.contains_key(&envelope.from)
-            || self.learners.contains(&envelope.from);
+        let known =
+            self.voters.contains_key(&envelope.from) || self.learners.contains(&envelope.from);
         !from_leader && !known
     }
 
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -155,8 +155,7 @@
         progress.heard_at = now;
         if progress.identity != identity {
             // A new data folder: nothing that the old one acknowledged counts any more.
-            *progress =
-                Progress { identity, next: last + 1, heard_at: now, ..Progress::default() };
+            *progress = Progress { identity, next: last + 1, heard_at: now, ..Progress::default() };
         }
         if accepted {
             progress.matched = progress.matched.max(index);
--- a/crates/control-core/src/replica.rs
+++ b/crates/control-core/src/replica.rs
@@ -199,11 +199,7 @@
         let raft_config = Config {
             name: config.name.clone(),
             identity: store.identity(),
-            voters: config
-                .replicas
-                .iter()
-                .map(|name| (name.clone(), FIRST_IDENTITY))
-                .collect(),
+            voters: config.replicas.iter().map(|name| (name.clone(), FIRST_IDENTITY)).collect(),
             election_timeout: config.election_timeout,
             heartbeat_interval: config.heartbeat_interval,
             lease_margin: config.lease_margin,
--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -360,12 +360,7 @@
             document_version: view.document_version(),
             clock: self.replica.now(),
             routers: routers.len() as u32,
-            control_peers: state
-                .control_peers
-                .iter()
-                .copied()
-                .chain([self.own_address])
-                .collect(),
+            control_peers: state.control_peers.iter().copied().chain([self.own_address]).collect(),
         }
     }
 
@@ -398,9 +393,10 @@
     }
 
     fn send_to_control(&self, machine: &MachineName, message: &FleetMessage) {
-        let link = self.state.borrow().newest_link(|peer| {
-            peer.role == PeerRole::Control && peer.node.machine == *machine
-        });
+        let link = self
+            .state
+            .borrow()
+            .newest_link(|peer| peer.role == PeerRole::Control && peer.node.machine == *machine);
         if let Some(link) = link {
             self.mesh.send(link, message);
         }
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -174,6 +174,8 @@
     planner: PrepaidPlanner,
     control_peers: BTreeSet<MachineName>,
     voter_change: Option<u64>,
+    /// Up to this entry the voters rest on changes that may not have been committed.
+    unsettled_until: u64,
     was_leading: bool,
     effects: Vec<ReplicaEffect>,
 }
@@ -183,7 +185,7 @@
     pub fn open(config: ReplicaConfig, disk: D, now: Timestamp) -> Result<Self, ReplicaError> {
         let (store, restored) = open_store(&config, disk)?;
         let state = read_state(&restored.snapshot)?;
-        let voters = voters_at_start(&state, &restored.entries)?;
+        let (voters, unsettled_until) = voters_at_start(&state, &restored.entries)?;
         let raft_config = Config {
             name: config.name.clone(),
             identity: store.identity(),
@@ -206,6 +208,7 @@
             planner: PrepaidPlanner::default(),
             control_peers: BTreeSet::new(),
             voter_change: None,
+            unsettled_until,
             was_leading: false,
             effects: Vec::new(),
         })
@@ -267,6 +270,11 @@
         self.raft.leader()
     }
 
+    /// Whether the others count this replica under its present identity.
+    pub fn is_voter(&self) -> bool {
+        self.raft.is_voter()
+    }
+
     /// The voters.
     pub fn voters(&self) -> &BTreeMap<MachineName, u64> {
         self.raft.voters()
@@ -438,8 +446,7 @@
             self.apply(entry)?;
         }
         for read in ready.reads {
-            let token =
-                self.reads.iter().find(|(_, waiting)| waiting.context == read.context);
+            let token = self.reads.iter().find(|(_, waiting)| waiting.context == read.context);
             if let Some(token) = token.map(|(token, _)| *token) {
                 self.reads.remove(&token);
                 let reply = ReadReply::Newest(self.state.document.clone());
@@ -461,6 +468,15 @@
         Ok(())
     }
 
+    /// The last change found at the start is committed, or another entry has taken its place.
+    fn settle_voters(&mut self, entry: &Entry) -> Result<(), ReplicaError> {
+        let is_change = !entry.data.is_empty() && read_command(entry)?.changes_voters();
+        if !is_change {
+            self.take_over_voters();
+        }
+        Ok(())
+    }
+
     fn take_over_voters(&mut self) {
         let gone: Vec<MachineName> = self
             .raft
@@ -479,23 +495,23 @@
 
     fn apply(&mut self, entry: Entry) -> Result<(), ReplicaError> {
         self.applied = entry.index;
+        if entry.index == self.unsettled_until {
+            self.settle_voters(&entry)?;
+        }
         if entry.data.is_empty() {
             return Ok(());
         }
         let command = read_command(&entry)?;
-        match &command {
-            Command::SetVoter { machine, identity } => {
-                self.raft.set_identity(machine.clone(), *identity);
-            }
-            Command::RemoveVoter { machine } => self.raft.remove_voter(machine),
-            _ => {}
-        }
+        let voters_change = command.changes_voters();
         let touched = self.planner.routers_touched(entry.index, &command);
         let closed = match &command {
             Command::CloseRouter { router, .. } => Some(router.clone()),
             _ => None,
         };
         let outcome = self.state.apply(command);
+        if voters_change && entry.index >= self.unsettled_until {
+            self.take_over_voters();
+        }
         if outcome == Outcome::DocumentTaken
             && let Some(document) = self.state.document.clone()
         {
@@ -560,11 +576,8 @@
     }
     let mut store = LogStore::create(disk, FIRST_IDENTITY)?;
     // Every founder begins with the same state, so that no entry has to carry it.
-    let snapshot = Snapshot {
-        index: FOUNDING,
-        term: FOUNDING,
-        data: FleetState::found(voters).to_snapshot(),
-    };
+    let snapshot =
+        Snapshot { index: FOUNDING, term: FOUNDING, data: FleetState::found(voters).to_snapshot() };
     let hard_state = HardState { term: FOUNDING, voted_for: None };
     store.install(&snapshot, &hard_state, &[])?;
     Ok((store, Restored { hard_state, snapshot, entries: Vec::new() }))
@@ -581,31 +594,28 @@
 }
 
 fn read_command(entry: &Entry) -> Result<Command, ReplicaError> {
-    postcard::from_bytes(&entry.data).map_err(|error| ReplicaError::Unreadable {
-        index: entry.index,
-        reason: error.to_string(),
-    })
+    postcard::from_bytes(&entry.data)
+        .map_err(|error| ReplicaError::Unreadable { index: entry.index, reason: error.to_string() })
 }
 
-/// The voters for a replica that has just started: those of the snapshot and of all changes after
-/// it but the last. A leader proposes a change only after the one before was committed, so all but
-/// the last are certain; and voters that lag by a single change still share a replica with every
-/// majority.
+/// The voters for a replica that has just started, and the index of the last change among its
+/// entries. Changes count before they are known to be committed (Ongaro's dissertation, section
+/// 4.1): after a loss of power nobody may know what was committed, and a replica that waited to
+/// learn it could be missing from every majority. A leader proposes a change only after the one
+/// before and an entry of its own term are committed, so two replicas are never more than one
+/// change apart unless one of them can't win.
 fn voters_at_start(
     state: &FleetState,
     entries: &[Entry],
-) -> Result<BTreeMap<MachineName, u64>, ReplicaError> {
-    let mut changes = Vec::new();
+) -> Result<(BTreeMap<MachineName, u64>, u64), ReplicaError> {
+    let mut known = FleetState::found(state.voters.clone());
+    let mut last_change = 0;
     for entry in entries.iter().filter(|entry| !entry.data.is_empty()) {
         let command = read_command(entry)?;
         if command.changes_voters() {
-            changes.push(command);
+            last_change = entry.index;
+            known.apply(command);
         }
     }
-    changes.pop();
-    let mut known = FleetState::found(state.voters.clone());
-    for command in changes {
-        known.apply(command);
-    }
-    Ok(known.voters)
+    Ok((known.voters, last_change))
 }
--- a/crates/gateway-core/src/directory.rs
+++ b/crates/gateway-core/src/directory.rs
@@ -88,8 +88,12 @@
         let change = match self.engines.get(&notice.engine) {
             None => Merge::Changed,
             Some(known) if known.notice.state == EngineState::Gone => return Merge::Old,
-            Some(known) if notice.state != EngineState::Gone
-                && notice.sequence <= known.notice.sequence => return Merge::Old,
+            Some(known)
+                if notice.state != EngineState::Gone
+                    && notice.sequence <= known.notice.sequence =>
+            {
+                return Merge::Old;
+            }
             Some(known) if known.notice.state == notice.state => Merge::Refreshed,
             Some(_) => Merge::Changed,
         };
--- a/crates/gateway-core/src/picker.rs
+++ b/crates/gateway-core/src/picker.rs
@@ -208,7 +208,8 @@
         let bound =
             (total + 1) * LOAD_BOUND_PERMILLE / (1_000 * candidates.len() as u64) + LOAD_SLACK;
         let rank = |candidate: &&Candidate<'a>| {
-            mix(subject ^ Digest::of(&[candidate.record.notice.engine.as_str().as_bytes()]).to_u64())
+            mix(subject
+                ^ Digest::of(&[candidate.record.notice.engine.as_str().as_bytes()]).to_u64())
         };
         let free = candidates.iter().filter(|candidate| candidate.in_flight <= bound);
         let chosen = free.max_by_key(rank).or_else(|| candidates.iter().max_by_key(rank))?;
--- a/crates/gateway-core/tests/engines.rs
+++ b/crates/gateway-core/tests/engines.rs
@@ -145,6 +145,7 @@
     let silent = directory.get(&BackEndName::new("e1")).expect("known").clone();
     picker.on_start(&silent.notice.engine);
     picker.on_end(now, &silent, AttemptEnd::Answered);
-    let used = (0..40).any(|subject| pick(&picker, now, &directory, Some(subject), &[]) == Some("e1"));
+    let used =
+        (0..40).any(|subject| pick(&picker, now, &directory, Some(subject), &[]) == Some("e1"));
     assert!(used, "an engine that answers is there, whatever is announced");
 }
--- a/crates/gateway/src/engine_pool.rs
+++ b/crates/gateway/src/engine_pool.rs
@@ -58,7 +58,11 @@
 
 impl EnginePool {
     /// A resting connection, the newest first, or a new one. `fresh` asks for a new one.
-    pub async fn acquire(&self, engine: &EngineRecord, fresh: bool) -> io::Result<EngineConnection> {
+    pub async fn acquire(
+        &self,
+        engine: &EngineRecord,
+        fresh: bool,
+    ) -> io::Result<EngineConnection> {
         if !fresh && let Some(connection) = self.take_resting(&engine.notice.engine) {
             return Ok(connection);
         }
@@ -86,12 +90,13 @@
     /// Closes connections that have rested too long or whose engines have left.
     pub fn forget_idle(&self, directory: &EngineDirectory) {
         self.resting.borrow_mut().retain(|engine, resting| {
-            let gone = directory
-                .get(engine)
-                .is_none_or(|record| record.notice.state == EngineState::Gone);
+            let gone =
+                directory.get(engine).is_none_or(|record| record.notice.state == EngineState::Gone);
             let kept = std::mem::take(resting);
             for entry in kept {
-                if gone || entry.since.elapsed() >= entry.limit || entry.connection.sender.is_closed()
+                if gone
+                    || entry.since.elapsed() >= entry.limit
+                    || entry.connection.sender.is_closed()
                 {
                     entry.connection.close();
                 } else {
@@ -128,10 +133,8 @@
     let _ = socket.set_tcp_nodelay(true);
     let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
     let _ = socket.set_tcp_keepalive(&probes);
-    let (sender, connection) = http1::Builder::new()
-        .handshake(TokioIo::new(stream))
-        .await
-        .map_err(io::Error::other)?;
+    let (sender, connection) =
+        http1::Builder::new().handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
     let driver = tokio::task::spawn_local(async move {
         // Whoever uses the connection meets the error, too.
         let _ = connection.await;
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -1,10 +1,8 @@
 //! Keeps a router's knowledge up to date over the connections of the fleet.
 
-use crate::router::Router;
 use crate::machine_clock::machine_time;
-use stackpost_coordinator::{
-    ClockEcho, ControlStatus, Document, FleetMessage, RouterStatus,
-};
+use crate::router::Router;
+use stackpost_coordinator::{ClockEcho, ControlStatus, Document, FleetMessage, RouterStatus};
 use stackpost_gateway_core::{EngineNotice, Merge, RouteTable};
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
 use stackpost_prepaid::{AccountReport, Allotment, Contact};
@@ -208,8 +206,7 @@
             FleetMessage::FarewellTaken => self.farewell_taken.notify_one(),
             FleetMessage::Custody(router, spent) => self.on_custody(link, router, spent),
             FleetMessage::RouterPeers(peers) => *self.peers.borrow_mut() = peers,
-            FleetMessage::Raft(_)
-            | FleetMessage::RouterStatus(_) | FleetMessage::Farewell(_) => {}
+            FleetMessage::Raft(_) | FleetMessage::RouterStatus(_) | FleetMessage::Farewell(_) => {}
         }
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -167,8 +167,7 @@
         if !route.kind.may_repeat() || !attempts_left {
             return self.context.deadline;
         }
-        let objective =
-            route.gap_objective.map_or(DEFAULT_GAP, |gap| Duration::from_millis(gap.0));
+        let objective = route.gap_objective.map_or(DEFAULT_GAP, |gap| Duration::from_millis(gap.0));
         let patience = objective * GAP_PATIENCE_PERCENT as u32 / 100;
         self.context.deadline.min(Instant::now() + patience)
     }
@@ -211,7 +210,12 @@
                     continue;
                 }
                 let headers = head.headers;
-                return Some(StreamSource { body, headers, hold, splitter: EventSplitter::default() });
+                return Some(StreamSource {
+                    body,
+                    headers,
+                    hold,
+                    splitter: EventSplitter::default(),
+                });
             }
         }
         None
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -107,9 +107,8 @@
     let wait = caller.wait.unwrap_or(DEFAULT_WAIT);
     let deadline = arrived + Duration::from_millis(wait.0.min(route.timeout.0));
     let limit = table.config().limits.max_body_bytes;
-    let body = timeout_at(deadline, read_body(body, limit))
-        .await
-        .map_err(|_| Refusal::TimeOver)??;
+    let body =
+        timeout_at(deadline, read_body(body, limit)).await.map_err(|_| Refusal::TimeOver)??;
     let service = route.service_for(&caller.id).clone();
     router.retry_budget.borrow_mut().note_request(router.now(), &service);
     let mut headers = head.headers;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -50,12 +50,8 @@
         .await
         .map_err(|error| PeerError::new(Step::Listen, address, error))?;
     let (closing, _) = watch::channel(false);
-    let server = Rc::new(Server {
-        router,
-        connections: Cell::new(0),
-        requests: Cell::new(0),
-        closing,
-    });
+    let server =
+        Rc::new(Server { router, connections: Cell::new(0), requests: Cell::new(0), closing });
     tokio::task::spawn_local(server.clone().accept(listener));
     Ok(server)
 }
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -189,13 +189,12 @@
         let (sender, mut outgoing) = mpsc::channel(OUTGOING_LIMIT);
         self.shared.links.borrow_mut().insert(link, sender);
         self.emit(LinkEvent::Up { link, peer, dialed });
-        let ended = connection::run(stream, &mut outgoing, |frame| {
-            match postcard::from_bytes(&frame) {
+        let ended =
+            connection::run(stream, &mut outgoing, |frame| match postcard::from_bytes(&frame) {
                 Ok(message) => self.emit(LinkEvent::Message { link, message }),
                 Err(error) => log::warn!(step = "decode"; "a message can't be read: {error}"),
-            }
-        })
-        .await;
+            })
+            .await;
         log::debug!(step = "mesh"; "connection ended: {ended:?}");
         self.shared.links.borrow_mut().remove(&link);
         self.emit(LinkEvent::Down { link });
--- a/crates/prepaid/src/lib.rs
+++ b/crates/prepaid/src/lib.rs
@@ -13,7 +13,9 @@
 mod rate;
 mod wallet;
 
-pub use ledger::{Allotment, Charge, Contact, Grant, LifeEnd, Pace, PrepaidLedger, RESERVE_LOCK, SteadyTime};
+pub use ledger::{
+    Allotment, Charge, Contact, Grant, LifeEnd, Pace, PrepaidLedger, RESERVE_LOCK, SteadyTime,
+};
 pub use policy::{AccountReport, Plan, Recall, plan};
 pub use rate::DemandRate;
 pub use wallet::{Shortfall, Wallet};
--- a/crates/prepaid/src/policy.rs
+++ b/crates/prepaid/src/policy.rs
@@ -140,20 +140,15 @@
 }
 
 /// What a router lacks, as far as there is some left.
-fn grant(
-    tenant: &TenantName,
-    share: &Share<'_>,
-    target: &Target,
-    left: Tokens,
-) -> Option<Grant> {
+fn grant(tenant: &TenantName, share: &Share<'_>, target: &Target, left: Tokens) -> Option<Grant> {
     let urgent = share.report.wanted - share.held;
     let lacks_much = share.held < target.held.scaled(REFILL_PERMILLE, 1_000);
     let wish = if lacks_much { target.held - share.held } else { Tokens::ZERO };
     let amount = wish.min(left.scaled(GRANT_PERMILLE, 1_000)).max(urgent).min(left);
     let held = share.held + amount;
     let hand_wish = target.hand.max(share.report.wanted).min(held);
-    let hand_lacks = share.hand < target.hand.scaled(REFILL_PERMILLE, 1_000)
-        || share.hand < share.report.wanted;
+    let hand_lacks =
+        share.hand < target.hand.scaled(REFILL_PERMILLE, 1_000) || share.hand < share.report.wanted;
     let lacking = hand_wish - share.hand + share.overdrawn;
     let to_hand = if hand_lacks { lacking } else { Tokens::ZERO };
     let pace = pace(share);
@@ -167,10 +162,7 @@
 
 fn pace(share: &Share<'_>) -> Pace {
     let rate = share.report.rate;
-    Pace {
-        burst: rate.scaled(PACE_BURST.0, 1_000),
-        per_second: rate.scaled(PACE_PERMILLE, 1_000),
-    }
+    Pace { burst: rate.scaled(PACE_BURST.0, 1_000), per_second: rate.scaled(PACE_PERMILLE, 1_000) }
 }
 
 /// Only the hand can be given back, so the excess moves there first.
--- a/crates/prepaid/src/wallet.rs
+++ b/crates/prepaid/src/wallet.rs
@@ -139,9 +139,6 @@
 
     /// What each tenant has spent or reserved, for the end of this life.
     pub fn used(&self) -> BTreeMap<TenantName, Tokens> {
-        self.accounts
-            .iter()
-            .map(|(tenant, account)| (tenant.clone(), account.used()))
-            .collect()
+        self.accounts.iter().map(|(tenant, account)| (tenant.clone(), account.used())).collect()
     }
 }
--- a/crates/prepaid/tests/escrow.rs
+++ b/crates/prepaid/tests/escrow.rs
@@ -40,22 +40,44 @@
 #[derive(Clone, Debug)]
 enum Step {
     Wait(u64),
-    Request { router: usize, amount: u64 },
-    Finish { used_permille: u64 },
+    Request {
+        router: usize,
+        amount: u64,
+    },
+    Finish {
+        used_permille: u64,
+    },
     /// A round of the leader with every router in `reach`; answers are lost for `lost`. Without
     /// `grants` only the contacts are committed.
-    Round { reach: Vec<bool>, lost: Vec<bool>, grants: bool },
-    Kill { router: usize, down: u64 },
-    PowerOff { router: usize },
-    Farewell { router: usize },
+    Round {
+        reach: Vec<bool>,
+        lost: Vec<bool>,
+        grants: bool,
+    },
+    Kill {
+        router: usize,
+        down: u64,
+    },
+    PowerOff {
+        router: usize,
+    },
+    Farewell {
+        router: usize,
+    },
 }
 
 impl World {
     fn new() -> Self {
         let mut ledger = PrepaidLedger::default();
         ledger.set_limits(&[(tenant(), Tokens(LIMIT))]);
-        let mut world =
-            Self { now: 10_000, ledger, lives: Vec::new(), next_life: 1, ended: 0, in_flight: vec![] };
+        let mut world = Self {
+            now: 10_000,
+            ledger,
+            lives: Vec::new(),
+            next_life: 1,
+            ended: 0,
+            in_flight: vec![],
+        };
         for machine in 0..ROUTERS {
             let life = world.fresh(machine);
             world.lives.push(life);
