Keep the last of a budget for cheap requests, take no requests late in a stop; tests over sockets

Change: the last 2.5% of a limit is never made reserve, and only requests of less than half the mean cost draw on it. Change: from 2.9 s on a stopping router refuses with 503, and a late connection gets one answer.

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -243,6 +243,7 @@
             FleetMessage::Document(_)
             | FleetMessage::DocumentDelta(_)
             | FleetMessage::RouterPeers(_)
+            | FleetMessage::Scarce(_)
             | FleetMessage::Allotted(_)
             | FleetMessage::Recall(_)
             | FleetMessage::FarewellTaken => {}
@@ -321,6 +322,10 @@
             ReplicaEffect::Recall(router, keeps) => {
                 self.send_to_router(&router, &FleetMessage::Recall(keeps));
             }
+            ReplicaEffect::Scarce(tenants) => {
+                let routers = self.state.borrow().links_to(PeerRole::Router);
+                self.mesh.send_all(routers, &FleetMessage::Scarce(tenants));
+            }
             ReplicaEffect::FarewellTaken(router) => {
                 self.send_to_router(&router, &FleetMessage::FarewellTaken);
             }
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -6,7 +6,7 @@
 use stackpost_gateway_core::EngineNotice;
 use stackpost_prepaid::{AccountReport, Allotment, Contact};
 use stackpost_types::{NodeId, TenantName, Timestamp, Tokens};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -80,6 +80,8 @@
     Allotted(Vec<(TenantName, Allotment)>),
     /// From the leader to a router: what it may keep spendable.
     Recall(Vec<(TenantName, Tokens)>),
+    /// From the leader to all routers: tenants whose budgets are scarce.
+    Scarce(BTreeSet<TenantName>),
     /// From a router that stops: what it has spent of each tenant's budget.
     Farewell(BTreeMap<TenantName, Tokens>),
     /// Answer to `Farewell` and `Custody`: it will reach the ledger.
--- a/crates/coordinator/src/prepaid_planner.rs
+++ b/crates/coordinator/src/prepaid_planner.rs
@@ -16,8 +16,8 @@
 const SETTLE_TIME: Millis = Millis(250);
 /// A proposal that has not been applied for so long is given up.
 const PROPOSAL_LIMIT: Millis = Millis(1_500);
-/// Part of every budget, in thousandths, that is never handed out.
-const WITHHELD_PERMILLE: u64 = 5;
+/// Routers are told again which budgets are scarce after so long.
+const SCARCE_INTERVAL: Millis = Millis(1_000);
 
 /// A new life of a machine is seen for so long before earlier ones are charged: what they have
 /// left with other routers may still be on its way.
@@ -42,6 +42,8 @@
     ended: BTreeMap<NodeId, Contact>,
     farewells: BTreeMap<NodeId, BTreeMap<TenantName, Tokens>>,
     recalls: BTreeMap<NodeId, Vec<(TenantName, Tokens)>>,
+    scarce: BTreeSet<TenantName>,
+    scarce_told: Option<(BTreeSet<TenantName>, Timestamp)>,
     urgent: bool,
     round_at: Timestamp,
     contacts_at: Timestamp,
@@ -122,11 +124,12 @@
             .map(|(router, view)| (router.clone(), view.accounts.clone()))
             .collect();
         commands.extend(returns(ledger, &reports));
-        let plan = plan(ledger, &reports, WITHHELD_PERMILLE);
+        let plan = plan(ledger, &reports);
         for recall in plan.recalls {
             let of_router = self.recalls.entry(recall.holder).or_default();
             of_router.push((recall.tenant, recall.keep));
         }
+        self.scarce = plan.scarce;
         if !plan.grants.is_empty() {
             commands.push(Command::Grant(plan.grants));
         }
@@ -139,6 +142,18 @@
         std::mem::take(&mut self.recalls)
     }
 
+    /// Tenants whose budgets are scarce, if the routers should be told.
+    pub fn take_scarce(&mut self, now: Timestamp) -> Option<BTreeSet<TenantName>> {
+        let told = self.scarce_told.as_ref();
+        let known = told
+            .is_some_and(|(scarce, at)| *scarce == self.scarce && now.since(*at) < SCARCE_INTERVAL);
+        if known {
+            return None;
+        }
+        self.scarce_told = Some((self.scarce.clone(), now));
+        Some(self.scarce.clone())
+    }
+
     /// Routers whose allotments a command changes. Also ends the wait for the round.
     pub fn routers_touched(&mut self, index: u64, command: &Command) -> BTreeSet<NodeId> {
         if self.proposed.is_some_and(|(last, _)| last <= index) {
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -142,6 +142,8 @@
     Allotted(NodeId, Vec<(TenantName, Allotment)>),
     /// Ask a router to give back.
     Recall(NodeId, Vec<(TenantName, Tokens)>),
+    /// Tell all routers which budgets are scarce.
+    Scarce(BTreeSet<TenantName>),
     /// Tell a router that its life is closed.
     FarewellTaken(NodeId),
     /// The role has changed; true for a leader.
@@ -372,6 +374,9 @@
         for (router, recalls) in self.planner.take_recalls() {
             self.effects.push(ReplicaEffect::Recall(router, recalls));
         }
+        if let Some(scarce) = self.planner.take_scarce(now) {
+            self.effects.push(ReplicaEffect::Scarce(scarce));
+        }
     }
 
     fn plan_voters(&mut self) {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -45,7 +45,7 @@
     /// The time for a head is over; the request may have run.
     NoHeadInTime,
     /// The head of the engine's answer.
-    Answered(EngineAnswer),
+    Answered(Box<EngineAnswer>),
 }
 
 /// An engine's answer whose body is still to come.
@@ -181,7 +181,9 @@
             hold.finish(AttemptEnd::Broken, None);
             AttemptResult::Broken
         }
-        EngineVerdict::Genuine => AttemptResult::Answered(EngineAnswer { head, body, hold }),
+        EngineVerdict::Genuine => {
+            AttemptResult::Answered(Box::new(EngineAnswer { head, body, hold }))
+        }
     }
 }
 
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -212,6 +212,7 @@
             }
             FleetMessage::FarewellTaken => self.farewell_taken.notify_one(),
             FleetMessage::Custody(router, spent) => self.on_custody(link, router, spent),
+            FleetMessage::Scarce(tenants) => *self.router.scarce.borrow_mut() = tenants,
             FleetMessage::RouterPeers(peers) => *self.peers.borrow_mut() = peers,
             FleetMessage::Raft(_) | FleetMessage::RouterStatus(_) | FleetMessage::Farewell(_) => {}
         }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -10,6 +10,8 @@
 pub enum Refusal {
     /// The router has no configuration yet.
     NotConfigured,
+    /// The router stops.
+    Stopping,
     /// No route matches.
     NoRoute,
     /// The key is not known.
@@ -43,6 +45,7 @@
     pub fn code(self) -> &'static str {
         match self {
             Self::NotConfigured => "not_configured",
+            Self::Stopping => "stopping",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::MayBeBehind => "may_be_behind",
@@ -68,6 +71,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BudgetExhausted => StatusCode::TOO_MANY_REQUESTS,
             Self::NotConfigured
+            | Self::Stopping
             | Self::MayBeBehind
             | Self::NoEngine
             | Self::EnginesFull
@@ -83,6 +87,7 @@
         match self {
             Self::NotConfigured | Self::MayBeBehind => Some(Millis(400)),
             Self::NoEngine | Self::Unreachable | Self::TimeOver => Some(Millis(200)),
+            Self::Stopping => Some(Millis(50)),
             Self::EnginesFull => Some(Millis(100)),
             Self::BudgetExhausted => Some(Millis(500)),
             _ => None,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -103,6 +103,9 @@
 ) -> Result<Response<GatewayBody>, Refusal> {
     let table = router.table().ok_or(Refusal::NotConfigured)?;
     let (route, tenant) = admit(&router, &table, &head, caller.key.as_deref())?;
+    if router.takes_no_more() {
+        return Err(Refusal::Stopping);
+    }
     let (route, tenant) = (route.clone(), tenant.cloned());
     let wait = caller.wait.unwrap_or(DEFAULT_WAIT);
     let deadline = arrived + Duration::from_millis(wait.0.min(route.timeout.0));
@@ -180,6 +183,11 @@
         let Some(tenant) = self.tenant.as_ref().filter(|tenant| tenant.prepaid.is_some()) else {
             return Ok(None);
         };
+        let scarce = self.router.scarce.borrow().contains(&tenant.name);
+        let most = generation.most();
+        if scarce && !self.router.wallet.borrow_mut().is_cheap(&tenant.name, most) {
+            return Err(Refusal::BudgetExhausted);
+        }
         let wait = Duration::from_millis(self.route.objective.0 * TOKEN_WAIT_PERCENT / 100);
         let wait_until = self.deadline.min(self.arrived + wait);
         let per_event = self.tokens_per_event();
@@ -261,7 +269,7 @@
         match result {
             AttemptResult::Answered(answer) => {
                 progress.tried.push(name);
-                return Some(answer);
+                return Some(*answer);
             }
             AttemptResult::Unreachable => progress.unreachable.push(name),
             AttemptResult::NotRun => progress.tried.push(name),
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -7,8 +7,9 @@
     EngineDirectory, EnginePicker, EngineState, RetryBudget, RetryLimits, RouteTable,
 };
 use stackpost_prepaid::Wallet;
-use stackpost_types::{Millis, Timestamp, ZoneName};
+use stackpost_types::{Millis, TenantName, Timestamp, ZoneName};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -20,6 +21,8 @@
 const UNCONFIRMED_AFTER: Millis = Millis(1_500);
 /// A router that has been out of touch for so long since its start takes callers all the same.
 const ALONE_AFTER: Duration = Duration::from_secs(8);
+/// A stopping router takes requests for so long.
+const LAST_REQUESTS: Duration = Duration::from_millis(2_900);
 /// Routers assumed while control has not told their number.
 const ROUTERS_ASSUMED: u64 = 8;
 
@@ -41,6 +44,8 @@
     pub(crate) picker: RefCell<EnginePicker>,
     pub(crate) wallet: RefCell<Wallet>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
+    /// Tenants whose budgets are scarce, by the leader's word.
+    pub(crate) scarce: RefCell<BTreeSet<TenantName>>,
     /// Rung when the wallet has grown.
     pub(crate) wallet_grown: Notify,
     /// Rung when a request does not fit the wallet.
@@ -49,7 +54,7 @@
     table: RefCell<Option<Rc<RouteTable>>>,
     confirmed: Cell<bool>,
     leader_heard_at: Cell<Option<Timestamp>>,
-    draining: Cell<bool>,
+    draining_since: Cell<Option<Instant>>,
     started: Instant,
 }
 
@@ -68,13 +73,14 @@
             picker: RefCell::new(EnginePicker::new(settings.zone)),
             wallet: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(settings.retry_limits, ROUTERS_ASSUMED)),
+            scarce: RefCell::default(),
             wallet_grown: Notify::new(),
             wallet_short: Notify::new(),
             document: RefCell::default(),
             table: RefCell::default(),
             confirmed: Cell::new(false),
             leader_heard_at: Cell::new(None),
-            draining: Cell::new(false),
+            draining_since: Cell::new(None),
             started: Instant::now(),
         })
     }
@@ -86,7 +92,7 @@
 
     /// Whether the platform should send callers here.
     pub fn is_ready(&self) -> bool {
-        !self.draining.get() && self.table().is_some() && self.knows_an_engine() && self.can_pay()
+        !self.is_draining() && self.table().is_some() && self.known_engines() > 0 && self.can_pay()
     }
 
     /// A router that was started out of touch has nothing to spend; callers are better served by
@@ -95,14 +101,38 @@
         self.confirmed.get() || self.started.elapsed() > ALONE_AFTER
     }
 
+    /// Engines that take work, as far as this router knows.
+    pub fn known_engines(&self) -> usize {
+        let directory = self.directory.borrow();
+        directory.iter().filter(|record| record.notice.state == EngineState::Ready).count()
+    }
+
+    /// Requests that this router has at engines now.
+    pub fn requests_at_engines(&self) -> u64 {
+        let picker = self.picker.borrow();
+        let directory = self.directory.borrow();
+        directory.iter().map(|record| picker.in_flight(&record.notice.engine)).sum()
+    }
+
+    /// Version of the configuration that is held; zero if there is none.
+    pub fn configuration_version(&self) -> u64 {
+        self.document_version()
+    }
+
     /// Begins a planned stop.
     pub fn begin_drain(&self) {
-        self.draining.set(true);
+        self.draining_since.set(Some(Instant::now()));
     }
 
     /// Whether a planned stop has begun.
     pub fn is_draining(&self) -> bool {
-        self.draining.get()
+        self.draining_since.get().is_some()
+    }
+
+    /// Whether a planned stop has gone so far that a stream which begins now might be cut off. The
+    /// platform has had time to notice; a caller that still comes is better served elsewhere.
+    pub(crate) fn takes_no_more(&self) -> bool {
+        self.draining_since.get().is_some_and(|since| since.elapsed() >= LAST_REQUESTS)
     }
 
     /// Whether the leader was heard so lately that what it has not said is not so.
@@ -165,8 +195,4 @@
             self.confirmed.set(true);
         }
     }
-
-    fn knows_an_engine(&self) -> bool {
-        self.directory.borrow().iter().any(|record| record.notice.state == EngineState::Ready)
-    }
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -25,6 +25,8 @@
 const DEFAULT_REST: Duration = Duration::from_secs(15);
 /// Added to the rest that callers may take, for their bytes on the way.
 const REST_MARGIN: Duration = Duration::from_millis(1_000);
+/// Rest of a connection that is opened while the router stops.
+const LATE_REST: Duration = Duration::from_millis(500);
 /// How long a stopping router waits before it closes resting connections: the platform needs that
 /// long to notice that it is not ready.
 const NOTICE_TIME: Duration = Duration::from_millis(2_300);
@@ -93,12 +95,18 @@
         let _ = SockRef::from(&stream).set_tcp_nodelay(true);
         let server = self.clone();
         let service = service_fn(move |request| server.clone().answer(request));
+        let comes_late = *self.closing.borrow();
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(self.rest())
+            .header_read_timeout(if comes_late { LATE_REST } else { self.rest() })
             .max_buf_size(MAX_HEADER_BYTES)
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
+        if comes_late {
+            // One request is answered, which closes the connection.
+            let _ = connection.await;
+            return;
+        }
         let mut closing = self.closing.subscribe();
         let close = async {
             // The sender lives as long as the server.
--- /dev/null
+++ b/crates/gateway/tests/support/mod.rs
@@ -0,0 +1,416 @@
+//! A small fleet on loopback sockets: one control process, one router, two engines.
+
+use bytes::Bytes;
+use futures::StreamExt;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use stackpost_coordinator::*;
+use stackpost_gateway::*;
+use stackpost_gateway_core::*;
+use stackpost_mesh::{PeerInfo, PeerRole};
+use stackpost_types::*;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener as StdListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+
+pub const PREPAID: u64 = 10_000;
+/// Tokens of the prompt and most generated of every generation in the tests.
+pub const PROMPT: u64 = 100;
+pub const MOST_GENERATED: u64 = 50;
+pub const TOKENS_PER_EVENT: u64 = 5;
+const KEY: &str = "ferry-key";
+/// Conditions are looked at this often; a test that waits for ever is ended by its runner.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// Headers of the tests.
+struct TestDialect;
+
+impl Dialect for TestDialect {
+    fn read_request(&self, headers: &HeaderMap) -> Result<CallerRequest, UnreadableRequest> {
+        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+        let generation = headers.contains_key("generation").then_some(Generation {
+            prompt: Tokens(PROMPT),
+            most_generated: Tokens(MOST_GENERATED),
+            subject: None,
+        });
+        Ok(CallerRequest {
+            id: text("id").unwrap_or_default().into(),
+            wait: text("wait").and_then(|wait| wait.parse().ok()).map(Millis),
+            key: text("key").map(Into::into),
+            generation,
+            last_event: None,
+        })
+    }
+
+    fn address_engine(&self, headers: &mut HeaderMap, addressing: &EngineAddressing<'_>) {
+        headers.remove("key");
+        let mut set = |name: &'static str, value: String| {
+            headers.insert(name, value.parse().expect("a header value"));
+        };
+        set("engine", addressing.engine.to_string());
+        set("wait", addressing.wait.0.to_string());
+        if let Some(event) = addressing.last_event {
+            set("after", event.to_string());
+        }
+    }
+
+    fn judge_answer(
+        &self,
+        request: &CallerRequest,
+        _: StatusCode,
+        headers: &HeaderMap,
+    ) -> EngineVerdict {
+        if headers.contains_key("not-run") {
+            return EngineVerdict::NotRun;
+        }
+        match headers.get("id") {
+            Some(id) if *id == request.id => EngineVerdict::Genuine,
+            Some(_) => EngineVerdict::OtherRequest,
+            None => EngineVerdict::Unsigned,
+        }
+    }
+}
+
+/// The one configuration of the tests, whatever the document says but its version.
+struct TestDocuments;
+
+impl DocumentCodec for TestDocuments {
+    fn decode(&self, bytes: &[u8]) -> Result<RoutingConfig, ConfigError> {
+        let text = std::str::from_utf8(bytes).unwrap_or_default();
+        let version =
+            text.parse().map_err(|_| ConfigError::Unreadable("not a number".to_string()))?;
+        let route = |prefix: &str, kind, max_attempts| Route {
+            name: RouteName::new(prefix),
+            host: "ferry.example".into(),
+            path_prefix: prefix.into(),
+            kind,
+            timeout: Millis(10_000),
+            objective: Millis(4_000),
+            gap_objective: None,
+            priority: 1,
+            split: vec![Split { service: "engines".into(), weight: 1 }],
+            max_attempts,
+            public: false,
+            sticky: false,
+        };
+        let engine = EngineProfile {
+            slots: 8,
+            cache_tokens: Tokens(1_000),
+            tokens_per_event: TOKENS_PER_EVENT,
+        };
+        let service = Service { max_connections: 100, engine: Some(engine) };
+        Ok(RoutingConfig {
+            version,
+            routes: vec![
+                route("/once/", RouteKind::OnlyOnce, 2),
+                route("/again/", RouteKind::Repeatable, 2),
+                route("/stream/", RouteKind::Streaming { resumable: true }, 2),
+                route("/plain-stream/", RouteKind::Streaming { resumable: false }, 2),
+            ],
+            services: BTreeMap::from([("engines".into(), service)]),
+            limits: ClientLimits {
+                max_header_bytes: 16_384,
+                max_body_bytes: 1_000,
+                header_timeout: Millis(3_000),
+                idle_timeout: Millis(15_000),
+            },
+            tenants: Some(vec![Tenant {
+                name: "ferry".into(),
+                keys: vec![KEY.into()],
+                priority: None,
+                prepaid: Some(Tokens(PREPAID)),
+            }]),
+        })
+    }
+}
+
+/// What an engine does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Behaviour {
+    Answer,
+    /// Turns the request away.
+    Full,
+    /// Runs it and closes the connection without an answer.
+    Lose,
+    /// Runs it and answers with an error of its own.
+    Fail,
+    /// Runs it and answers another request.
+    Cross,
+    /// Breaks the answer off in its middle.
+    Break,
+    /// Runs it and says nothing.
+    Hang,
+}
+
+/// A stand-in for an engine.
+pub struct Engine {
+    pub name: BackEndName,
+    pub address: SocketAddr,
+    pub behaviour: Cell<Behaviour>,
+    /// Ids of the requests that it has run, with the event they were to go on after.
+    pub runs: RefCell<Vec<(String, Option<u64>)>>,
+    /// Keys that were shown to it.
+    pub keys_seen: Cell<usize>,
+}
+
+/// Time for the server of a stand-in to write what it has before it breaks off.
+const FLUSH_TIME: Duration = Duration::from_millis(20);
+const EVENTS: u64 = 8;
+/// Events before a break.
+const EVENTS_BEFORE_BREAK: u64 = 3;
+
+type EngineBody = http_body_util::combinators::UnsyncBoxBody<Bytes, std::io::Error>;
+
+impl Engine {
+    async fn start(name: &str) -> Rc<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("bound");
+        let engine = Rc::new(Self {
+            name: BackEndName::new(name),
+            address: listener.local_addr().expect("an address"),
+            behaviour: Cell::new(Behaviour::Answer),
+            runs: RefCell::default(),
+            keys_seen: Cell::new(0),
+        });
+        let serving = engine.clone();
+        tokio::task::spawn_local(async move {
+            loop {
+                let (stream, _) = listener.accept().await.expect("accepted");
+                let engine = serving.clone();
+                tokio::task::spawn_local(async move {
+                    let service = service_fn(move |request| engine.clone().answer(request));
+                    let _ = hyper::server::conn::http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service)
+                        .await;
+                });
+            }
+        });
+        engine
+    }
+
+    async fn answer(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<EngineBody>, std::io::Error> {
+        let text = |name: &str| {
+            let value = request.headers().get(name).and_then(|value| value.to_str().ok());
+            value.map(ToString::to_string)
+        };
+        let id = text("id").unwrap_or_default();
+        let after = text("after").and_then(|after| after.parse().ok());
+        if request.headers().contains_key("key") {
+            self.keys_seen.set(self.keys_seen.get() + 1);
+        }
+        let behaviour = self.behaviour.get();
+        if behaviour == Behaviour::Full {
+            let refusal = Response::builder().status(503).header("not-run", "1").header("id", id);
+            return Ok(refusal.body(whole("")).expect("a response"));
+        }
+        self.runs.borrow_mut().push((id.clone(), after));
+        let streams = request.uri().path().contains("stream");
+        let answered = if behaviour == Behaviour::Cross { "other".to_string() } else { id };
+        let head = Response::builder().header("id", answered).header("signature", "s");
+        let response = match behaviour {
+            Behaviour::Lose => return Err(std::io::ErrorKind::ConnectionReset.into()),
+            Behaviour::Hang => std::future::pending().await,
+            Behaviour::Fail => head.status(500).body(whole("own error")),
+            Behaviour::Break if !streams => head.header("content-length", "9").body(broken(vec![
+                Ok(Frame::data(Bytes::from_static(b"half"))),
+                Err(std::io::ErrorKind::ConnectionReset.into()),
+            ])),
+            _ if streams => head
+                .header("content-type", "text/event-stream")
+                .body(events(after.unwrap_or(0), behaviour == Behaviour::Break)),
+            _ => head.header("x-own", "kept").body(whole("an answer")),
+        };
+        Ok(response.expect("a response"))
+    }
+}
+
+fn whole(text: &'static str) -> EngineBody {
+    Full::new(Bytes::from_static(text.as_bytes())).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// Pieces go out before an error closes the connection.
+fn broken(frames: Vec<Result<Frame<Bytes>, std::io::Error>>) -> EngineBody {
+    let paced = futures::stream::iter(frames).then(|frame| async move {
+        if frame.is_err() {
+            tokio::time::sleep(FLUSH_TIME).await;
+        }
+        frame
+    });
+    StreamBody::new(paced).boxed_unsync()
+}
+
+fn events(after: u64, breaks: bool) -> EngineBody {
+    let last = if breaks { after + EVENTS_BEFORE_BREAK } else { EVENTS };
+    let mut frames: Vec<Result<Frame<Bytes>, std::io::Error>> = (after + 1..=last)
+        .map(|id| Ok(Frame::data(Bytes::from(format!("id: {id}\ndata: piece {id}\n\n")))))
+        .collect();
+    if breaks {
+        // A piece of an event that must never be passed on.
+        frames.push(Ok(Frame::data(Bytes::from(format!("id: {}\nda", last + 1)))));
+        frames.push(Err(std::io::ErrorKind::ConnectionReset.into()));
+    }
+    broken(frames)
+}
+
+/// The whole text of a stream.
+pub fn all_events() -> String {
+    (1..=EVENTS).map(|id| format!("id: {id}\ndata: piece {id}\n\n")).collect()
+}
+
+/// What a caller gets.
+#[derive(Debug)]
+pub struct Got {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    /// The body, if it came in whole.
+    pub body: Result<String, String>,
+}
+
+/// The fleet.
+pub struct Fleet {
+    pub router: Rc<Router>,
+    pub link: Rc<FleetLink>,
+    pub server: Rc<Server>,
+    pub control: ControlNode,
+    pub engines: [Rc<Engine>; 2],
+    pub callers: SocketAddr,
+    _folder: tempfile::TempDir,
+}
+
+fn free_address() -> SocketAddr {
+    let listener = StdListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bound");
+    listener.local_addr().expect("an address")
+}
+
+fn peer(role: PeerRole, machine: &str, listens_at: SocketAddr) -> PeerInfo {
+    let incarnation = Incarnation(rand::random());
+    let node = NodeId { machine: MachineName::new(machine), incarnation };
+    PeerInfo { node, role, zone: "hall".into(), listens_at }
+}
+
+/// Waits until `condition` holds.
+pub async fn wait_until(mut condition: impl FnMut() -> bool) {
+    while !condition() {
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+impl Fleet {
+    /// Starts everything and waits until the router is ready.
+    pub async fn start() -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mesh = free_address();
+        let name = MachineName::new(IpAddr::from(Ipv4Addr::LOCALHOST).to_string());
+        let config = ReplicaConfig {
+            name: name.clone(),
+            founders: Some(vec![name.clone()]),
+            fresh_identity: 5,
+            election_timeout: Millis(300),
+            heartbeat_interval: Millis(50),
+            lease_margin: Millis(50),
+            voters_wanted: 1,
+            seed: 1,
+            codec: Arc::new(TestDocuments),
+        };
+        let (replica, effects) = ReplicaThread::start(config, folder.path()).expect("started");
+        let settings = ControlSettings { mesh_address: mesh, seeds: vec![mesh] };
+        let own = peer(PeerRole::Control, name.as_str(), mesh);
+        let control = ControlNode::start(own, settings, replica, effects).await.expect("started");
+        let retry_limits = RetryLimits { permille: 200, extra: 200, window: Millis(10_000) };
+        let router = Router::new(
+            RouterSettings { zone: "hall".into(), retry_limits },
+            Box::new(TestDialect),
+            Arc::new(TestDocuments),
+        );
+        let own = peer(PeerRole::Router, "router", free_address());
+        let link = FleetLink::start(own, router.clone(), &[mesh]).await.expect("started");
+        let callers = free_address();
+        let server = serve_callers(router.clone(), callers).await.expect("started");
+        let engines = [Engine::start("e1").await, Engine::start("e2").await];
+        let fleet = Self { router, link, server, control, engines, callers, _folder: folder };
+        fleet.make_ready().await;
+        fleet
+    }
+
+    async fn make_ready(&self) {
+        while self.control.put_document(b"1".as_slice().into()).await != PutReply::Taken {
+            tokio::time::sleep(LOOK).await;
+        }
+        for engine in &self.engines {
+            self.announce(engine, 1, EngineState::Ready);
+        }
+        let router = self.router.clone();
+        wait_until(|| router.is_ready() && router.in_touch()).await;
+        // The first request brings both engines to the router's knowledge for certain.
+        wait_until(|| self.router.known_engines() == self.engines.len()).await;
+    }
+
+    pub fn announce(&self, engine: &Engine, sequence: u64, state: EngineState) {
+        self.control.announce(EngineNotice {
+            engine: engine.name.clone(),
+            sequence,
+            service: "engines".into(),
+            address: engine.address,
+            zone: "hall".into(),
+            slots: 8,
+            state,
+            age: Millis(0),
+        });
+    }
+
+    pub fn behave(&self, first: Behaviour, second: Behaviour) {
+        self.engines[0].behaviour.set(first);
+        self.engines[1].behaviour.set(second);
+    }
+
+    /// Runs at both engines.
+    pub fn runs(&self) -> usize {
+        self.engines.iter().map(|engine| engine.runs.borrow().len()).sum()
+    }
+
+    /// Asks as a caller does, over a connection of its own.
+    pub async fn ask(&self, path: &str, id: &str) -> Got {
+        self.ask_with(path, &[("id", id), ("key", KEY)]).await
+    }
+
+    /// Asks for a generation, which costs tokens.
+    pub async fn generate(&self, id: &str) -> Got {
+        self.ask_with("/stream/1", &[("id", id), ("key", KEY), ("generation", "1")]).await
+    }
+
+    pub async fn ask_with(&self, path: &str, headers: &[(&str, &str)]) -> Got {
+        let stream = TcpStream::connect(self.callers).await.expect("connected");
+        let (mut sender, connection) =
+            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.expect("connected");
+        let driver = tokio::task::spawn_local(connection);
+        let mut request = Request::builder().uri(path).header("host", "ferry.example");
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(Bytes::new())).expect("a request");
+        let response = sender.send_request(request).await.expect("an answer");
+        let (head, body) = response.into_parts();
+        let body = match body.collect().await {
+            Ok(body) => Ok(String::from_utf8_lossy(&body.to_bytes()).into_owned()),
+            Err(error) => Err(error.to_string()),
+        };
+        driver.abort();
+        Got { status: head.status, headers: head.headers, body }
+    }
+}
+
+/// Runs a test inside a runtime of one thread.
+pub fn play<F: Future<Output = ()>>(test: F) {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
--- a/crates/prepaid/src/policy.rs
+++ b/crates/prepaid/src/policy.rs
@@ -7,7 +7,7 @@
 use crate::ledger::{Grant, Pace, PrepaidLedger};
 use serde::{Deserialize, Serialize};
 use stackpost_types::{Millis, NodeId, TenantName, Tokens};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Demand that the hand covers; a request that does not fit asks for what it lacks.
 const HAND_TIME: Millis = Millis(1_200);
@@ -24,6 +24,19 @@
 /// Part of what nobody holds that one grant may take for future demand, in thousandths.
 const GRANT_PERMILLE: u64 = 400;
 
+/// Part of every limit, in thousandths, that is handed out last, in small amounts and for cheap
+/// requests only. No reserve is made of it, so no fault strands it: a tenant near the end of its
+/// budget is still served something afterwards.
+const LAST_PERMILLE: u64 = 25;
+/// Part of every limit, in thousandths, that is never handed out: a margin for what an engine may
+/// count beyond what it was seen to hand out.
+const WITHHELD_PERMILLE: u64 = 5;
+/// A budget is scarce when only its last part is left and the routers hold less than this part of
+/// the limit, in thousandths.
+const SCARCE_HELD_PERMILLE: u64 = 15;
+/// What a router holds of a scarce budget, in thousandths of the limit.
+const SCARCE_HAND_PERMILLE: u64 = 2;
+
 /// What a router says about one tenant's budget.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AccountReport {
@@ -57,6 +70,8 @@
     pub grants: Vec<Grant>,
     /// To be asked of routers.
     pub recalls: Vec<Recall>,
+    /// Tenants whose budgets are so low that only cheap requests should draw on them.
+    pub scarce: BTreeSet<TenantName>,
 }
 
 /// One router's part in a tenant's budget.
@@ -78,27 +93,51 @@
     held: Tokens,
 }
 
-/// Plans a round over the routers that have reported. `withheld_permille` of every limit is never
-/// handed out.
+/// Plans a round over the routers that have reported.
 pub fn plan(
     ledger: &PrepaidLedger,
     reports: &BTreeMap<NodeId, BTreeMap<TenantName, AccountReport>>,
-    withheld_permille: u64,
 ) -> Plan {
     let mut plan = Plan::default();
     for (tenant, limit) in ledger.tenants() {
-        let pool = ledger.available(tenant) - limit.scaled(withheld_permille, 1_000);
+        let available = ledger.available(tenant) - limit.scaled(WITHHELD_PERMILLE, 1_000);
+        let pool = available - limit.scaled(LAST_PERMILLE, 1_000);
         let shares: Vec<Share<'_>> = reports
             .iter()
             .filter_map(|(holder, accounts)| {
                 Some(share(ledger, holder, tenant, *accounts.get(tenant)?))
             })
             .collect();
-        plan_tenant(tenant, pool, &shares, &mut plan);
+        let held: Tokens = shares.iter().map(|share| share.held).sum();
+        if pool.is_zero() && held < limit.scaled(SCARCE_HELD_PERMILLE, 1_000) {
+            plan.scarce.insert(tenant.clone());
+            plan_scarce(tenant, limit, available, &shares, &mut plan);
+        } else {
+            plan_tenant(tenant, pool, &shares, &mut plan);
+        }
     }
     plan
 }
 
+/// Hands out the last part of a budget, a little at a time.
+fn plan_scarce(
+    tenant: &TenantName,
+    limit: Tokens,
+    available: Tokens,
+    shares: &[Share<'_>],
+    plan: &mut Plan,
+) {
+    let mut left = available;
+    for share in shares {
+        let hand = limit.scaled(SCARCE_HAND_PERMILLE, 1_000).min(left);
+        let target = Target { hand, held: hand };
+        if let Some(grant) = grant(tenant, share, &target, left) {
+            left = left - grant.amount;
+            plan.grants.push(grant);
+        }
+    }
+}
+
 fn share<'a>(
     ledger: &PrepaidLedger,
     holder: &'a NodeId,
--- a/crates/prepaid/src/wallet.rs
+++ b/crates/prepaid/src/wallet.rs
@@ -6,6 +6,11 @@
 use stackpost_types::{Millis, TenantName, Timestamp, Tokens};
 use std::collections::BTreeMap;
 
+/// Weight of the mean against the newest amount.
+const MEAN_KEPT: u64 = 31;
+/// A request is cheap if it costs at most this part of the mean, in thousandths.
+const CHEAP_PERMILLE: u64 = 500;
+
 /// A reservation that does not fit what the router may spend now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shortfall {
@@ -21,6 +26,8 @@
     /// Largest amount asked for and not yet covered.
     wanted: Tokens,
     largest: Tokens,
+    /// Mean of the amounts asked for of late.
+    mean: Tokens,
     demand: DemandRate,
 }
 
@@ -29,6 +36,13 @@
         self.spent + self.reserved
     }
 
+    fn note_amount(&mut self, amount: Tokens) {
+        self.mean = match self.mean {
+            Tokens::ZERO => amount,
+            mean => mean.scaled(MEAN_KEPT, MEAN_KEPT + 1) + amount.scaled(1, MEAN_KEPT + 1),
+        };
+    }
+
     /// What the hand has left.
     fn hand_left(&self) -> Tokens {
         self.allotment.hand - self.allotment.returned - self.used()
@@ -72,9 +86,17 @@
         let account = self.accounts.entry(tenant.clone()).or_default();
         account.demand.note(now, amount);
         account.largest = account.largest.max(amount);
+        account.note_amount(amount);
         self.retry_reserve(now, tenant, amount)
     }
 
+    /// Whether a request costs clearly less than most of the tenant's. Notes its demand, too.
+    pub fn is_cheap(&mut self, tenant: &TenantName, amount: Tokens) -> bool {
+        let account = self.accounts.entry(tenant.clone()).or_default();
+        account.note_amount(amount);
+        amount <= account.mean.scaled(CHEAP_PERMILLE, 1_000)
+    }
+
     /// Tries again for a request whose demand has been noted before.
     pub fn retry_reserve(
         &mut self,
--- a/crates/prepaid/tests/escrow.rs
+++ b/crates/prepaid/tests/escrow.rs
@@ -145,7 +145,7 @@
             }
             reports.insert(life.node.clone(), accounts);
         }
-        let plan = if grants { plan(&self.ledger, &reports, 5) } else { Plan::default() };
+        let plan = if grants { plan(&self.ledger, &reports) } else { Plan::default() };
         for grant in &plan.grants {
             self.ledger.allot(grant);
         }
