Figures of a router by OpenTelemetry, at the readiness address

Cause: an on-call engineer had logs only. Change: counters, a histogram and gauges with bounded labels at /metrics beside the readiness answer.

--- a/crates/gateway-core/src/picker.rs
+++ b/crates/gateway-core/src/picker.rs
@@ -65,6 +65,20 @@
     pub tie_breaker: u64,
 }
 
+impl AttemptEnd {
+    /// The end as it stands in logs and figures.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::EngineError => "engine_error",
+            Self::Full => "full",
+            Self::Unreachable => "unreachable",
+            Self::Broken => "broken",
+            Self::Abandoned => "abandoned",
+        }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Health {
     in_flight: u64,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -94,6 +94,7 @@
     fn end(&mut self, end: AttemptEnd) {
         if !std::mem::replace(&mut self.ended, true) {
             let now = self.router.now();
+            self.router.metrics.on_attempt_end(end);
             self.router.picker.borrow_mut().on_end(now, &self.engine, end);
         }
     }
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -21,8 +21,8 @@
 const SIGN_INTERVAL: Duration = Duration::from_millis(450);
 /// All accounts are reported again after so long, whether they have changed or not.
 const FULL_REPORT_INTERVAL: Duration = Duration::from_millis(400);
-/// Time between two rounds of forgetting engines that are gone.
-const FORGET_INTERVAL: Duration = Duration::from_secs(5);
+/// Time between two rounds of forgetting engines that are gone and of taking figures.
+const FORGET_INTERVAL: Duration = Duration::from_secs(2);
 /// Time between two tries to say farewell.
 const FAREWELL_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -162,7 +162,12 @@
                     self.report();
                     self.deliver_custody();
                 }
-                _ = forget.tick() => self.forget_old(),
+                _ = forget.tick() => {
+                    self.forget_old();
+                    let router = &self.router;
+                    let engines = router.known_engines();
+                    router.metrics.on_look(router.document_version(), router.in_touch(), engines);
+                }
             }
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod engine_pool;
 mod fleet_link;
 mod machine_clock;
+mod metrics;
 mod refusal;
 mod relay;
 mod request;
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,93 @@
+//! Figures of a router, by OpenTelemetry under the usual Prometheus names. Label sets are bounded:
+//! reasons and ends are enumerations, nothing comes from a request.
+
+use crate::refusal::Refusal;
+use stackpost_gateway_core::AttemptEnd;
+use stackpost_telemetry::{Counter, Gauge, Histogram, KeyValue, Meter};
+use std::time::Duration;
+
+/// Upper bounds of the buckets for times, in seconds.
+const TIME_BUCKETS: [f64; 10] = [0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 4.0, 15.0];
+
+/// The instruments of a router.
+pub(crate) struct RouterMetrics {
+    answered: Counter<u64>,
+    refused: Counter<u64>,
+    attempts: Counter<u64>,
+    resumed: Counter<u64>,
+    broken_off: Counter<u64>,
+    tokens: Counter<u64>,
+    head_seconds: Histogram<f64>,
+    configuration_version: Gauge<u64>,
+    in_touch: Gauge<u64>,
+    engines: Gauge<u64>,
+}
+
+impl RouterMetrics {
+    /// Makes the instruments.
+    pub fn new(meter: &Meter) -> Self {
+        let counter = |name: &'static str, help: &'static str| {
+            meter.u64_counter(name).with_description(help).build()
+        };
+        let gauge = |name: &'static str, help: &'static str| {
+            meter.u64_gauge(name).with_description(help).build()
+        };
+        Self {
+            answered: counter("stackpost_requests_answered", "Requests with an engine's answer"),
+            refused: counter("stackpost_requests_refused", "Requests refused, by reason"),
+            attempts: counter(
+                "stackpost_engine_attempts",
+                "Requests sent to engines, by their end",
+            ),
+            resumed: counter("stackpost_streams_resumed", "Streams taken up at another engine"),
+            broken_off: counter("stackpost_streams_broken_off", "Streams that broke off"),
+            tokens: counter("stackpost_tokens_spent", "Tokens settled against prepaid budgets"),
+            head_seconds: meter
+                .f64_histogram("stackpost_request_head_seconds")
+                .with_description("Time from a request's arrival to the head of its answer")
+                .with_boundaries(TIME_BUCKETS.to_vec())
+                .build(),
+            configuration_version: gauge("stackpost_configuration_version", "Configuration held"),
+            in_touch: gauge("stackpost_in_touch", "1 while a leader is heard"),
+            engines: gauge("stackpost_engines_ready", "Engines that take work"),
+        }
+    }
+
+    /// An engine's answer goes to the caller.
+    pub fn on_answer(&self, time_to_head: Duration) {
+        self.answered.add(1, &[]);
+        self.head_seconds.record(time_to_head.as_secs_f64(), &[]);
+    }
+
+    /// A request is refused.
+    pub fn on_refusal(&self, refusal: Refusal) {
+        self.refused.add(1, &[KeyValue::new("reason", refusal.code())]);
+    }
+
+    /// An attempt has ended.
+    pub fn on_attempt_end(&self, end: AttemptEnd) {
+        self.attempts.add(1, &[KeyValue::new("end", end.as_str())]);
+    }
+
+    /// A stream is taken up at another engine.
+    pub fn on_resumed(&self) {
+        self.resumed.add(1, &[]);
+    }
+
+    /// A stream broke off.
+    pub fn on_broken_off(&self) {
+        self.broken_off.add(1, &[]);
+    }
+
+    /// Tokens are settled.
+    pub fn on_settled(&self, tokens: u64) {
+        self.tokens.add(tokens, &[]);
+    }
+
+    /// What the router believes, now and then.
+    pub fn on_look(&self, configuration_version: u64, in_touch: bool, engines: usize) {
+        self.configuration_version.record(configuration_version, &[]);
+        self.in_touch.record(u64::from(in_touch), &[]);
+        self.engines.record(engines as u64, &[]);
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -191,6 +191,7 @@
     async fn resume(&mut self) -> Option<StreamSource> {
         let last_event = self.last_event?;
         self.progress.may_have_run = true;
+        self.context.router.metrics.on_resumed();
         while self.context.may_go_on(&self.progress) {
             let engine = self.context.next_engine(&self.progress)?;
             log::info!(
@@ -222,6 +223,7 @@
     }
 
     async fn break_off(self, reason: &str) {
+        self.context.router.metrics.on_broken_off();
         log::info!(
             request = self.context.payload.caller.id.as_str(),
             reason = reason;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -79,9 +79,14 @@
         }
     };
     let id = caller.id.clone();
+    let recorded_by = router.clone();
     match answer(router, head, body, caller, arrived).await {
-        Ok(response) => response,
+        Ok(response) => {
+            recorded_by.metrics.on_answer(arrived.elapsed());
+            response
+        }
         Err(refusal) => {
+            recorded_by.metrics.on_refusal(refusal);
             log::info!(
                 request = id.as_str(),
                 reason = refusal.code(),
--- a/crates/gateway/src/reservation.rs
+++ b/crates/gateway/src/reservation.rs
@@ -93,6 +93,7 @@
     fn drop(&mut self) {
         let most = self.generation.most();
         let used = self.used();
+        self.router.metrics.on_settled(used.0);
         self.router.wallet.borrow_mut().settle(&self.tenant, most, used);
         if used < most {
             self.router.wallet_grown.notify_waiters();
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -2,11 +2,13 @@
 
 use crate::dialect::Dialect;
 use crate::engine_pool::EnginePool;
+use crate::metrics::RouterMetrics;
 use stackpost_coordinator::{Document, DocumentCodec, DocumentDelta};
 use stackpost_gateway_core::{
     EngineDirectory, EnginePicker, EngineState, RetryBudget, RetryLimits, RouteTable,
 };
 use stackpost_prepaid::Wallet;
+use stackpost_telemetry::Meter;
 use stackpost_types::{Millis, TenantName, Timestamp, ZoneName};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -39,6 +41,7 @@
 pub struct Router {
     pub(crate) dialect: Box<dyn Dialect>,
     pub(crate) codec: Arc<dyn DocumentCodec>,
+    pub(crate) metrics: RouterMetrics,
     pub(crate) pool: EnginePool,
     pub(crate) directory: RefCell<EngineDirectory>,
     pub(crate) picker: RefCell<EnginePicker>,
@@ -64,10 +67,12 @@
         settings: RouterSettings,
         dialect: Box<dyn Dialect>,
         codec: Arc<dyn DocumentCodec>,
+        meter: &Meter,
     ) -> Rc<Self> {
         Rc::new(Self {
             dialect,
             codec,
+            metrics: RouterMetrics::new(meter),
             pool: EnginePool::default(),
             directory: RefCell::default(),
             picker: RefCell::new(EnginePicker::new(settings.zone)),
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -330,6 +330,7 @@
             RouterSettings { zone: "hall".into(), retry_limits },
             Box::new(TestDialect),
             Arc::new(TestDocuments),
+            &stackpost_telemetry::MetricsRegistry::new().expect("a registry").meter(),
         );
         let own = peer(PeerRole::Router, "router", free_address());
         let link = FleetLink::start(own, router.clone(), &[mesh]).await.expect("started");
