--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -243,6 +243,10 @@
             FleetMessage::Document(_)
             | FleetMessage::DocumentDelta(_)
             | FleetMessage::RouterPeers(_)
+            | FleetMessage::Borrow { .. }
+            | FleetMessage::BorrowReply { .. }
+            | FleetMessage::SettleLoan { .. }
+            | FleetMessage::Alive
             | FleetMessage::Scarce(_)
             | FleetMessage::Allotted(_)
             | FleetMessage::Recall(_)
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -89,6 +89,31 @@
     /// From a router that stops out of touch to another one, and from that one to the leader: what
     /// the first has spent.
     Custody(NodeId, BTreeMap<TenantName, Tokens>),
+    /// From a router to another one: reserve tokens in your wallet for a request of mine.
+    Borrow {
+        /// Names the loan.
+        token: u64,
+        /// The tenant.
+        tenant: TenantName,
+        /// How many tokens.
+        amount: Tokens,
+    },
+    /// Answer to `Borrow`.
+    BorrowReply {
+        /// Names the loan.
+        token: u64,
+        /// Whether the tokens are reserved.
+        granted: bool,
+    },
+    /// From the borrower: the request has ended.
+    SettleLoan {
+        /// Names the loan.
+        token: u64,
+        /// What it used.
+        used: Tokens,
+    },
+    /// Between routers that have a connection: I am here.
+    Alive,
     /// From control to a router: where other routers accept connections of the fleet.
     RouterPeers(Vec<SocketAddr>),
 }
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -1,5 +1,6 @@
 //! Keeps a router's knowledge up to date over the connections of the fleet.
 
+use crate::loans::{Loan, LoanCommand, Loans};
 use crate::machine_clock::machine_time;
 use crate::router::Router;
 use stackpost_coordinator::{ClockEcho, ControlStatus, FleetMessage, RouterStatus};
@@ -52,6 +53,7 @@
     /// Other routers, to be dialed only when this one stops out of touch.
     peers: RefCell<Vec<SocketAddr>>,
     peer_links: RefCell<BTreeSet<LinkId>>,
+    loans: Loans,
     /// What routers that stopped out of touch have spent, to be passed on to the leader.
     custody: RefCell<BTreeMap<NodeId, Custody>>,
     stopped: Cell<bool>,
@@ -83,11 +85,13 @@
             farewell_taken: Notify::new(),
             peers: RefCell::default(),
             peer_links: RefCell::default(),
+            loans: Loans::default(),
             custody: RefCell::default(),
             stopped: Cell::new(false),
         });
         link.add_seeds(seeds);
-        tokio::task::spawn_local(link.clone().run(events));
+        let loan_commands = link.router.loan_desk.open();
+        tokio::task::spawn_local(link.clone().run(events, loan_commands));
         Ok(link)
     }
 
@@ -114,6 +118,67 @@
         }
     }
 
+    fn on_loan_command(&self, command: LoanCommand) {
+        match command {
+            LoanCommand::Ask { tenant, amount, reply } => {
+                self.loans.ask(tenant, amount, reply);
+                for peer in self.peers.borrow().iter() {
+                    self.mesh.dial(*peer);
+                }
+                self.ask_for_loans();
+            }
+            LoanCommand::Settle { loan, used } => self.settle(loan, used),
+        }
+    }
+
+    fn settle(&self, loan: Loan, used: Tokens) {
+        self.mesh.send(loan.lender, &FleetMessage::SettleLoan { token: loan.token, used });
+    }
+
+    /// Sends what requests want to ask. Connections may still be coming up.
+    fn ask_for_loans(&self) {
+        let peers = self.peer_links.borrow();
+        let more_may_come = peers.len() < self.peers.borrow().len();
+        for question in self.loans.questions(&peers, more_may_come) {
+            let (token, tenant, amount) = (question.token, question.tenant, question.amount);
+            self.mesh.send(question.to, &FleetMessage::Borrow { token, tenant, amount });
+        }
+    }
+
+    fn on_borrow_reply(&self, lender: LinkId, token: u64, granted: bool) {
+        if let Some(unwanted) = self.loans.on_reply(lender, token, granted) {
+            self.settle(unwanted, Tokens::ZERO);
+        }
+        if self.loans.is_wanted() {
+            self.ask_for_loans();
+        }
+    }
+
+    fn lend(&self, borrower: LinkId, token: u64, tenant: TenantName, amount: Tokens) {
+        let now = self.router.now();
+        let reserved = self.router.wallet.borrow_mut().retry_reserve(now, &tenant, amount);
+        let granted = reserved.is_ok() && !self.stopped.get();
+        if granted {
+            self.loans.on_lent(borrower, token, tenant, amount);
+        } else if reserved.is_ok() {
+            self.router.wallet.borrow_mut().settle(&tenant, amount, Tokens::ZERO);
+        }
+        self.mesh.send(borrower, &FleetMessage::BorrowReply { token, granted });
+    }
+
+    fn on_loan_settled(&self, borrower: LinkId, token: u64, used: Tokens) {
+        if let Some((tenant, amount)) = self.loans.on_settled(borrower, token) {
+            self.router.wallet.borrow_mut().settle(&tenant, amount, used);
+        }
+    }
+
+    /// Whoever borrowed over this connection can't say any more what was used.
+    fn on_peer_down(&self, link: LinkId) {
+        for (tenant, amount) in self.loans.on_down(link) {
+            self.router.wallet.borrow_mut().settle(&tenant, amount, amount);
+        }
+    }
+
     /// To the leader, or out of touch to other routers, which pass it on.
     fn send_farewell(&self, used: &BTreeMap<TenantName, Tokens>) {
         if let Some(leader) = self.leader.get().filter(|_| self.router.in_touch()) {
@@ -150,13 +215,18 @@
         });
     }
 
-    async fn run(self: Rc<Self>, mut events: mpsc::UnboundedReceiver<LinkEvent<FleetMessage>>) {
+    async fn run(
+        self: Rc<Self>,
+        mut events: mpsc::UnboundedReceiver<LinkEvent<FleetMessage>>,
+        mut loan_commands: mpsc::UnboundedReceiver<LoanCommand>,
+    ) {
         let mut reports = interval(REPORT_INTERVAL);
         reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut forget = interval(FORGET_INTERVAL);
         loop {
             tokio::select! {
                 Some(event) = events.recv() => self.on_event(event),
+                Some(command) = loan_commands.recv() => self.on_loan_command(command),
                 () = self.router.wallet_short.notified() => self.report(),
                 _ = reports.tick() => {
                     self.report();
@@ -176,6 +246,7 @@
         match event {
             LinkEvent::Up { link, peer, .. } if peer.role == PeerRole::Router => {
                 self.peer_links.borrow_mut().insert(link);
+                self.ask_for_loans();
             }
             LinkEvent::Up { link, peer, .. } => {
                 log::info!(peer = peer.node.to_string().as_str(); "control connected");
@@ -184,6 +255,7 @@
             }
             LinkEvent::Down { link } => {
                 self.peer_links.borrow_mut().remove(&link);
+                self.on_peer_down(link);
                 if self.links.borrow_mut().remove(&link) {
                     log::info!("control disconnected");
                 }
@@ -217,9 +289,19 @@
             }
             FleetMessage::FarewellTaken => self.farewell_taken.notify_one(),
             FleetMessage::Custody(router, spent) => self.on_custody(link, router, spent),
+            FleetMessage::Borrow { token, tenant, amount } => {
+                self.lend(link, token, tenant, amount);
+            }
+            FleetMessage::BorrowReply { token, granted } => {
+                self.on_borrow_reply(link, token, granted);
+            }
+            FleetMessage::SettleLoan { token, used } => self.on_loan_settled(link, token, used),
             FleetMessage::Scarce(tenants) => *self.router.scarce.borrow_mut() = tenants,
             FleetMessage::RouterPeers(peers) => *self.peers.borrow_mut() = peers,
-            FleetMessage::Raft(_) | FleetMessage::RouterStatus(_) | FleetMessage::Farewell(_) => {}
+            FleetMessage::Raft(_)
+            | FleetMessage::Alive
+            | FleetMessage::RouterStatus(_)
+            | FleetMessage::Farewell(_) => {}
         }
     }
 
@@ -277,6 +359,7 @@
             links.into_iter().filter(|link| Some(*link) != leader).for_each(|link| {
                 self.send_sign(link);
             });
+            self.mesh.send_all(self.peer_links.borrow().clone(), &FleetMessage::Alive);
         }
         let Some(leader) = leader.filter(|_| !self.stopped.get()) else {
             return;
--- a/crates/gateway/src/reservation.rs
+++ b/crates/gateway/src/reservation.rs
@@ -1,6 +1,7 @@
 //! Tokens set aside for one request.
 
 use crate::dialect::Generation;
+use crate::loans::Loan;
 use crate::refusal::Refusal;
 use crate::router::Router;
 use stackpost_types::{TenantName, Tokens};
@@ -17,6 +18,8 @@
     generation: Generation,
     tokens_per_event: u64,
     events: Cell<u64>,
+    /// Set if another router has reserved the tokens.
+    loan: Option<Loan>,
     usage: Cell<Usage>,
 }
 
@@ -43,15 +46,17 @@
         let most = generation.most();
         let now = router.now();
         let first = router.wallet.borrow_mut().reserve(now, tenant, most);
-        if first.is_err() {
-            wait_for_tokens(router, tenant, most, wait_until).await?;
-        }
+        let loan = match first {
+            Ok(()) => None,
+            Err(_) => wait_for_tokens(router, tenant, most, wait_until).await?,
+        };
         Ok(Self {
             router: router.clone(),
             tenant: tenant.clone(),
             generation,
             tokens_per_event,
             events: Cell::new(0),
+            loan,
             usage: Cell::new(Usage::None),
         })
     }
@@ -94,6 +99,9 @@
         let most = self.generation.most();
         let used = self.used();
         self.router.metrics.on_settled(used.0);
+        if let Some(loan) = self.loan {
+            return self.router.loan_desk.settle(loan, used);
+        }
         self.router.wallet.borrow_mut().settle(&self.tenant, most, used);
         if used < most {
             self.router.wallet_grown.notify_waiters();
@@ -109,19 +117,23 @@
     tenant: &TenantName,
     most: Tokens,
     wait_until: Instant,
-) -> Result<(), Refusal> {
+) -> Result<Option<Loan>, Refusal> {
     loop {
-        // Out of touch nobody can hand out more, so waiting would only delay the answer.
-        if !router.in_touch() || Instant::now() >= wait_until {
+        if Instant::now() >= wait_until {
             return Err(Refusal::BudgetExhausted);
         }
+        // Out of touch the leader can't hand out more, but other routers may have some.
+        if !router.in_touch() {
+            let loan = timeout_at(wait_until, router.loan_desk.ask(tenant, most)).await;
+            return loan.ok().flatten().map(Some).ok_or(Refusal::BudgetExhausted);
+        }
         let grown = router.wallet_grown.notified();
         router.wallet_short.notify_one();
         let next_try = wait_until.min(Instant::now() + RETRY_INTERVAL);
         // Whether it was rung or not, the wallet decides.
         let _ = timeout_at(next_try, grown).await;
         if router.wallet.borrow_mut().retry_reserve(router.now(), tenant, most).is_ok() {
-            return Ok(());
+            return Ok(None);
         }
     }
 }
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -2,6 +2,7 @@
 
 use crate::dialect::Dialect;
 use crate::engine_pool::EnginePool;
+use crate::loans::LoanDesk;
 use crate::metrics::RouterMetrics;
 use stackpost_coordinator::{Document, DocumentCodec, DocumentDelta};
 use stackpost_gateway_core::{
@@ -49,6 +50,7 @@
     pub(crate) retry_budget: RefCell<RetryBudget>,
     /// Tenants whose budgets are scarce, by the leader's word.
     pub(crate) scarce: RefCell<BTreeSet<TenantName>>,
+    pub(crate) loan_desk: LoanDesk,
     /// Rung when the wallet has grown.
     pub(crate) wallet_grown: Notify,
     /// Rung when a request does not fit the wallet.
@@ -79,6 +81,7 @@
             wallet: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(settings.retry_limits, ROUTERS_ASSUMED)),
             scarce: RefCell::default(),
+            loan_desk: LoanDesk::default(),
             wallet_grown: Notify::new(),
             wallet_short: Notify::new(),
             document: RefCell::default(),
