Tell routers of engines only what is new

Change: signs of life stay among control processes; routers hear of changes and of engines that nobody has heard for 4.5 s. An engine silent for three minutes is taken for gone.

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -44,6 +44,8 @@
 
 struct State {
     directory: EngineDirectory,
+    /// Engines that have not been announced of late.
+    silent: BTreeSet<BackEndName>,
     /// Engines announced since the last status.
     refreshed: BTreeSet<BackEndName>,
     links: BTreeMap<LinkId, Link>,
@@ -79,6 +81,7 @@
         mesh.listen(settings.mesh_address).await?;
         let state = State {
             directory: EngineDirectory::default(),
+            silent: BTreeSet::new(),
             refreshed: BTreeSet::new(),
             links: BTreeMap::new(),
             control_peers: BTreeSet::new(),
@@ -215,6 +218,10 @@
         self.state.borrow_mut().links.insert(link, entry);
         let notices = self.state.borrow().directory.notices(self.now());
         self.mesh.send(link, &FleetMessage::Engines(notices));
+        if role == PeerRole::Router {
+            let silent = self.state.borrow().silent.clone();
+            self.mesh.send(link, &FleetMessage::SilentEngines(silent));
+        }
         self.mesh.send(link, &FleetMessage::ControlStatus(self.status()));
         match role {
             PeerRole::Control => self.tell_control_peers(),
@@ -243,6 +250,7 @@
             FleetMessage::Document(_)
             | FleetMessage::DocumentDelta(_)
             | FleetMessage::RouterPeers(_)
+            | FleetMessage::SilentEngines(_)
             | FleetMessage::Borrow { .. }
             | FleetMessage::BorrowReply { .. }
             | FleetMessage::SettleLoan { .. }
@@ -369,7 +377,20 @@
             })
             .collect();
         if !refreshed.is_empty() {
-            self.mesh.send_all(state.links_to_everyone(), &FleetMessage::Engines(refreshed));
+            let message = FleetMessage::Engines(refreshed);
+            self.mesh.send_all(state.links_to(PeerRole::Control), &message);
+        }
+        let silent = state.directory.silent_engines(now);
+        if silent != state.silent {
+            state.silent = silent;
+            let message = FleetMessage::SilentEngines(state.silent.clone());
+            self.mesh.send_all(state.links_to(PeerRole::Router), &message);
+        }
+        let given_up = state.directory.given_up(now);
+        let notices: Vec<EngineNotice> =
+            given_up.iter().map(|engine| state.directory.leave(now, engine)).collect();
+        if !notices.is_empty() {
+            self.mesh.send_all(state.links_to_everyone(), &FleetMessage::Engines(notices));
         }
         state.directory.forget_old(now);
     }
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -5,7 +5,7 @@
 use stackpost_consensus::Envelope;
 use stackpost_gateway_core::EngineNotice;
 use stackpost_prepaid::{AccountReport, Allotment, Contact};
-use stackpost_types::{NodeId, TenantName, Timestamp, Tokens};
+use stackpost_types::{BackEndName, NodeId, TenantName, Timestamp, Tokens};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -72,8 +72,10 @@
     Document(Document),
     /// From a control replica to a router that holds the version it is based on.
     DocumentDelta(DocumentDelta),
-    /// From a control replica to everyone.
+    /// From a control replica: to other ones what it has heard, to routers only what is new.
     Engines(Vec<EngineNotice>),
+    /// From a control replica to routers: engines that it has not heard of late.
+    SilentEngines(BTreeSet<BackEndName>),
     /// From a router to control.
     RouterStatus(RouterStatus),
     /// From the leader to a router: what it has been handed in all.
--- a/crates/gateway-core/src/directory.rs
+++ b/crates/gateway-core/src/directory.rs
@@ -6,11 +6,15 @@
 
 use serde::{Deserialize, Serialize};
 use stackpost_types::{BackEndName, Millis, ServiceName, Timestamp, ZoneName};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// How long an engine that has left is remembered, so that late notices do not revive it.
 const REMEMBER_GONE: Millis = Millis(180_000);
+/// An engine that was announced longer ago than this may be gone.
+const SILENCE_LIMIT: Millis = Millis(4_500);
+/// An engine that has been silent for so long is taken for gone.
+const GIVE_UP_AFTER: Millis = Millis(180_000);
 
 /// What an engine says about taking work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -79,6 +83,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct EngineDirectory {
     engines: BTreeMap<BackEndName, EngineRecord>,
+    /// Engines that have not been announced of late, by the word of control.
+    silent: BTreeSet<BackEndName>,
 }
 
 impl EngineDirectory {
@@ -98,7 +104,7 @@
             Some(_) => Merge::Changed,
         };
         if change == Merge::Changed {
-            self.replace_at_address(&notice);
+            self.replace_at_address(now, &notice);
         }
         self.engines.insert(notice.engine.clone(), EngineRecord { notice, announced_at });
         change
@@ -120,13 +126,14 @@
 
     /// An engine that is announced for the first time at an address has taken the place of
     /// whichever had it before.
-    fn replace_at_address(&mut self, notice: &EngineNotice) {
+    fn replace_at_address(&mut self, now: Timestamp, notice: &EngineNotice) {
         if notice.state == EngineState::Gone || self.engines.contains_key(&notice.engine) {
             return;
         }
         for record in self.engines.values_mut() {
-            if record.notice.address == notice.address {
+            if record.notice.address == notice.address && record.notice.state != EngineState::Gone {
                 record.notice.state = EngineState::Gone;
+                record.announced_at = now;
             }
         }
     }
@@ -152,9 +159,44 @@
             .collect()
     }
 
-    /// Forgets engines that left long ago or have not been heard of for as long.
+    /// Engines that should be announcing themselves and have not of late.
+    pub fn silent_engines(&self, now: Timestamp) -> BTreeSet<BackEndName> {
+        let is_silent = |record: &&EngineRecord| {
+            record.notice.state != EngineState::Gone
+                && now.since(record.announced_at) >= SILENCE_LIMIT
+        };
+        self.engines.values().filter(is_silent).map(|record| record.notice.engine.clone()).collect()
+    }
+
+    /// Takes over which engines are silent.
+    pub fn set_silent(&mut self, silent: BTreeSet<BackEndName>) {
+        self.silent = silent;
+    }
+
+    /// Whether an engine is silent, by the word of control.
+    pub fn is_silent(&self, engine: &BackEndName) -> bool {
+        self.silent.contains(engine)
+    }
+
+    /// Engines that have been silent for so long that they are taken for gone.
+    pub fn given_up(&self, now: Timestamp) -> Vec<BackEndName> {
+        let is_given_up = |record: &&EngineRecord| {
+            record.notice.state != EngineState::Gone
+                && now.since(record.announced_at) >= GIVE_UP_AFTER
+        };
+        self.engines
+            .values()
+            .filter(is_given_up)
+            .map(|record| record.notice.engine.clone())
+            .collect()
+    }
+
+    /// Forgets engines that left long ago.
     pub fn forget_old(&mut self, now: Timestamp) {
-        self.engines.retain(|_, record| now.since(record.announced_at) < REMEMBER_GONE);
+        self.engines.retain(|_, record| {
+            record.notice.state != EngineState::Gone
+                || now.since(record.announced_at) < REMEMBER_GONE
+        });
     }
 }
 
--- a/crates/gateway-core/src/picker.rs
+++ b/crates/gateway-core/src/picker.rs
@@ -22,8 +22,6 @@
 const FAILURE_LIMIT: u32 = 380;
 /// Failure rate an engine is given back with after it was avoided.
 const PROBATION_RATE: u32 = 250;
-/// An engine that was announced longer ago than this may be gone.
-const ANNOUNCEMENT_LIMIT: Millis = Millis(4_500);
 /// An engine that answered so lately is there, whatever has been announced.
 const ANSWER_TRUST: Millis = Millis(2_000);
 /// Connections to a zone that must fail in a row before the zone is avoided.
@@ -98,7 +96,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Tier {
     Good,
-    Unannounced,
+    Silent,
     Failing,
 }
 
@@ -190,13 +188,13 @@
             .filter(|record| !query.tried.contains(&record.notice.engine))
             .map(|record| Candidate {
                 record,
-                tier: self.tier(now, record),
+                tier: self.tier(now, record, directory.is_silent(&record.notice.engine)),
                 in_flight: self.in_flight(&record.notice.engine),
             })
             .collect()
     }
 
-    fn tier(&self, now: Timestamp, record: &EngineRecord) -> Tier {
+    fn tier(&self, now: Timestamp, record: &EngineRecord, silent: bool) -> Tier {
         let health = self.engines.get(&record.notice.engine);
         let zone = self.zones.get(&record.notice.zone);
         let avoided = |until: Option<Timestamp>| until.is_some_and(|until| now < until);
@@ -206,11 +204,7 @@
         }
         let answered_at = health.and_then(|health| health.answered_at);
         let trusted = answered_at.is_some_and(|at| now.since(at) < ANSWER_TRUST);
-        if trusted || now.since(record.announced_at) < ANNOUNCEMENT_LIMIT {
-            Tier::Good
-        } else {
-            Tier::Unannounced
-        }
+        if silent && !trusted { Tier::Silent } else { Tier::Good }
     }
 
     fn pick_by_subject<'a>(
--- a/crates/gateway-core/tests/engines.rs
+++ b/crates/gateway-core/tests/engines.rs
@@ -135,17 +135,29 @@
 }
 
 #[test]
-fn an_engine_that_is_announced_no_more_comes_after_the_others() {
+fn an_engine_that_is_announced_no_more_is_silent_and_in_the_end_gone() {
     let start = Timestamp(1_000);
     let mut directory = directory(start, &["e1", "e2"]);
     let now = start + Millis(6_000);
     directory.merge(now, notice("e2", 2, EngineState::Ready));
+    assert_eq!(directory.silent_engines(now), [BackEndName::new("e1")].into());
+    assert!(directory.given_up(now).is_empty());
+    let late = start + Millis(185_500);
+    assert_eq!(directory.given_up(late), vec![BackEndName::new("e1")]);
+    directory.forget_old(late);
+    assert!(directory.get(&BackEndName::new("e2")).is_some(), "only the gone are forgotten");
+}
+
+#[test]
+fn a_silent_engine_comes_after_the_others_unless_it_answers() {
+    let now = Timestamp(7_000);
+    let mut directory = directory(now, &["e1", "e2"]);
+    directory.set_silent([BackEndName::new("e1")].into());
     let mut picker = EnginePicker::new("jetty".into());
     assert_eq!(pick(&picker, now, &directory, None, &[]), Some("e2"));
     let silent = directory.get(&BackEndName::new("e1")).expect("known").clone();
     picker.on_start(&silent.notice.engine);
     picker.on_end(now, &silent, AttemptEnd::Answered);
-    let used =
-        (0..40).any(|subject| pick(&picker, now, &directory, Some(subject), &[]) == Some("e1"));
+    let used = (0..40).any(|s| pick(&picker, now, &directory, Some(s), &[]) == Some("e1"));
     assert!(used, "an engine that answers is there, whatever is announced");
 }
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -7,7 +7,7 @@
 use stackpost_gateway_core::{EngineNotice, Merge};
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
 use stackpost_prepaid::{AccountReport, Allotment, Contact};
-use stackpost_types::{NodeId, PeerError, TenantName, Tokens};
+use stackpost_types::{BackEndName, NodeId, PeerError, TenantName, Tokens};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -54,6 +54,8 @@
     peers: RefCell<Vec<SocketAddr>>,
     peer_links: RefCell<BTreeSet<LinkId>>,
     loans: Loans,
+    /// Engines that each control process has not heard of late.
+    silent: RefCell<BTreeMap<LinkId, BTreeSet<BackEndName>>>,
     /// What routers that stopped out of touch have spent, to be passed on to the leader.
     custody: RefCell<BTreeMap<NodeId, Custody>>,
     stopped: Cell<bool>,
@@ -86,6 +88,7 @@
             peers: RefCell::default(),
             peer_links: RefCell::default(),
             loans: Loans::default(),
+            silent: RefCell::default(),
             custody: RefCell::default(),
             stopped: Cell::new(false),
         });
@@ -118,6 +121,37 @@
         }
     }
 
+    fn on_silent_engines(&self, link: LinkId, engines: BTreeSet<BackEndName>) {
+        let mut silent = self.silent.borrow_mut();
+        silent.retain(|known, _| self.links.borrow().contains(known));
+        silent.insert(link, engines);
+        drop(silent);
+        self.take_over_silent();
+    }
+
+    /// What one control process said counts no more, unless it was the last: out of sight of all of
+    /// them the last word stands.
+    fn on_control_down(&self, link: LinkId) {
+        let mut silent = self.silent.borrow_mut();
+        if silent.len() > 1 {
+            silent.remove(&link);
+        }
+        drop(silent);
+        self.take_over_silent();
+    }
+
+    /// An engine is silent if no control process hears it.
+    fn take_over_silent(&self) {
+        let silent = self.silent.borrow();
+        let mut sets = silent.values();
+        let Some(first) = sets.next() else {
+            return;
+        };
+        let by_all =
+            sets.fold(first.clone(), |common, set| common.intersection(set).cloned().collect());
+        self.router.directory.borrow_mut().set_silent(by_all);
+    }
+
     fn on_loan_command(&self, command: LoanCommand) {
         match command {
             LoanCommand::Ask { tenant, amount, reply } => {
@@ -256,6 +290,7 @@
             LinkEvent::Down { link } => {
                 self.peer_links.borrow_mut().remove(&link);
                 self.on_peer_down(link);
+                self.on_control_down(link);
                 if self.links.borrow_mut().remove(&link) {
                     log::info!("control disconnected");
                 }
@@ -296,6 +331,9 @@
                 self.on_borrow_reply(link, token, granted);
             }
             FleetMessage::SettleLoan { token, used } => self.on_loan_settled(link, token, used),
+            FleetMessage::SilentEngines(engines) => {
+                self.on_silent_engines(link, engines);
+            }
             FleetMessage::Scarce(tenants) => *self.router.scarce.borrow_mut() = tenants,
             FleetMessage::RouterPeers(peers) => *self.peers.borrow_mut() = peers,
             FleetMessage::Raft(_)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,7 @@
 mod dialect;
 mod engine_pool;
 mod fleet_link;
-mod loans;
+pub mod loans;
 mod machine_clock;
 mod metrics;
 mod refusal;
--- a/crates/gateway/src/loans.rs
+++ b/crates/gateway/src/loans.rs
@@ -13,7 +13,7 @@
 
 /// A reservation at another router.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Loan {
+pub struct Loan {
     /// The connection to the lender.
     pub lender: LinkId,
     /// Names the loan between the two.
@@ -22,7 +22,7 @@
 
 /// What requests want of other routers.
 #[derive(Debug)]
-pub(crate) enum LoanCommand {
+pub enum LoanCommand {
     /// Reserve tokens somewhere.
     Ask {
         /// The tenant.
@@ -52,16 +52,20 @@
 
 /// A question to be sent to another router.
 #[derive(Debug, PartialEq, Eq)]
-pub(crate) struct Question {
+pub struct Question {
+    /// The connection to the other router.
     pub to: LinkId,
+    /// Names the loan.
     pub token: u64,
+    /// The tenant.
     pub tenant: TenantName,
+    /// How many tokens.
     pub amount: Tokens,
 }
 
 /// Both sides of the loans of one router.
 #[derive(Default)]
-pub(crate) struct Loans {
+pub struct Loans {
     pending: RefCell<BTreeMap<u64, PendingAsk>>,
     next_token: RefCell<u64>,
     /// Lent to others and not settled.
@@ -150,7 +154,7 @@
 
 /// The way from requests to the loans.
 #[derive(Default)]
-pub(crate) struct LoanDesk {
+pub struct LoanDesk {
     commands: RefCell<Option<mpsc::UnboundedSender<LoanCommand>>>,
 }
 
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -47,6 +47,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LinkId(u64);
 
+impl LinkId {
+    /// The connection with a number, for tests of what keeps books by connection.
+    pub fn numbered(number: u64) -> Self {
+        Self(number)
+    }
+}
+
 /// News of a connection.
 #[derive(Debug)]
 pub enum LinkEvent<M> {
