--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -1,8 +1,8 @@
 //! What a control process does with its peers, the routers and the engines.
 
-use crate::document_delta::DocumentDelta;
-use crate::message::{ControlStatus, Document, FleetMessage, RouterStatus};
-use crate::replica::{PutReply, ReadReply, ReplicaEffect, ReplicaEvent};
+use crate::control_state::{ControlState, Link};
+use crate::message::{ControlStatus, FleetMessage, RouterStatus};
+use crate::replica_api::{PutReply, ReadReply, ReplicaEffect, ReplicaEvent};
 use crate::replica_thread::{ReplicaHandle, ReplicaView};
 use stackpost_gateway_core::{EngineDirectory, EngineNotice, Merge};
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
@@ -20,8 +20,6 @@
 const STATUS_INTERVAL: Duration = Duration::from_millis(200);
 /// A configuration that a router has not confirmed is sent again after so long.
 const RESEND_AFTER: Duration = Duration::from_millis(600);
-/// Configurations kept as bases for differences.
-const RECENT_DOCUMENTS: usize = 6;
 /// Other routers that each router is told of.
 const PEERS_PER_ROUTER: usize = 4;
 /// Longest wait for the replica's answer.
@@ -36,29 +34,6 @@
     pub seeds: Vec<SocketAddr>,
 }
 
-struct Link {
-    peer: PeerInfo,
-    document_known: u64,
-    document_sent: Option<(u64, Instant)>,
-}
-
-struct State {
-    directory: EngineDirectory,
-    /// Engines that have not been announced of late.
-    silent: BTreeSet<BackEndName>,
-    /// Engines announced since the last status.
-    refreshed: BTreeSet<BackEndName>,
-    links: BTreeMap<LinkId, Link>,
-    control_peers: BTreeSet<SocketAddr>,
-    /// The newest configurations, by version, as bases for differences.
-    recent_documents: BTreeMap<u64, Document>,
-    /// The newest configuration as differences to earlier ones.
-    deltas: BTreeMap<u64, DocumentDelta>,
-    puts: HashMap<u64, oneshot::Sender<PutReply>>,
-    reads: HashMap<u64, oneshot::Sender<ReadReply>>,
-    next_token: u64,
-}
-
 /// A control process. Cheap to clone; must be used inside a Tokio `LocalSet`.
 #[derive(Clone)]
 pub struct ControlNode {
@@ -66,7 +41,7 @@
     replica: ReplicaHandle,
     own_address: SocketAddr,
     started: Instant,
-    state: Rc<RefCell<State>>,
+    state: Rc<RefCell<ControlState>>,
 }
 
 impl ControlNode {
@@ -79,7 +54,7 @@
     ) -> Result<Self, stackpost_types::PeerError> {
         let (mesh, events) = Mesh::new(own);
         mesh.listen(settings.mesh_address).await?;
-        let state = State {
+        let state = ControlState {
             directory: EngineDirectory::default(),
             silent: BTreeSet::new(),
             refreshed: BTreeSet::new(),
@@ -461,46 +436,3 @@
         }
     }
 }
-
-impl State {
-    fn newest_link(&self, matches: impl Fn(&PeerInfo) -> bool) -> Option<LinkId> {
-        self.links.iter().rev().find(|(_, link)| matches(&link.peer)).map(|(link, _)| *link)
-    }
-
-    fn remember_document(&mut self, document: &Document) {
-        self.deltas.clear();
-        self.recent_documents.insert(document.version, document.clone());
-        while self.recent_documents.len() > RECENT_DOCUMENTS {
-            self.recent_documents.pop_first();
-        }
-    }
-
-    /// `document` as the difference to the version `base`, if that is still here.
-    fn delta(&mut self, base: u64, document: &Document) -> Option<DocumentDelta> {
-        if let Some(delta) =
-            self.deltas.get(&base).filter(|delta| delta.version == document.version)
-        {
-            return Some(delta.clone());
-        }
-        let delta = DocumentDelta::between(self.recent_documents.get(&base)?, document);
-        self.deltas.insert(base, delta.clone());
-        Some(delta)
-    }
-
-    /// One connection to each process with `role`.
-    fn links_to(&self, role: PeerRole) -> Vec<LinkId> {
-        let mut by_node = BTreeMap::new();
-        for (link, entry) in &self.links {
-            if entry.peer.role == role {
-                by_node.insert(&entry.peer.node, *link);
-            }
-        }
-        by_node.into_values().collect()
-    }
-
-    fn links_to_everyone(&self) -> Vec<LinkId> {
-        let mut links = self.links_to(PeerRole::Control);
-        links.extend(self.links_to(PeerRole::Router));
-        links
-    }
-}
--- /dev/null
+++ b/crates/coordinator/src/control_state.rs
@@ -0,0 +1,86 @@
+//! What a control process knows of engines, connections and configurations.
+
+use crate::document_delta::DocumentDelta;
+use crate::message::Document;
+use crate::replica_api::{PutReply, ReadReply};
+use stackpost_gateway_core::EngineDirectory;
+use stackpost_mesh::{LinkId, PeerInfo, PeerRole};
+use stackpost_types::BackEndName;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::time::Instant;
+use tokio::sync::oneshot;
+
+/// Configurations kept as bases for differences.
+const RECENT_DOCUMENTS: usize = 6;
+
+/// One connection to another process.
+pub(crate) struct Link {
+    pub peer: PeerInfo,
+    pub document_known: u64,
+    pub document_sent: Option<(u64, Instant)>,
+}
+
+/// What a control process knows.
+pub(crate) struct ControlState {
+    pub directory: EngineDirectory,
+    /// Engines that have not been announced of late.
+    pub silent: BTreeSet<BackEndName>,
+    /// Engines announced since the last status.
+    pub refreshed: BTreeSet<BackEndName>,
+    pub links: BTreeMap<LinkId, Link>,
+    pub control_peers: BTreeSet<SocketAddr>,
+    /// The newest configurations, by version, as bases for differences.
+    pub recent_documents: BTreeMap<u64, Document>,
+    /// The newest configuration as differences to earlier ones.
+    pub deltas: BTreeMap<u64, DocumentDelta>,
+    pub puts: HashMap<u64, oneshot::Sender<PutReply>>,
+    pub reads: HashMap<u64, oneshot::Sender<ReadReply>>,
+    pub next_token: u64,
+}
+
+impl ControlState {
+    /// The newest connection to a process that `matches`.
+    pub fn newest_link(&self, matches: impl Fn(&PeerInfo) -> bool) -> Option<LinkId> {
+        self.links.iter().rev().find(|(_, link)| matches(&link.peer)).map(|(link, _)| *link)
+    }
+
+    /// Keeps a configuration as a base for differences.
+    pub fn remember_document(&mut self, document: &Document) {
+        self.deltas.clear();
+        self.recent_documents.insert(document.version, document.clone());
+        while self.recent_documents.len() > RECENT_DOCUMENTS {
+            self.recent_documents.pop_first();
+        }
+    }
+
+    /// `document` as the difference to the version `base`, if that is still here.
+    pub fn delta(&mut self, base: u64, document: &Document) -> Option<DocumentDelta> {
+        if let Some(delta) =
+            self.deltas.get(&base).filter(|delta| delta.version == document.version)
+        {
+            return Some(delta.clone());
+        }
+        let delta = DocumentDelta::between(self.recent_documents.get(&base)?, document);
+        self.deltas.insert(base, delta.clone());
+        Some(delta)
+    }
+
+    /// One connection to each process with `role`.
+    pub fn links_to(&self, role: PeerRole) -> Vec<LinkId> {
+        let mut by_node = BTreeMap::new();
+        for (link, entry) in &self.links {
+            if entry.peer.role == role {
+                by_node.insert(&entry.peer.node, *link);
+            }
+        }
+        by_node.into_values().collect()
+    }
+
+    /// One connection to each process.
+    pub fn links_to_everyone(&self) -> Vec<LinkId> {
+        let mut links = self.links_to(PeerRole::Control);
+        links.extend(self.links_to(PeerRole::Router));
+        links
+    }
+}
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -7,10 +7,13 @@
 //! - [`FleetMessage`]: what processes of a fleet tell one another.
 
 mod control_node;
+mod control_state;
 mod document_delta;
 mod message;
 mod prepaid_planner;
 mod replica;
+mod replica_api;
+mod replica_opening;
 mod replica_thread;
 mod state;
 mod voters;
@@ -18,8 +21,9 @@
 pub use control_node::{ControlNode, ControlSettings};
 pub use document_delta::DocumentDelta;
 pub use message::{ClockEcho, ControlStatus, Document, FleetMessage, RouterStatus};
-pub use replica::{
-    PutReply, ReadReply, Replica, ReplicaConfig, ReplicaEffect, ReplicaError, ReplicaEvent,
+pub use replica::Replica;
+pub use replica_api::{
+    PutReply, ReadReply, ReplicaConfig, ReplicaEffect, ReplicaError, ReplicaEvent,
 };
 pub use replica_thread::{ReplicaHandle, ReplicaThread, ReplicaView};
 pub use state::{Command, FleetState, Outcome};
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -3,20 +3,17 @@
 //! `handle` takes one event and returns what is to be done. Everything that must survive is synced
 //! before the effects that promise it are returned.
 
-use crate::DocumentCodec;
-use crate::message::{Document, RouterStatus};
+use crate::message::Document;
 use crate::prepaid_planner::PrepaidPlanner;
+use crate::replica_api::*;
+use crate::replica_opening::{open_store, read_command, read_state, voters_at_start};
 use crate::state::{Command, FleetState, Outcome};
 use crate::voters::{VoterStep, VoterView, next_step};
-use stackpost_consensus::{
-    Config, Entry, Envelope, FIRST_IDENTITY, HardState, Raft, Ready, Restored, Role, Snapshot,
-};
-use stackpost_prepaid::Allotment;
-use stackpost_storage::{Disk, LogStore, StoreError};
-use stackpost_types::{MachineName, Millis, NodeId, TenantName, Timestamp, Tokens};
+use stackpost_consensus::{Config, Entry, Raft, Ready, Role, Snapshot};
+use stackpost_storage::{Disk, LogStore};
+use stackpost_types::{MachineName, Millis, NodeId, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use thiserror::Error;
 
 /// Entries after which the log is replaced by a snapshot.
 const SNAPSHOT_ENTRIES: u64 = 400;
@@ -24,131 +21,6 @@
 const REPLY_LIMIT: Millis = Millis(900);
 /// A read that could not be confirmed is asked again after so long.
 const ROUND_LIMIT: Millis = Millis(200);
-/// Term and index of the state that a new fleet begins with.
-const FOUNDING: u64 = 1;
-
-/// How a replica is run.
-#[derive(Clone)]
-pub struct ReplicaConfig {
-    /// This machine.
-    pub name: MachineName,
-    /// The voters of a new fleet; `None` unless the whole fleet starts for the first time.
-    pub founders: Option<Vec<MachineName>>,
-    /// Identity for a data folder that has to be made.
-    pub fresh_identity: u64,
-    /// Shortest silence of the leader before a campaign.
-    pub election_timeout: Millis,
-    /// Time between two heartbeats.
-    pub heartbeat_interval: Millis,
-    /// Taken off a lease's end for clocks that run at different speeds.
-    pub lease_margin: Millis,
-    /// Voters wanted.
-    pub voters_wanted: usize,
-    /// Seed for election timeouts.
-    pub seed: u64,
-    /// Reads documents.
-    pub codec: Arc<dyn DocumentCodec>,
-}
-
-/// Why a replica can't go on.
-#[derive(Debug, Error)]
-pub enum ReplicaError {
-    /// The data folder can't be read or written.
-    #[error(transparent)]
-    Store(#[from] StoreError),
-    /// What was stored can't be understood.
-    #[error("storage: entry {index} or the snapshot before it can't be read: {reason}")]
-    Unreadable {
-        /// Position in the log.
-        index: u64,
-        /// What is wrong.
-        reason: String,
-    },
-}
-
-/// Something happened.
-#[derive(Debug)]
-pub enum ReplicaEvent {
-    /// Time has passed.
-    Tick,
-    /// A message of the replicated log.
-    Raft(Envelope),
-    /// An operator sends a configuration.
-    Put {
-        /// Names the answer.
-        token: u64,
-        /// The document as it came.
-        bytes: Arc<[u8]>,
-    },
-    /// An operator reads the configuration.
-    Read {
-        /// Names the answer.
-        token: u64,
-    },
-    /// A router has reported.
-    RouterReport {
-        /// The router.
-        router: NodeId,
-        /// What it says.
-        status: RouterStatus,
-    },
-    /// A router stops and says what it has spent.
-    RouterFarewell {
-        /// The router.
-        router: NodeId,
-        /// What it has spent.
-        spent: BTreeMap<TenantName, Tokens>,
-    },
-    /// The control machines that are connected now.
-    ControlPeers(BTreeSet<MachineName>),
-}
-
-/// Answer to a `Put`.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum PutReply {
-    /// It is in force, or a higher version is.
-    Taken,
-    /// It is not valid and was not taken.
-    Invalid(String),
-    /// Another machine leads.
-    Elsewhere(Option<MachineName>),
-    /// It may or may not be taken.
-    Unconfirmed,
-}
-
-/// Answer to a `Read`.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ReadReply {
-    /// The newest configuration.
-    Newest(Option<Document>),
-    /// Another machine leads.
-    Elsewhere(Option<MachineName>),
-    /// This replica can't be sure.
-    Unsure,
-}
-
-/// Something to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum ReplicaEffect {
-    /// Send a message of the replicated log.
-    SendRaft(MachineName, Envelope),
-    /// Answer a `Put`.
-    PutReply(u64, PutReply),
-    /// Answer a `Read`.
-    ReadReply(u64, ReadReply),
-    /// A newer configuration is in force.
-    DocumentChanged(Document),
-    /// Tell a router its totals.
-    Allotted(NodeId, Vec<(TenantName, Allotment)>),
-    /// Ask a router to give back.
-    Recall(NodeId, Vec<(TenantName, Tokens)>),
-    /// Tell all routers which budgets are scarce.
-    Scarce(BTreeSet<TenantName>),
-    /// Tell a router that its life is closed.
-    FarewellTaken(NodeId),
-    /// The role has changed; true for a leader.
-    RoleChanged(bool),
-}
 
 struct PendingPut {
     token: u64,
@@ -564,63 +436,3 @@
         Ok(())
     }
 }
-
-fn open_store<D: Disk>(
-    config: &ReplicaConfig,
-    disk: D,
-) -> Result<(LogStore<D>, Restored), ReplicaError> {
-    if LogStore::exists(&disk).map_err(ReplicaError::Store)? {
-        return Ok(LogStore::open(disk)?);
-    }
-    let founders = config.founders.iter().flatten();
-    let voters: BTreeMap<MachineName, u64> =
-        founders.map(|machine| (machine.clone(), FIRST_IDENTITY)).collect();
-    if !voters.contains_key(&config.name) {
-        let store = LogStore::create(disk, config.fresh_identity)?;
-        return Ok((store, Restored::default()));
-    }
-    let mut store = LogStore::create(disk, FIRST_IDENTITY)?;
-    // Every founder begins with the same state, so that no entry has to carry it.
-    let snapshot =
-        Snapshot { index: FOUNDING, term: FOUNDING, data: FleetState::found(voters).to_snapshot() };
-    let hard_state = HardState { term: FOUNDING, voted_for: None };
-    store.install(&snapshot, &hard_state, &[])?;
-    Ok((store, Restored { hard_state, snapshot, entries: Vec::new() }))
-}
-
-fn read_state(snapshot: &Snapshot) -> Result<FleetState, ReplicaError> {
-    if snapshot.data.is_empty() {
-        return Ok(FleetState::default());
-    }
-    FleetState::from_snapshot(&snapshot.data).map_err(|error| ReplicaError::Unreadable {
-        index: snapshot.index,
-        reason: error.to_string(),
-    })
-}
-
-fn read_command(entry: &Entry) -> Result<Command, ReplicaError> {
-    postcard::from_bytes(&entry.data)
-        .map_err(|error| ReplicaError::Unreadable { index: entry.index, reason: error.to_string() })
-}
-
-/// The voters for a replica that has just started, and the index of the last change among its
-/// entries. Changes count before they are known to be committed (Ongaro's dissertation, section
-/// 4.1): after a loss of power nobody may know what was committed, and a replica that waited to
-/// learn it could be missing from every majority. A leader proposes a change only after the one
-/// before and an entry of its own term are committed, so two replicas are never more than one
-/// change apart unless one of them can't win.
-fn voters_at_start(
-    state: &FleetState,
-    entries: &[Entry],
-) -> Result<(BTreeMap<MachineName, u64>, u64), ReplicaError> {
-    let mut known = FleetState::found(state.voters.clone());
-    let mut last_change = 0;
-    for entry in entries.iter().filter(|entry| !entry.data.is_empty()) {
-        let command = read_command(entry)?;
-        if command.changes_voters() {
-            last_change = entry.index;
-            known.apply(command);
-        }
-    }
-    Ok((known.voters, last_change))
-}
--- a/crates/coordinator/src/replica_thread.rs
+++ b/crates/coordinator/src/replica_thread.rs
@@ -1,7 +1,8 @@
 //! Runs a replica on a thread of its own, so that a slow disk does not hold up the process.
 
 use crate::message::Document;
-use crate::replica::{Replica, ReplicaConfig, ReplicaEffect, ReplicaError, ReplicaEvent};
+use crate::replica::Replica;
+use crate::replica_api::{ReplicaConfig, ReplicaEffect, ReplicaError, ReplicaEvent};
 use stackpost_storage::{DiskError, FileDisk, StoreError};
 use stackpost_types::{MachineName, Timestamp};
 use std::path::{Path, PathBuf};
