--- a/crates/telemetry/src/json_lines.rs
+++ b/crates/telemetry/src/json_lines.rs
@@ -7,7 +7,6 @@
 use log::kv::{Error as KvError, Key, Value, VisitSource};
 use log::{Level, LevelFilter, Log, Metadata, Record};
 use std::fmt::Write as _;
-use std::io::Write as _;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 
@@ -39,7 +38,7 @@
     }
 }
 
-/// Writes records as JSON lines to standard output.
+/// Writes records as JSON lines.
 pub struct JsonLines {
     shared: Arc<Shared>,
     level: LevelFilter,
@@ -48,14 +47,21 @@
 }
 
 impl JsonLines {
-    /// Starts the writer. `process` and `machine` stand in every line.
-    pub fn start(process: &str, machine: &str, level: LevelFilter) -> std::io::Result<Self> {
+    /// Starts the writer to `output`. `process` and `machine` stand in every line.
+    pub fn start(
+        process: &str,
+        machine: &str,
+        level: LevelFilter,
+        output: impl std::io::Write + Send + 'static,
+    ) -> std::io::Result<Self> {
         let mut origin = String::new();
         push_field(&mut origin, "process", process);
         push_field(&mut origin, "machine", machine);
         let shared = Arc::new(Shared::default());
         let writer = shared.clone();
-        std::thread::Builder::new().name("log".into()).spawn(move || write_lines(&writer))?;
+        std::thread::Builder::new()
+            .name("log".into())
+            .spawn(move || write_lines(&writer, output))?;
         Ok(Self { shared, level, origin })
     }
 
@@ -117,7 +123,7 @@
     }
 }
 
-fn write_lines(shared: &Shared) {
+fn write_lines(shared: &Shared, mut output: impl std::io::Write) {
     loop {
         let mut buffer = shared.lock();
         while buffer.lines.is_empty() {
@@ -137,7 +143,7 @@
             );
         }
         // Without a reader there is nobody to tell.
-        let _ = std::io::stdout().write_all(lines.as_bytes());
+        let _ = output.write_all(lines.as_bytes());
         shared.lock().writing = false;
     }
 }
@@ -165,7 +171,7 @@
 }
 
 fn push_field(line: &mut String, key: &str, value: &str) {
-    line.push_str(if line.is_empty() || line.ends_with('{') { "\"" } else { ",\"" });
+    line.push_str(",\"");
     line.push_str(key);
     line.push_str("\":\"");
     for character in value.chars() {
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -24,7 +24,8 @@
     level: LogLevel,
 ) -> Result<(), Box<dyn std::error::Error>> {
     let level = level_filter(level);
-    let lines: Box<dyn log::Log> = Box::new(JsonLines::start(process, machine, level)?);
+    let lines: Box<dyn log::Log> =
+        Box::new(JsonLines::start(process, machine, level, std::io::stdout())?);
     fern::Dispatch::new().level(level).chain(lines).apply()?;
     Ok(())
 }
