--- a/crates/prepaid/src/policy.rs
+++ b/crates/prepaid/src/policy.rs
@@ -12,7 +12,7 @@
 /// Demand that the hand covers; a request that does not fit asks for what it lacks.
 const HAND_TIME: Millis = Millis(1_200);
 /// Demand that the reserve covers: the longest time out of touch that a router serves through.
-const RESERVE_TIME: Millis = Millis(8_500);
+const RESERVE_TIME: Millis = Millis(7_000);
 /// The reserve may be drawn on this much faster than the demand of late, in thousandths.
 const PACE_PERMILLE: u64 = 2_000;
 /// Demand that may be drawn from the reserve at once.
