Ration the last part of a budget over time

Ruled out: too small a part, since 4% without a ration would have gone the same way. Change: the last part is handed out at 1.1 per mille of the limit a second, two seconds saved up at most.

--- a/crates/coordinator/src/prepaid_planner.rs
+++ b/crates/coordinator/src/prepaid_planner.rs
@@ -46,6 +46,7 @@
     scarce_told: Option<(BTreeSet<TenantName>, Timestamp)>,
     urgent: bool,
     round_at: Timestamp,
+    planned_at: Option<Timestamp>,
     contacts_at: Timestamp,
     proposed: Option<(u64, Timestamp)>,
 }
@@ -114,6 +115,8 @@
             return Vec::new();
         }
         self.urgent = false;
+        let elapsed = self.planned_at.map_or(ROUND_INTERVAL, |at| now.since(at));
+        self.planned_at = Some(now);
         self.round_at = now + ROUND_INTERVAL;
         self.proposed = None;
         let mut commands = self.closings(now, ledger);
@@ -124,7 +127,7 @@
             .map(|(router, view)| (router.clone(), view.accounts.clone()))
             .collect();
         commands.extend(returns(ledger, &reports));
-        let plan = plan(ledger, &reports);
+        let plan = plan(ledger, &reports, elapsed);
         for recall in plan.recalls {
             let of_router = self.recalls.entry(recall.holder).or_default();
             of_router.push((recall.tenant, recall.keep));
--- a/crates/prepaid/src/lib.rs
+++ b/crates/prepaid/src/lib.rs
@@ -16,6 +16,6 @@
 pub use ledger::{
     Allotment, Charge, Contact, Grant, LifeEnd, Pace, PrepaidLedger, RESERVE_LOCK, SteadyTime,
 };
-pub use policy::{AccountReport, Plan, Recall, plan};
+pub use policy::{AccountReport, Plan, Recall, plan, ration};
 pub use rate::DemandRate;
 pub use wallet::{Shortfall, Wallet};
--- a/crates/prepaid/src/policy.rs
+++ b/crates/prepaid/src/policy.rs
@@ -28,6 +28,11 @@
 /// requests only. No reserve is made of it, so no fault strands it: a tenant near the end of its
 /// budget is still served something afterwards.
 const LAST_PERMILLE: u64 = 25;
+/// How much of the last part is handed out a second, in millionths of the limit: it should still
+/// serve something after a fault, however long before that the budget became scarce.
+const RATION_PER_MILLION: u64 = 1_100;
+/// Longest time for which a ration is saved up.
+const RATION_SAVED: Millis = Millis(2_000);
 /// Part of every limit, in thousandths, that is never handed out: a margin for what an engine may
 /// count beyond what it was seen to hand out.
 const WITHHELD_PERMILLE: u64 = 5;
@@ -93,10 +98,17 @@
     held: Tokens,
 }
 
-/// Plans a round over the routers that have reported.
+/// What may be handed out of a scarce budget `elapsed` after something was handed out last.
+pub fn ration(limit: Tokens, elapsed: Millis) -> Tokens {
+    let millis = elapsed.0.min(RATION_SAVED.0);
+    limit.scaled(RATION_PER_MILLION * millis, 1_000_000 * 1_000)
+}
+
+/// Plans a round over the routers that have reported, `elapsed` after the last one.
 pub fn plan(
     ledger: &PrepaidLedger,
     reports: &BTreeMap<NodeId, BTreeMap<TenantName, AccountReport>>,
+    elapsed: Millis,
 ) -> Plan {
     let mut plan = Plan::default();
     for (tenant, limit) in ledger.tenants() {
@@ -111,7 +123,8 @@
         let held: Tokens = shares.iter().map(|share| share.held).sum();
         if pool.is_zero() && held < limit.scaled(SCARCE_HELD_PERMILLE, 1_000) {
             plan.scarce.insert(tenant.clone());
-            plan_scarce(tenant, limit, available, &shares, &mut plan);
+            let allowed = available.min(ration(limit, elapsed));
+            plan_scarce(tenant, limit, allowed, &shares, &mut plan);
         } else {
             plan_tenant(tenant, pool, &shares, &mut plan);
         }
@@ -123,11 +136,11 @@
 fn plan_scarce(
     tenant: &TenantName,
     limit: Tokens,
-    available: Tokens,
+    allowed: Tokens,
     shares: &[Share<'_>],
     plan: &mut Plan,
 ) {
-    let mut left = available;
+    let mut left = allowed;
     for share in shares {
         let hand = limit.scaled(SCARCE_HAND_PERMILLE, 1_000).min(left);
         let target = Target { hand, held: hand };
--- a/crates/prepaid/tests/escrow.rs
+++ b/crates/prepaid/tests/escrow.rs
@@ -145,7 +145,7 @@
             }
             reports.insert(life.node.clone(), accounts);
         }
-        let plan = if grants { plan(&self.ledger, &reports) } else { Plan::default() };
+        let plan = if grants { plan(&self.ledger, &reports, Millis(250)) } else { Plan::default() };
         for grant in &plan.grants {
             self.ledger.allot(grant);
         }
@@ -335,3 +335,45 @@
     world.ledger.set_limits(&[(tenant(), issued + Tokens(10))]);
     assert_eq!(world.ledger.available(&tenant()), Tokens(10));
 }
+
+#[test]
+fn the_last_part_of_a_budget_is_rationed() {
+    let limit = Tokens(1_000_000);
+    let second = ration(limit, Millis(1_000));
+    assert_eq!(second, Tokens(1_100));
+    assert_eq!(ration(limit, Millis(500)), Tokens(550));
+    assert_eq!(ration(limit, Millis(60_000)), ration(limit, Millis(2_000)), "little is saved up");
+}
+
+/// One router that has used all but the last part of a budget.
+#[test]
+fn a_scarce_budget_is_said_to_be_scarce_and_lasts() {
+    let mut ledger = PrepaidLedger::default();
+    ledger.set_limits(&[(tenant(), Tokens(LIMIT))]);
+    let holder = node(0, 1);
+    let all_but_last = Tokens(LIMIT * 98 / 100);
+    ledger.allot(&Grant {
+        holder: holder.clone(),
+        tenant: tenant(),
+        amount: all_but_last,
+        to_hand: all_but_last,
+        pace: Pace::default(),
+    });
+    let mut used = all_but_last;
+    for _ in 0..40 {
+        let report = AccountReport {
+            used,
+            wanted: Tokens(50),
+            largest: Tokens(4_000),
+            rate: Tokens(9_000),
+            ..AccountReport::default()
+        };
+        let reports = BTreeMap::from([(holder.clone(), BTreeMap::from([(tenant(), report)]))]);
+        let plan = plan(&ledger, &reports, Millis(250));
+        assert!(plan.scarce.contains(&tenant()));
+        plan.grants.iter().for_each(|grant| ledger.allot(grant));
+        used = ledger.allotment(&holder, &tenant()).hand;
+    }
+    assert!(used > all_but_last, "something is handed out");
+    assert!(used < all_but_last + Tokens(LIMIT * 13 / 1_000), "ten seconds of rations at most");
+}
