Keep a budget that runs out for clearly more urgent requests

Change: the leader tells how long each budget lasts at the demand of late; a request is refused if requests two or more priorities above it need the rest within 15 s.

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -230,7 +230,7 @@
             | FleetMessage::BorrowReply { .. }
             | FleetMessage::SettleLoan { .. }
             | FleetMessage::Alive
-            | FleetMessage::Scarce(_)
+            | FleetMessage::Outlooks(_)
             | FleetMessage::Allotted(_)
             | FleetMessage::Recall(_)
             | FleetMessage::FarewellTaken => {}
@@ -309,9 +309,9 @@
             ReplicaEffect::Recall(router, keeps) => {
                 self.send_to_router(&router, &FleetMessage::Recall(keeps));
             }
-            ReplicaEffect::Scarce(tenants) => {
+            ReplicaEffect::Outlooks(outlooks) => {
                 let routers = self.state.borrow().links_to(PeerRole::Router);
-                self.mesh.send_all(routers, &FleetMessage::Scarce(tenants));
+                self.mesh.send_all(routers, &FleetMessage::Outlooks(outlooks));
             }
             ReplicaEffect::FarewellTaken(router) => {
                 self.send_to_router(&router, &FleetMessage::FarewellTaken);
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use stackpost_consensus::Envelope;
 use stackpost_gateway_core::EngineNotice;
-use stackpost_prepaid::{AccountReport, Allotment, Contact};
+use stackpost_prepaid::{AccountReport, Allotment, Contact, Outlook};
 use stackpost_types::{BackEndName, NodeId, TenantName, Timestamp, Tokens};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -82,8 +82,8 @@
     Allotted(Vec<(TenantName, Allotment)>),
     /// From the leader to a router: what it may keep spendable.
     Recall(Vec<(TenantName, Tokens)>),
-    /// From the leader to all routers: tenants whose budgets are scarce.
-    Scarce(BTreeSet<TenantName>),
+    /// From the leader to all routers: budgets that are going to run out.
+    Outlooks(BTreeMap<TenantName, Outlook>),
     /// From a router that stops: what it has spent of each tenant's budget.
     Farewell(BTreeMap<TenantName, Tokens>),
     /// Answer to `Farewell` and `Custody`: it will reach the ledger.
--- a/crates/coordinator/src/prepaid_planner.rs
+++ b/crates/coordinator/src/prepaid_planner.rs
@@ -2,7 +2,9 @@
 
 use crate::message::{ClockEcho, RouterStatus};
 use crate::state::Command;
-use stackpost_prepaid::{AccountReport, Contact, LifeEnd, PrepaidLedger, SteadyTime, plan};
+use stackpost_prepaid::{
+    AccountReport, Contact, LifeEnd, Outlook, PrepaidLedger, SteadyTime, plan,
+};
 use stackpost_types::{Millis, NodeId, TenantName, Timestamp, Tokens};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -16,8 +18,8 @@
 const SETTLE_TIME: Millis = Millis(250);
 /// A proposal that has not been applied for so long is given up.
 const PROPOSAL_LIMIT: Millis = Millis(1_500);
-/// Routers are told again which budgets are scarce after so long.
-const SCARCE_INTERVAL: Millis = Millis(1_000);
+/// Least time between two words to the routers about which budgets run out.
+const OUTLOOK_INTERVAL: Millis = Millis(500);
 
 /// A new life of a machine is seen for so long before earlier ones are charged: what they have
 /// left with other routers may still be on its way.
@@ -42,8 +44,8 @@
     ended: BTreeMap<NodeId, Contact>,
     farewells: BTreeMap<NodeId, BTreeMap<TenantName, Tokens>>,
     recalls: BTreeMap<NodeId, Vec<(TenantName, Tokens)>>,
-    scarce: BTreeSet<TenantName>,
-    scarce_told: Option<(BTreeSet<TenantName>, Timestamp)>,
+    outlooks: BTreeMap<TenantName, Outlook>,
+    outlooks_told_at: Option<Timestamp>,
     urgent: bool,
     round_at: Timestamp,
     planned_at: Option<Timestamp>,
@@ -132,7 +134,7 @@
             let of_router = self.recalls.entry(recall.holder).or_default();
             of_router.push((recall.tenant, recall.keep));
         }
-        self.scarce = plan.scarce;
+        self.outlooks = plan.outlooks;
         if !plan.grants.is_empty() {
             commands.push(Command::Grant(plan.grants));
         }
@@ -145,16 +147,13 @@
         std::mem::take(&mut self.recalls)
     }
 
-    /// Tenants whose budgets are scarce, if the routers should be told.
-    pub fn take_scarce(&mut self, now: Timestamp) -> Option<BTreeSet<TenantName>> {
-        let told = self.scarce_told.as_ref();
-        let known = told
-            .is_some_and(|(scarce, at)| *scarce == self.scarce && now.since(*at) < SCARCE_INTERVAL);
-        if known {
+    /// Budgets that are going to run out, if the routers should be told.
+    pub fn take_outlooks(&mut self, now: Timestamp) -> Option<BTreeMap<TenantName, Outlook>> {
+        if self.outlooks_told_at.is_some_and(|at| now.since(at) < OUTLOOK_INTERVAL) {
             return None;
         }
-        self.scarce_told = Some((self.scarce.clone(), now));
-        Some(self.scarce.clone())
+        self.outlooks_told_at = Some(now);
+        Some(self.outlooks.clone())
     }
 
     /// Routers whose allotments a command changes. Also ends the wait for the round.
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -246,8 +246,8 @@
         for (router, recalls) in self.planner.take_recalls() {
             self.effects.push(ReplicaEffect::Recall(router, recalls));
         }
-        if let Some(scarce) = self.planner.take_scarce(now) {
-            self.effects.push(ReplicaEffect::Scarce(scarce));
+        if let Some(outlooks) = self.planner.take_outlooks(now) {
+            self.effects.push(ReplicaEffect::Outlooks(outlooks));
         }
     }
 
--- a/crates/coordinator/src/replica_api.rs
+++ b/crates/coordinator/src/replica_api.rs
@@ -3,7 +3,7 @@
 use crate::DocumentCodec;
 use crate::message::{Document, RouterStatus};
 use stackpost_consensus::Envelope;
-use stackpost_prepaid::Allotment;
+use stackpost_prepaid::{Allotment, Outlook};
 use stackpost_storage::StoreError;
 use stackpost_types::{MachineName, Millis, NodeId, TenantName, Tokens};
 use std::collections::{BTreeMap, BTreeSet};
@@ -125,8 +125,8 @@
     Allotted(NodeId, Vec<(TenantName, Allotment)>),
     /// Ask a router to give back.
     Recall(NodeId, Vec<(TenantName, Tokens)>),
-    /// Tell all routers which budgets are scarce.
-    Scarce(BTreeSet<TenantName>),
+    /// Tell all routers which budgets are going to run out.
+    Outlooks(BTreeMap<TenantName, Outlook>),
     /// Tell a router that its life is closed.
     FarewellTaken(NodeId),
     /// The role has changed; true for a leader.
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -334,7 +334,7 @@
             FleetMessage::SilentEngines(engines) => {
                 self.on_silent_engines(link, engines);
             }
-            FleetMessage::Scarce(tenants) => *self.router.scarce.borrow_mut() = tenants,
+            FleetMessage::Outlooks(outlooks) => *self.router.outlooks.borrow_mut() = outlooks,
             FleetMessage::RouterPeers(peers) => *self.peers.borrow_mut() = peers,
             FleetMessage::Raft(_)
             | FleetMessage::Alive
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -16,6 +16,7 @@
 use stackpost_gateway_core::{
     Admission, AttemptEnd, EngineRecord, PickQuery, Route, RouteTable, Tenant,
 };
+use stackpost_prepaid::Demand;
 use stackpost_types::{BackEndName, Digest, Millis, ServiceName};
 use std::rc::Rc;
 use std::time::Duration;
@@ -188,9 +189,8 @@
         let Some(tenant) = self.tenant.as_ref().filter(|tenant| tenant.prepaid.is_some()) else {
             return Ok(None);
         };
-        let scarce = self.router.scarce.borrow().contains(&tenant.name);
-        let most = generation.most();
-        if scarce && !self.router.wallet.borrow_mut().is_cheap(&tenant.name, most) {
+        let demand = Demand { amount: generation.most(), priority: self.route.priority };
+        if !self.router.may_draw(&tenant.name, demand) {
             return Err(Refusal::BudgetExhausted);
         }
         let wait = Duration::from_millis(self.route.objective.0 * TOKEN_WAIT_PERCENT / 100);
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -8,11 +8,11 @@
 use stackpost_gateway_core::{
     EngineDirectory, EnginePicker, EngineState, RetryBudget, RetryLimits, RouteTable,
 };
-use stackpost_prepaid::Wallet;
+use stackpost_prepaid::{Demand, Outlook, Wallet};
 use stackpost_telemetry::Meter;
 use stackpost_types::{Millis, TenantName, Timestamp, ZoneName};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -48,8 +48,8 @@
     pub(crate) picker: RefCell<EnginePicker>,
     pub(crate) wallet: RefCell<Wallet>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
-    /// Tenants whose budgets are scarce, by the leader's word.
-    pub(crate) scarce: RefCell<BTreeSet<TenantName>>,
+    /// Budgets that are going to run out, by the leader's word.
+    pub(crate) outlooks: RefCell<BTreeMap<TenantName, Outlook>>,
     pub(crate) loan_desk: LoanDesk,
     /// Rung when the wallet has grown.
     pub(crate) wallet_grown: Notify,
@@ -80,7 +80,7 @@
             picker: RefCell::new(EnginePicker::new(settings.zone)),
             wallet: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(settings.retry_limits, ROUTERS_ASSUMED)),
-            scarce: RefCell::default(),
+            outlooks: RefCell::default(),
             loan_desk: LoanDesk::default(),
             wallet_grown: Notify::new(),
             wallet_short: Notify::new(),
@@ -127,6 +127,12 @@
         self.document_version()
     }
 
+    /// Whether a request may draw on its tenant's budget, as far as other requests need that more.
+    pub(crate) fn may_draw(&self, tenant: &TenantName, demand: Demand) -> bool {
+        let outlook = self.outlooks.borrow().get(tenant).copied();
+        self.wallet.borrow_mut().admits(self.now(), tenant, demand, outlook)
+    }
+
     /// Begins a planned stop.
     pub fn begin_drain(&self) {
         self.draining_since.set(Some(Instant::now()));
--- a/crates/prepaid/src/lib.rs
+++ b/crates/prepaid/src/lib.rs
@@ -10,12 +10,14 @@
 
 mod ledger;
 mod policy;
+mod precedence;
 mod rate;
 mod wallet;
 
 pub use ledger::{
     Allotment, Charge, Contact, Grant, LifeEnd, Pace, PrepaidLedger, RESERVE_LOCK, SteadyTime,
 };
-pub use policy::{AccountReport, Plan, Recall, plan, ration};
+pub use policy::{AccountReport, Outlook, Plan, Recall, plan, ration};
+pub use precedence::DemandByPriority;
 pub use rate::DemandRate;
-pub use wallet::{Shortfall, Wallet};
+pub use wallet::{Demand, Shortfall, Wallet};
--- a/crates/prepaid/src/policy.rs
+++ b/crates/prepaid/src/policy.rs
@@ -7,7 +7,7 @@
 use crate::ledger::{Grant, Pace, PrepaidLedger};
 use serde::{Deserialize, Serialize};
 use stackpost_types::{Millis, NodeId, TenantName, Tokens};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// Demand that the hand covers; a request that does not fit asks for what it lacks.
 const HAND_TIME: Millis = Millis(1_200);
@@ -39,6 +39,10 @@
 /// A budget is scarce when only its last part is left and the routers hold less than this part of
 /// the limit, in thousandths.
 const SCARCE_HELD_PERMILLE: u64 = 15;
+/// A budget that lasts longer is not worth a word.
+const LONGEST_OUTLOOK: Millis = Millis(60_000);
+/// Outlooks are told in steps of this, so that they change seldom.
+const OUTLOOK_STEP: Millis = Millis(1_000);
 /// What a router holds of a scarce budget, in thousandths of the limit.
 const SCARCE_HAND_PERMILLE: u64 = 2;
 
@@ -75,8 +79,17 @@
     pub grants: Vec<Grant>,
     /// To be asked of routers.
     pub recalls: Vec<Recall>,
-    /// Tenants whose budgets are so low that only cheap requests should draw on them.
-    pub scarce: BTreeSet<TenantName>,
+    /// Budgets that are going to run out.
+    pub outlooks: BTreeMap<TenantName, Outlook>,
+}
+
+/// How long a budget is going to last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outlook {
+    /// So long, if the demand stays as it was of late.
+    Lasts(Millis),
+    /// Only its last part is left: cheap requests alone should draw on it.
+    Scarce,
 }
 
 /// One router's part in a tenant's budget.
@@ -122,16 +135,27 @@
             .collect();
         let held: Tokens = shares.iter().map(|share| share.held).sum();
         if pool.is_zero() && held < limit.scaled(SCARCE_HELD_PERMILLE, 1_000) {
-            plan.scarce.insert(tenant.clone());
+            plan.outlooks.insert(tenant.clone(), Outlook::Scarce);
             let allowed = available.min(ration(limit, elapsed));
             plan_scarce(tenant, limit, allowed, &shares, &mut plan);
         } else {
+            if let Some(lasts) = lasts(pool + held, &shares) {
+                plan.outlooks.insert(tenant.clone(), Outlook::Lasts(lasts));
+            }
             plan_tenant(tenant, pool, &shares, &mut plan);
         }
     }
     plan
 }
 
+/// How long `left` covers the demand of late; `None` if that is long enough for nobody to care.
+fn lasts(left: Tokens, shares: &[Share<'_>]) -> Option<Millis> {
+    let rate: Tokens = shares.iter().map(|share| share.report.rate).sum();
+    let millis = left.scaled(1_000, rate.0.max(1)).0;
+    let step = OUTLOOK_STEP.0;
+    (millis < LONGEST_OUTLOOK.0).then_some(Millis(millis / step * step))
+}
+
 /// Hands out the last part of a budget, a little at a time.
 fn plan_scarce(
     tenant: &TenantName,
--- a/crates/prepaid/src/wallet.rs
+++ b/crates/prepaid/src/wallet.rs
@@ -1,7 +1,8 @@
 //! The router's side: what it holds, has reserved and has spent.
 
 use crate::ledger::{Allotment, RESERVE_LOCK};
-use crate::policy::AccountReport;
+use crate::policy::{AccountReport, Outlook};
+use crate::precedence::DemandByPriority;
 use crate::rate::DemandRate;
 use stackpost_types::{Millis, TenantName, Timestamp, Tokens};
 use std::collections::BTreeMap;
@@ -18,6 +19,15 @@
     pub missing: Tokens,
 }
 
+/// What a request wants of a budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Demand {
+    /// The most that it can cost.
+    pub amount: Tokens,
+    /// Its rank; zero is the most urgent.
+    pub priority: u32,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Account {
     allotment: Allotment,
@@ -29,6 +39,7 @@
     /// Mean of the amounts asked for of late.
     mean: Tokens,
     demand: DemandRate,
+    by_priority: DemandByPriority,
 }
 
 impl Account {
@@ -90,11 +101,31 @@
         self.retry_reserve(now, tenant, amount)
     }
 
-    /// Whether a request costs clearly less than most of the tenant's. Notes its demand, too.
-    pub fn is_cheap(&mut self, tenant: &TenantName, amount: Tokens) -> bool {
+    /// Whether a request may draw on a budget with this outlook. One that may not still counts as
+    /// demand, so that the outlook does not brighten only because it was refused; but not once the
+    /// budget is scarce, when nothing is handed out by demand any more.
+    pub fn admits(
+        &mut self,
+        now: Timestamp,
+        tenant: &TenantName,
+        demand: Demand,
+        outlook: Option<Outlook>,
+    ) -> bool {
         let account = self.accounts.entry(tenant.clone()).or_default();
-        account.note_amount(amount);
-        amount <= account.mean.scaled(CHEAP_PERMILLE, 1_000)
+        let Demand { amount, priority } = demand;
+        account.by_priority.note(priority, amount);
+        let admitted = match outlook {
+            None => true,
+            Some(Outlook::Lasts(time)) => account.by_priority.admits(priority, time),
+            Some(Outlook::Scarce) => amount <= account.mean.scaled(CHEAP_PERMILLE, 1_000),
+        };
+        if !admitted {
+            account.note_amount(amount);
+            if outlook != Some(Outlook::Scarce) {
+                account.demand.note(now, amount);
+            }
+        }
+        admitted
     }
 
     /// Tries again for a request whose demand has been noted before.
--- a/crates/prepaid/tests/escrow.rs
+++ b/crates/prepaid/tests/escrow.rs
@@ -370,7 +370,7 @@
         };
         let reports = BTreeMap::from([(holder.clone(), BTreeMap::from([(tenant(), report)]))]);
         let plan = plan(&ledger, &reports, Millis(250));
-        assert!(plan.scarce.contains(&tenant()));
+        assert_eq!(plan.outlooks.get(&tenant()), Some(&Outlook::Scarce));
         plan.grants.iter().for_each(|grant| ledger.allot(grant));
         used = ledger.allotment(&holder, &tenant()).hand;
     }
