Ask more routers for loans, those of the own zone first

A router knew four others, picked by address, and with 75 routers and 24 tenants these rarely hold what one request costs. Each link that came up also told all routers of all others again, a square of messages at a start.

Change: a router is told of twelve others, its own zone's first, each beginning with another one, once per status tick and only when routers have come (crates/coordinator/src/router_peers.rs). Who lent last of a tenant's budget is asked first, who has just refused as much is not asked for 100 ms; a lender that is short and in touch tells the leader at once, and a borrower asks again after 110 ms while it may still wait. Peers that do not come up within 400 ms no longer hold requests up to their limit.

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -4,6 +4,7 @@
 use crate::message::{ControlStatus, FleetMessage, RouterStatus};
 use crate::replica_api::{PutReply, ReadReply, ReplicaEffect, ReplicaEvent};
 use crate::replica_thread::{ReplicaHandle, ReplicaView};
+use crate::router_peers::{RouterSite, peers_of};
 use stackpost_gateway_core::{EngineDirectory, EngineNotice, Merge};
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
 use stackpost_types::{BackEndName, MachineName, NodeId, Timestamp};
@@ -20,8 +21,6 @@
 const STATUS_INTERVAL: Duration = Duration::from_millis(200);
 /// A configuration that a router has not confirmed is sent again after so long.
 const RESEND_AFTER: Duration = Duration::from_millis(600);
-/// Other routers that each router is told of.
-const PEERS_PER_ROUTER: usize = 4;
 /// Longest wait for the replica's answer.
 const REPLY_LIMIT: Duration = Duration::from_millis(1_500);
 
@@ -65,6 +64,7 @@
             puts: HashMap::new(),
             reads: HashMap::new(),
             next_token: 1,
+            routers_changed: false,
         };
         let node = Self {
             mesh,
@@ -200,7 +200,7 @@
         self.mesh.send(link, &FleetMessage::ControlStatus(self.status()));
         match role {
             PeerRole::Control => self.tell_control_peers(),
-            PeerRole::Router => self.tell_router_peers(),
+            PeerRole::Router => self.state.borrow_mut().routers_changed = true,
         }
     }
 
@@ -339,6 +339,7 @@
     }
 
     fn on_tick(&self) {
+        self.tell_router_peers();
         let now = self.now();
         let status = FleetMessage::ControlStatus(self.status());
         let state = &mut *self.state.borrow_mut();
@@ -401,17 +402,14 @@
 
     /// Tells every router of a few others, which it may need when it can't reach control.
     fn tell_router_peers(&self) {
-        let state = self.state.borrow();
-        let routers: BTreeMap<SocketAddr, LinkId> = state
-            .links
-            .iter()
-            .filter(|(_, link)| link.peer.role == PeerRole::Router)
-            .map(|(link, entry)| (entry.peer.listens_at, *link))
-            .collect();
-        let addresses: Vec<SocketAddr> = routers.keys().copied().collect();
-        for (position, link) in routers.values().enumerate() {
-            let others = addresses.iter().cycle().skip(position + 1);
-            let peers = others.take(PEERS_PER_ROUTER.min(addresses.len() - 1)).copied().collect();
+        let state = &mut *self.state.borrow_mut();
+        if !std::mem::take(&mut state.routers_changed) {
+            return;
+        }
+        let routers = state.router_sites();
+        let sites: Vec<RouterSite> = routers.keys().cloned().collect();
+        for (site, link) in &routers {
+            let peers = peers_of(&sites, site);
             self.mesh.send(*link, &FleetMessage::RouterPeers(peers));
         }
     }
--- a/crates/coordinator/src/control_state.rs
+++ b/crates/coordinator/src/control_state.rs
@@ -3,6 +3,7 @@
 use crate::document_delta::DocumentDelta;
 use crate::message::Document;
 use crate::replica_api::{PutReply, ReadReply};
+use crate::router_peers::RouterSite;
 use stackpost_gateway_core::EngineDirectory;
 use stackpost_mesh::{LinkId, PeerInfo, PeerRole};
 use stackpost_types::BackEndName;
@@ -37,6 +38,8 @@
     pub puts: HashMap<u64, oneshot::Sender<PutReply>>,
     pub reads: HashMap<u64, oneshot::Sender<ReadReply>>,
     pub next_token: u64,
+    /// Whether a router has connected since the routers were told of one another.
+    pub routers_changed: bool,
 }
 
 impl ControlState {
@@ -77,6 +80,14 @@
         by_node.into_values().collect()
     }
 
+    /// The routers and a connection to each, by zone and address.
+    pub fn router_sites(&self) -> BTreeMap<RouterSite, LinkId> {
+        let routers = self.links.iter().filter(|(_, link)| link.peer.role == PeerRole::Router);
+        let site =
+            |peer: &PeerInfo| RouterSite { zone: peer.zone.clone(), address: peer.listens_at };
+        routers.map(|(link, entry)| (site(&entry.peer), *link)).collect()
+    }
+
     /// One connection to each process.
     pub fn links_to_everyone(&self) -> Vec<LinkId> {
         let mut links = self.links_to(PeerRole::Control);
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -15,6 +15,7 @@
 mod replica_api;
 mod replica_opening;
 mod replica_thread;
+mod router_peers;
 mod state;
 mod voters;
 
@@ -26,6 +27,7 @@
     PutReply, ReadReply, ReplicaConfig, ReplicaEffect, ReplicaError, ReplicaEvent,
 };
 pub use replica_thread::{ReplicaHandle, ReplicaThread, ReplicaView};
+pub use router_peers::{PEERS_PER_ROUTER, RouterSite, peers_of};
 pub use state::{Command, FleetState, Outcome};
 
 use stackpost_gateway_core::{ConfigError, RoutingConfig};
--- /dev/null
+++ b/crates/coordinator/src/router_peers.rs
@@ -0,0 +1,27 @@
+//! Which other routers a router is told of, for the times when it can't reach control.
+
+use std::net::SocketAddr;
+
+use stackpost_types::ZoneName;
+
+/// Other routers that each router is told of.
+pub const PEERS_PER_ROUTER: usize = 12;
+
+/// A router and where other routers find it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RouterSite {
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Where it accepts connections of the fleet.
+    pub address: SocketAddr,
+}
+
+/// The routers that `own` is told of, out of all in `sorted`: those of its own zone first, which a
+/// cut between zones leaves in reach, each router beginning with another one.
+pub fn peers_of(sorted: &[RouterSite], own: &RouterSite) -> Vec<SocketAddr> {
+    let next = sorted.partition_point(|site| site <= own);
+    let others = || sorted[next..].iter().chain(&sorted[..next]).filter(|site| *site != own);
+    let in_zone = others().filter(|site| site.zone == own.zone);
+    let elsewhere = others().filter(|site| site.zone != own.zone);
+    in_zone.chain(elsewhere).take(PEERS_PER_ROUTER).map(|site| site.address).collect()
+}
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -27,6 +27,8 @@
 /// Time between two tries to say farewell.
 const FAREWELL_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Time in which connections to other routers come up, if they come up at all.
+const PEERS_COME_UP: Duration = Duration::from_millis(400);
 /// Times that a farewell kept for another router is sent to the leader.
 const CUSTODY_DELIVERIES: u32 = 5;
 
@@ -50,8 +52,9 @@
     fully_reported_at: Cell<Instant>,
     sign_at: Cell<Instant>,
     farewell_taken: Notify,
-    /// Other routers, to be dialed only when this one stops out of touch.
+    /// Other routers, to be dialed only when this one needs them.
     peers: RefCell<Vec<SocketAddr>>,
+    peers_dialed_at: Cell<Option<Instant>>,
     peer_links: RefCell<BTreeSet<LinkId>>,
     loans: Loans,
     /// Engines that each control process has not heard of late.
@@ -86,6 +89,7 @@
             sign_at: Cell::new(Instant::now()),
             farewell_taken: Notify::new(),
             peers: RefCell::default(),
+            peers_dialed_at: Cell::new(None),
             peer_links: RefCell::default(),
             loans: Loans::default(),
             silent: RefCell::default(),
@@ -156,9 +160,7 @@
         match command {
             LoanCommand::Ask { tenant, amount, reply } => {
                 self.loans.ask(tenant, amount, reply);
-                for peer in self.peers.borrow().iter() {
-                    self.mesh.dial(*peer);
-                }
+                self.dial_peers();
                 self.ask_for_loans();
             }
             LoanCommand::Settle { loan, used } => self.settle(loan, used),
@@ -169,18 +171,29 @@
         self.mesh.send(loan.lender, &FleetMessage::SettleLoan { token: loan.token, used });
     }
 
+    fn dial_peers(&self) {
+        if self.peers_dialed_at.get().is_none() {
+            self.peers_dialed_at.set(Some(Instant::now()));
+        }
+        for peer in self.peers.borrow().iter() {
+            self.mesh.dial(*peer);
+        }
+    }
+
     /// Sends what requests want to ask. Connections may still be coming up.
     fn ask_for_loans(&self) {
         let peers = self.peer_links.borrow();
-        let more_may_come = peers.len() < self.peers.borrow().len();
-        for question in self.loans.questions(&peers, more_may_come) {
+        let dialed_just_now =
+            self.peers_dialed_at.get().is_some_and(|at| at.elapsed() < PEERS_COME_UP);
+        let more_may_come = dialed_just_now && peers.len() < self.peers.borrow().len();
+        for question in self.loans.questions(self.router.now(), &peers, more_may_come) {
             let (token, tenant, amount) = (question.token, question.tenant, question.amount);
             self.mesh.send(question.to, &FleetMessage::Borrow { token, tenant, amount });
         }
     }
 
     fn on_borrow_reply(&self, lender: LinkId, token: u64, granted: bool) {
-        if let Some(unwanted) = self.loans.on_reply(lender, token, granted) {
+        if let Some(unwanted) = self.loans.on_reply(self.router.now(), lender, token, granted) {
             self.settle(unwanted, Tokens::ZERO);
         }
         if self.loans.is_wanted() {
@@ -192,6 +205,10 @@
         let now = self.router.now();
         let reserved = self.router.wallet.borrow_mut().retry_reserve(now, &tenant, amount);
         let granted = reserved.is_ok() && !self.stopped.get();
+        if reserved.is_err() {
+            // In touch, the leader hears of it and this router can lend when it is asked again.
+            self.router.wallet_short.notify_one();
+        }
         if granted {
             self.loans.on_lent(borrower, token, tenant, amount);
         } else if reserved.is_ok() {
--- a/crates/gateway/src/loans.rs
+++ b/crates/gateway/src/loans.rs
@@ -6,11 +6,14 @@
 //! What was really used is told afterwards; if that word is lost, the lender keeps the most.
 
 use stackpost_mesh::LinkId;
-use stackpost_types::{TenantName, Tokens};
+use stackpost_types::{Millis, TenantName, Timestamp, Tokens};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use tokio::sync::{mpsc, oneshot};
 
+/// A router that has lent nothing is not asked for as much or more again for so long.
+const REFUSAL_KEPT: Millis = Millis(100);
+
 /// A reservation at another router.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Loan {
@@ -63,9 +66,19 @@
     pub amount: Tokens,
 }
 
+/// What a router would not lend.
+struct RefusedLoan {
+    amount: Tokens,
+    at: Timestamp,
+}
+
 /// Both sides of the loans of one router.
 #[derive(Default)]
 pub struct Loans {
+    /// Who has lent of each tenant's budget last.
+    last_lenders: RefCell<BTreeMap<TenantName, LinkId>>,
+    /// The newest refusal of each router for each tenant.
+    refused: RefCell<BTreeMap<(LinkId, TenantName), RefusedLoan>>,
     pending: RefCell<BTreeMap<u64, PendingAsk>>,
     next_token: RefCell<u64>,
     /// Lent to others and not settled.
@@ -83,18 +96,23 @@
 
     /// The questions to send now. A request that has asked everyone in `peers` gets nothing, unless
     /// there may be more to come.
-    pub fn questions(&self, peers: &BTreeSet<LinkId>, more_may_come: bool) -> Vec<Question> {
+    pub fn questions(
+        &self,
+        now: Timestamp,
+        peers: &BTreeSet<LinkId>,
+        more_may_come: bool,
+    ) -> Vec<Question> {
         let mut questions = Vec::new();
         let mut refused = Vec::new();
         let mut pending = self.pending.borrow_mut();
         pending.retain(|_, ask| !ask.reply.is_closed());
         for (token, ask) in pending.iter_mut().filter(|(_, ask)| ask.outstanding.is_none()) {
-            match peers.iter().find(|peer| !ask.asked.contains(*peer)) {
+            match self.next_lender(now, ask, peers) {
                 Some(peer) => {
-                    ask.asked.insert(*peer);
-                    ask.outstanding = Some(*peer);
+                    ask.asked.insert(peer);
+                    ask.outstanding = Some(peer);
                     let (tenant, amount) = (ask.tenant.clone(), ask.amount);
-                    questions.push(Question { to: *peer, token: *token, tenant, amount });
+                    questions.push(Question { to: peer, token: *token, tenant, amount });
                 }
                 None if more_may_come => {}
                 None => refused.push(*token),
@@ -107,20 +125,50 @@
         questions
     }
 
+    /// Whom to ask next: first who has lent last, and nobody who has just refused as much.
+    fn next_lender(
+        &self,
+        now: Timestamp,
+        ask: &PendingAsk,
+        peers: &BTreeSet<LinkId>,
+    ) -> Option<LinkId> {
+        let refused = self.refused.borrow();
+        let has_refused = |peer: LinkId| {
+            refused.get(&(peer, ask.tenant.clone())).is_some_and(|refusal| {
+                refusal.amount <= ask.amount && now.since(refusal.at) < REFUSAL_KEPT
+            })
+        };
+        let last_lenders = self.last_lenders.borrow();
+        let last = last_lenders.get(&ask.tenant).filter(|last| peers.contains(last));
+        last.into_iter()
+            .chain(peers)
+            .copied()
+            .find(|peer| !ask.asked.contains(peer) && !has_refused(*peer))
+    }
+
     /// Takes in an answer. Returns the loan if nobody wants it any more.
-    pub fn on_reply(&self, lender: LinkId, token: u64, granted: bool) -> Option<Loan> {
+    pub fn on_reply(
+        &self,
+        now: Timestamp,
+        lender: LinkId,
+        token: u64,
+        granted: bool,
+    ) -> Option<Loan> {
         let loan = Loan { lender, token };
         let mut pending = self.pending.borrow_mut();
         if !granted {
             if let Some(ask) = pending.get_mut(&token) {
                 ask.outstanding = None;
+                let refusal = RefusedLoan { amount: ask.amount, at: now };
+                self.refused.borrow_mut().insert((lender, ask.tenant.clone()), refusal);
             }
             return None;
         }
-        match pending.remove(&token) {
-            Some(ask) => ask.reply.send(Some(loan)).err().map(|_| loan),
-            None => Some(loan),
-        }
+        let Some(ask) = pending.remove(&token) else {
+            return Some(loan);
+        };
+        self.last_lenders.borrow_mut().insert(ask.tenant, lender);
+        ask.reply.send(Some(loan)).err().map(|_| loan)
     }
 
     /// Notes what was lent.
@@ -140,6 +188,8 @@
                 ask.outstanding = None;
             }
         }
+        self.refused.borrow_mut().retain(|(peer, _), _| *peer != link);
+        self.last_lenders.borrow_mut().retain(|_, lender| *lender != link);
         let mut lent = self.lent.borrow_mut();
         let gone: Vec<(LinkId, u64)> =
             lent.keys().filter(|(borrower, _)| *borrower == link).copied().collect();
--- a/crates/gateway/src/reservation.rs
+++ b/crates/gateway/src/reservation.rs
@@ -8,7 +8,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Tokens of a tenant's budget that a request may cost. What it did cost is settled when this is
 /// dropped, however the request ends.
@@ -109,6 +109,9 @@
     }
 }
 
+/// Time after which routers that had nothing to lend are asked again: one that is in touch may have
+/// got something from the leader.
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(110);
 /// Longest time between two tries while a request waits for tokens.
 const RETRY_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -125,7 +128,14 @@
         // Out of touch the leader can't hand out more, but other routers may have some.
         if !router.in_touch() {
             let loan = timeout_at(wait_until, router.loan_desk.ask(tenant, most)).await;
-            return loan.ok().flatten().map(Some).ok_or(Refusal::BudgetExhausted);
+            if let Some(loan) = loan.ok().flatten() {
+                return Ok(Some(loan));
+            }
+            sleep_until(wait_until.min(Instant::now() + ASK_AGAIN_AFTER)).await;
+            if router.wallet.borrow_mut().retry_reserve(router.now(), tenant, most).is_ok() {
+                return Ok(None);
+            }
+            continue;
         }
         let grown = router.wallet_grown.notified();
         router.wallet_short.notify_one();
