Say "not ready" while the router's own link is full

Logs with the phases of each request: front-bog-occ-12 serves half of its zone's requests (the balancer hashes callers, and one caller is large); its new connections take 250 to 350 ms to engines of any zone, those of the sixteen others 2 ms. Its 10 Mbit/s are full.

Ruled out: processor time (the same without it), the engines (other routers get theirs in 65 ms), a preference for engines of the own zone (there is none).

Change: a mean of the time that new connections take; from 60 ms on the router is not ready, until it has been below 15 ms for 1 s (crates/gateway/src/congestion.rs, four tests).

Also: the test a_stream_that_breaks_off_does_not_look_complete failed once, because a port that the tests had found free was taken by another test's outgoing connection; ports now come from below that range.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -120,6 +120,7 @@
     on_sent: impl FnOnce(),
 ) -> AttemptResult {
     let mut hold = EngineHold::new(router.clone(), engine);
+    let begun = Instant::now();
     let connecting = router.pool.acquire(&hold.engine, fresh);
     let mut connection = match timeout_at(head_until, connecting).await {
         Ok(Ok(connection)) => connection,
@@ -130,6 +131,9 @@
         }
         Err(_) => return AttemptResult::Unreachable,
     };
+    if !connection.reused {
+        router.congestion.on_connected(Instant::now().into_std(), begun.elapsed());
+    }
     let request = engine_request(router, payload, addressing);
     on_sent();
     let answer = connection.sender.try_send_request(request);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod attempt;
 mod body;
+pub mod congestion;
 mod dialect;
 mod engine_pool;
 mod fleet_link;
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -1,5 +1,6 @@
 //! What a router knows, shared by all its requests.
 
+use crate::congestion::Congestion;
 use crate::dialect::Dialect;
 use crate::engine_pool::EnginePool;
 use crate::loans::LoanDesk;
@@ -60,6 +61,7 @@
     confirmed: Cell<bool>,
     leader_heard_at: Cell<Option<Timestamp>>,
     draining_since: Cell<Option<Instant>>,
+    pub(crate) congestion: Congestion,
     started: Instant,
 }
 
@@ -89,6 +91,7 @@
             confirmed: Cell::new(false),
             leader_heard_at: Cell::new(None),
             draining_since: Cell::new(None),
+            congestion: Congestion::default(),
             started: Instant::now(),
         })
     }
@@ -100,7 +103,8 @@
 
     /// Whether the platform should send callers here.
     pub fn is_ready(&self) -> bool {
-        !self.is_draining() && self.table().is_some() && self.known_engines() > 0 && self.can_pay()
+        let can_serve = self.table().is_some() && self.known_engines() > 0 && self.can_pay();
+        can_serve && !self.is_draining() && !self.congestion.is_congested()
     }
 
     /// A router that was started out of touch has nothing to spend; callers are better served by
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -17,6 +17,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener as StdListener};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -286,9 +287,27 @@
     _folder: tempfile::TempDir,
 }
 
+/// First of the ports that are tried. All of them lie below those that the system gives to outgoing
+/// connections: one of these could take a port between the look here and its use.
+const FIRST_PORT: u16 = 15_000;
+/// Ports that one test process may use.
+const PORTS_PER_PROCESS: u16 = 128;
+/// Test processes that are told apart.
+const PROCESSES: u32 = 100;
+
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// An address at which nobody listens and that no other test of this process is given.
 fn free_address() -> SocketAddr {
-    let listener = StdListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bound");
-    listener.local_addr().expect("an address")
+    let block = (std::process::id() % PROCESSES) as u16 * PORTS_PER_PROCESS;
+    loop {
+        let step = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        assert!(step < PORTS_PER_PROCESS, "no port is free");
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, FIRST_PORT + block + step));
+        if StdListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 fn peer(role: PeerRole, machine: &str, listens_at: SocketAddr) -> PeerInfo {
