Split a router's connections to the fleet by concern

Ruled out: none; no behaviour is meant to change. Change: loans go to fleet_link/loan_exchange.rs, a router's end to fleet_link/farewell.rs; the dialling of peers, which stood twice, once.

--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -1,20 +1,24 @@
 //! Keeps a router's knowledge up to date over the connections of the fleet.
 
-use crate::loans::{Loan, LoanCommand, Loans};
+mod farewell;
+mod loan_exchange;
+
+use self::farewell::Custody;
+use crate::loans::{LoanCommand, Loans};
 use crate::machine_clock::machine_time;
 use crate::router::Router;
 use stackpost_coordinator::{ClockEcho, ControlStatus, FleetMessage, RouterStatus};
 use stackpost_gateway_core::{EngineNotice, Merge};
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
 use stackpost_prepaid::{AccountReport, Allotment, Contact};
-use stackpost_types::{BackEndName, NodeId, PeerError, TenantName, Tokens};
+use stackpost_types::{BackEndName, NodeId, PeerError, TenantName};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::{Notify, mpsc};
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::time::{MissedTickBehavior, interval};
 
 /// Time between two reports to the leader.
 const REPORT_INTERVAL: Duration = Duration::from_millis(150);
@@ -24,19 +28,6 @@
 const FULL_REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Time between two rounds of forgetting engines that are gone and of taking figures.
 const FORGET_INTERVAL: Duration = Duration::from_secs(2);
-/// Time between two tries to say farewell.
-const FAREWELL_INTERVAL: Duration = Duration::from_millis(150);
-
-/// Time in which connections to other routers come up, if they come up at all.
-const PEERS_COME_UP: Duration = Duration::from_millis(400);
-/// Times that a farewell kept for another router is sent to the leader.
-const CUSTODY_DELIVERIES: u32 = 5;
-
-/// What another router left here when it stopped.
-struct Custody {
-    spent: BTreeMap<TenantName, Tokens>,
-    delivered: u32,
-}
 
 /// The router's end of the connections to control.
 pub struct FleetLink {
@@ -107,24 +98,6 @@
         seeds.iter().for_each(|seed| self.mesh.dial(*seed));
     }
 
-    /// Ends this router's life: all that it holds goes back. Returns once the leader has taken
-    /// that in, or after `limit`.
-    pub async fn say_farewell(&self, limit: Duration) {
-        self.stopped.set(true);
-        let used = self.router.wallet.borrow().used();
-        let repeat = async {
-            loop {
-                self.send_farewell(&used);
-                if timeout(FAREWELL_INTERVAL, self.farewell_taken.notified()).await.is_ok() {
-                    return;
-                }
-            }
-        };
-        if timeout(limit, repeat).await.is_err() {
-            log::warn!(step = "farewell"; "no leader has taken the farewell");
-        }
-    }
-
     fn on_silent_engines(&self, link: LinkId, engines: BTreeSet<BackEndName>) {
         let mut silent = self.silent.borrow_mut();
         silent.retain(|known, _| self.links.borrow().contains(known));
@@ -156,116 +129,6 @@
         self.router.directory.borrow_mut().set_silent(by_all);
     }
 
-    fn on_loan_command(&self, command: LoanCommand) {
-        match command {
-            LoanCommand::Ask { tenant, amount, reply } => {
-                self.loans.ask(tenant, amount, reply);
-                self.dial_peers();
-                self.ask_for_loans();
-            }
-            LoanCommand::Settle { loan, used } => self.settle(loan, used),
-        }
-    }
-
-    fn settle(&self, loan: Loan, used: Tokens) {
-        self.mesh.send(loan.lender, &FleetMessage::SettleLoan { token: loan.token, used });
-    }
-
-    fn dial_peers(&self) {
-        if self.peers_dialed_at.get().is_none() {
-            self.peers_dialed_at.set(Some(Instant::now()));
-        }
-        for peer in self.peers.borrow().iter() {
-            self.mesh.dial(*peer);
-        }
-    }
-
-    /// Sends what requests want to ask. Connections may still be coming up.
-    fn ask_for_loans(&self) {
-        let peers = self.peer_links.borrow();
-        let dialed_just_now =
-            self.peers_dialed_at.get().is_some_and(|at| at.elapsed() < PEERS_COME_UP);
-        let more_may_come = dialed_just_now && peers.len() < self.peers.borrow().len();
-        for question in self.loans.questions(self.router.now(), &peers, more_may_come) {
-            let (token, tenant, amount) = (question.token, question.tenant, question.amount);
-            self.mesh.send(question.to, &FleetMessage::Borrow { token, tenant, amount });
-        }
-    }
-
-    fn on_borrow_reply(&self, lender: LinkId, token: u64, granted: bool) {
-        if let Some(unwanted) = self.loans.on_reply(self.router.now(), lender, token, granted) {
-            self.settle(unwanted, Tokens::ZERO);
-        }
-        if self.loans.is_wanted() {
-            self.ask_for_loans();
-        }
-    }
-
-    fn lend(&self, borrower: LinkId, token: u64, tenant: TenantName, amount: Tokens) {
-        let now = self.router.now();
-        let reserved = self.router.wallet.borrow_mut().retry_reserve(now, &tenant, amount);
-        let granted = reserved.is_ok() && !self.stopped.get();
-        if reserved.is_err() {
-            // In touch, the leader hears of it and this router can lend when it is asked again.
-            self.router.wallet_short.notify_one();
-        }
-        if granted {
-            self.loans.on_lent(borrower, token, tenant, amount);
-        } else if reserved.is_ok() {
-            self.router.wallet.borrow_mut().settle(&tenant, amount, Tokens::ZERO);
-        }
-        self.mesh.send(borrower, &FleetMessage::BorrowReply { token, granted });
-    }
-
-    fn on_loan_settled(&self, borrower: LinkId, token: u64, used: Tokens) {
-        if let Some((tenant, amount)) = self.loans.on_settled(borrower, token) {
-            self.router.wallet.borrow_mut().settle(&tenant, amount, used);
-        }
-    }
-
-    /// Whoever borrowed over this connection can't say any more what was used.
-    fn on_peer_down(&self, link: LinkId) {
-        for (tenant, amount) in self.loans.on_down(link) {
-            self.router.wallet.borrow_mut().settle(&tenant, amount, amount);
-        }
-    }
-
-    /// To the leader, or out of touch to other routers, which pass it on.
-    fn send_farewell(&self, used: &BTreeMap<TenantName, Tokens>) {
-        if let Some(leader) = self.leader.get().filter(|_| self.router.in_touch()) {
-            return self.mesh.send(leader, &FleetMessage::Farewell(used.clone()));
-        }
-        for peer in self.peers.borrow().iter() {
-            self.mesh.dial(*peer);
-        }
-        let links = self.peer_links.borrow().clone();
-        self.mesh.send_all(links.clone(), &FleetMessage::Custody(self.node.clone(), used.clone()));
-        for (router, custody) in self.custody.borrow().iter() {
-            let message = FleetMessage::Custody(router.clone(), custody.spent.clone());
-            self.mesh.send_all(links.clone(), &message);
-        }
-    }
-
-    fn on_custody(&self, link: LinkId, router: NodeId, spent: BTreeMap<TenantName, Tokens>) {
-        log::info!(router = router.to_string().as_str(); "farewell kept for another router");
-        self.custody.borrow_mut().insert(router, Custody { spent, delivered: 0 });
-        self.mesh.send(link, &FleetMessage::FarewellTaken);
-        self.deliver_custody();
-    }
-
-    /// Passes on what other routers have left here, some times, since a message may be lost.
-    fn deliver_custody(&self) {
-        let Some(leader) = self.leader.get().filter(|_| self.router.in_touch()) else {
-            return;
-        };
-        self.custody.borrow_mut().retain(|router, custody| {
-            let message = FleetMessage::Custody(router.clone(), custody.spent.clone());
-            self.mesh.send(leader, &message);
-            custody.delivered += 1;
-            custody.delivered < CUSTODY_DELIVERIES
-        });
-    }
-
     async fn run(
         self: Rc<Self>,
         mut events: mpsc::UnboundedReceiver<LinkEvent<FleetMessage>>,
--- /dev/null
+++ b/crates/gateway/src/fleet_link/farewell.rs
@@ -0,0 +1,79 @@
+//! The end of a router's life: what it has spent reaches the ledger, if need be by way of others.
+
+use super::FleetLink;
+use stackpost_coordinator::FleetMessage;
+use stackpost_mesh::LinkId;
+use stackpost_types::{NodeId, TenantName, Tokens};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Time between two tries to say farewell.
+const FAREWELL_INTERVAL: Duration = Duration::from_millis(150);
+/// Times that a farewell kept for another router is sent to the leader.
+const CUSTODY_DELIVERIES: u32 = 5;
+
+/// What another router left here when it stopped.
+pub(super) struct Custody {
+    spent: BTreeMap<TenantName, Tokens>,
+    delivered: u32,
+}
+
+impl FleetLink {
+    /// Ends this router's life: all that it holds goes back. Returns once the leader has taken
+    /// that in, or after `limit`.
+    pub async fn say_farewell(&self, limit: Duration) {
+        self.stopped.set(true);
+        let used = self.router.wallet.borrow().used();
+        let repeat = async {
+            loop {
+                self.send_farewell(&used);
+                if timeout(FAREWELL_INTERVAL, self.farewell_taken.notified()).await.is_ok() {
+                    return;
+                }
+            }
+        };
+        if timeout(limit, repeat).await.is_err() {
+            log::warn!(step = "farewell"; "no leader has taken the farewell");
+        }
+    }
+
+    /// To the leader, or out of touch to other routers, which pass it on.
+    fn send_farewell(&self, used: &BTreeMap<TenantName, Tokens>) {
+        if let Some(leader) = self.leader.get().filter(|_| self.router.in_touch()) {
+            return self.mesh.send(leader, &FleetMessage::Farewell(used.clone()));
+        }
+        self.dial_peers();
+        let links = self.peer_links.borrow().clone();
+        self.mesh.send_all(links.clone(), &FleetMessage::Custody(self.node.clone(), used.clone()));
+        for (router, custody) in self.custody.borrow().iter() {
+            let message = FleetMessage::Custody(router.clone(), custody.spent.clone());
+            self.mesh.send_all(links.clone(), &message);
+        }
+    }
+
+    pub(super) fn on_custody(
+        &self,
+        link: LinkId,
+        router: NodeId,
+        spent: BTreeMap<TenantName, Tokens>,
+    ) {
+        log::info!(router = router.to_string().as_str(); "farewell kept for another router");
+        self.custody.borrow_mut().insert(router, Custody { spent, delivered: 0 });
+        self.mesh.send(link, &FleetMessage::FarewellTaken);
+        self.deliver_custody();
+    }
+
+    /// Passes on what other routers have left here, some times, since a message may be lost.
+    pub(super) fn deliver_custody(&self) {
+        let Some(leader) = self.leader.get().filter(|_| self.router.in_touch()) else {
+            return;
+        };
+        self.custody.borrow_mut().retain(|router, custody| {
+            let message = FleetMessage::Custody(router.clone(), custody.spent.clone());
+            self.mesh.send(leader, &message);
+            custody.delivered += 1;
+            custody.delivered < CUSTODY_DELIVERIES
+        });
+    }
+}
