Send whole configurations compressed

The control logs show a leader at 48.19 s that steps down at 48.89 and leads again at 50.08: 86 routers want the whole configuration, which has grown by 1,400 routes, from it at once, again after 600 ms, and its heartbeats wait behind them.

Ruled out: elections (the first succeeds 1.1 s after the start), disks, processor time (the same without it).

Change: a whole configuration travels deflated, packed once a version (crates/coordinator/src/packed_document.rs); flate2 was in the build already. What is stored and replicated stays as it was. Weighed: a bound on routers served at once (5 s for 86 of them), followers feeding routers (more to reason about).

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -63,6 +63,7 @@
             deltas: BTreeMap::new(),
             puts: HashMap::new(),
             reads: HashMap::new(),
+            packed: None,
             next_token: 1,
             routers_changed: false,
         };
@@ -282,7 +283,7 @@
         let base = sent_before.filter(|_| !overdue).map_or(entry.document_known, |(base, _)| base);
         match state.delta(base, document) {
             Some(delta) => self.mesh.send(link, &FleetMessage::DocumentDelta(delta)),
-            None => self.mesh.send(link, &FleetMessage::Document(document.clone())),
+            None => self.mesh.send(link, &FleetMessage::Document(state.packed(document))),
         }
     }
 
--- a/crates/coordinator/src/control_state.rs
+++ b/crates/coordinator/src/control_state.rs
@@ -2,6 +2,7 @@
 
 use crate::document_delta::DocumentDelta;
 use crate::message::Document;
+use crate::packed_document::PackedDocument;
 use crate::replica_api::{PutReply, ReadReply};
 use crate::router_peers::RouterSite;
 use stackpost_gateway_core::EngineDirectory;
@@ -35,6 +36,8 @@
     pub recent_documents: BTreeMap<u64, Document>,
     /// The newest configuration as differences to earlier ones.
     pub deltas: BTreeMap<u64, DocumentDelta>,
+    /// The newest configuration that was sent whole.
+    pub packed: Option<PackedDocument>,
     pub puts: HashMap<u64, oneshot::Sender<PutReply>>,
     pub reads: HashMap<u64, oneshot::Sender<ReadReply>>,
     pub next_token: u64,
@@ -57,6 +60,16 @@
         }
     }
 
+    /// `document` as it is sent whole.
+    pub fn packed(&mut self, document: &Document) -> PackedDocument {
+        if let Some(packed) =
+            self.packed.as_ref().filter(|packed| packed.version == document.version)
+        {
+            return packed.clone();
+        }
+        self.packed.insert(PackedDocument::pack(document)).clone()
+    }
+
     /// `document` as the difference to the version `base`, if that is still here.
     pub fn delta(&mut self, base: u64, document: &Document) -> Option<DocumentDelta> {
         if let Some(delta) =
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -10,6 +10,7 @@
 mod control_state;
 mod document_delta;
 mod message;
+mod packed_document;
 mod prepaid_planner;
 mod replica;
 mod replica_api;
@@ -22,6 +23,7 @@
 pub use control_node::{ControlNode, ControlSettings};
 pub use document_delta::DocumentDelta;
 pub use message::{ClockEcho, ControlStatus, Document, FleetMessage, RouterStatus};
+pub use packed_document::PackedDocument;
 pub use replica::Replica;
 pub use replica_api::{
     PutReply, ReadReply, ReplicaConfig, ReplicaEffect, ReplicaError, ReplicaEvent,
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -1,6 +1,7 @@
 //! What processes of a fleet tell one another.
 
 use crate::document_delta::DocumentDelta;
+use crate::packed_document::PackedDocument;
 use serde::{Deserialize, Serialize};
 use stackpost_consensus::Envelope;
 use stackpost_gateway_core::EngineNotice;
@@ -69,7 +70,7 @@
     /// From a control replica to everyone.
     ControlStatus(ControlStatus),
     /// From a control replica to a router.
-    Document(Document),
+    Document(PackedDocument),
     /// From a control replica to a router that holds the version it is based on.
     DocumentDelta(DocumentDelta),
     /// From a control replica: to other ones what it has heard, to routers only what is new.
--- a/crates/coordinator/tests/deltas.rs
+++ b/crates/coordinator/tests/deltas.rs
@@ -1,7 +1,7 @@
 //! Differences between configurations.
 
 use proptest::prelude::*;
-use stackpost_coordinator::{Document, DocumentDelta};
+use stackpost_coordinator::{Document, DocumentDelta, PackedDocument};
 
 fn document(version: u64, text: &str) -> Document {
     Document { version, bytes: text.as_bytes().into() }
@@ -53,3 +53,24 @@
         prop_assert_eq!(DocumentDelta::between(&base, &new).apply(&base), Some(new));
     }
 }
+
+#[test]
+fn a_packed_document_is_small_and_comes_back_byte_for_byte() {
+    let text: String = (0..5).map(routes).collect();
+    let document = document(7, &text);
+    let packed = PackedDocument::pack(&document);
+    assert!(packed.packed_len() * 8 < text.len(), "{} of {}", packed.packed_len(), text.len());
+    let bytes = postcard::to_stdvec(&packed).expect("encoded");
+    let read: PackedDocument = postcard::from_bytes(&bytes).expect("read");
+    assert_eq!(read.unpack().expect("whole"), document);
+}
+
+#[test]
+fn a_packed_document_that_is_cut_short_is_refused() {
+    let packed = PackedDocument::pack(&document(7, &routes(3)));
+    let bytes = postcard::to_stdvec(&packed).expect("encoded");
+    let (version, whole): (u64, Vec<u8>) = postcard::from_bytes(&bytes).expect("read");
+    let half = postcard::to_stdvec(&(version, &whole[..whole.len() / 2])).expect("encoded");
+    let cut: PackedDocument = postcard::from_bytes(&half).expect("read");
+    assert!(cut.unpack().is_err());
+}
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -186,8 +186,11 @@
     fn on_message(&self, link: LinkId, message: FleetMessage) {
         match message {
             FleetMessage::ControlStatus(status) => self.on_status(link, status),
-            FleetMessage::Document(document) => {
-                self.router.set_document(document);
+            FleetMessage::Document(packed) => {
+                match packed.unpack() {
+                    Ok(document) => self.router.set_document(document),
+                    Err(error) => log::error!(step = "unpack"; "{error}"),
+                }
                 self.send_sign(link);
             }
             FleetMessage::DocumentDelta(delta) => {
