Let time end the congestion of a router's link

Ruled out: a lower bar for quick connections (none may come at all).

Change: congestion ends ten seconds after the mean was last too high.

--- a/crates/gateway/src/congestion.rs
+++ b/crates/gateway/src/congestion.rs
@@ -14,18 +14,16 @@
 const LEAST_SAMPLES: u32 = 40;
 /// Mean time to connect from which the link is congested.
 const CONGESTED_FROM: Duration = Duration::from_millis(60);
-/// Mean time to connect below which it no longer is.
-const CLEAR_BELOW: Duration = Duration::from_millis(15);
-/// How long the mean has to stay below that.
-const CLEAR_FOR: Duration = Duration::from_millis(1_000);
+/// The link counts as congested for so long after the mean was last that high. A router that is not
+/// ready gets few new connections to measure, so time alone has to end this.
+const CONGESTED_FOR: Duration = Duration::from_secs(10);
 
 /// Watches the time that new connections take.
 #[derive(Debug, Default)]
 pub struct Congestion {
     samples: Cell<u32>,
     mean: Cell<Duration>,
-    congested: Cell<bool>,
-    clear_since: Cell<Option<Instant>>,
+    congested_until: Cell<Option<Instant>>,
 }
 
 impl Congestion {
@@ -37,31 +35,18 @@
         if self.samples.get() < LEAST_SAMPLES {
             return;
         }
-        if self.mean.get() >= CONGESTED_FROM {
-            self.clear_since.set(None);
-            self.set_congested(true);
-        } else if self.mean.get() >= CLEAR_BELOW {
-            self.clear_since.set(None);
-        } else if self.has_been_clear(now) {
-            self.set_congested(false);
+        if self.mean.get() < CONGESTED_FROM {
+            return;
+        }
+        if !self.is_congested(now) {
+            let mean_ms = self.mean.get().as_millis() as u64;
+            log::info!(mean_connect_ms = mean_ms; "the own link is congested");
         }
+        self.congested_until.set(Some(now + CONGESTED_FOR));
     }
 
     /// Whether the link is full.
-    pub fn is_congested(&self) -> bool {
-        self.congested.get()
-    }
-
-    fn has_been_clear(&self, now: Instant) -> bool {
-        let since = self.clear_since.get().unwrap_or(now);
-        self.clear_since.set(Some(since));
-        now.duration_since(since) >= CLEAR_FOR
-    }
-
-    fn set_congested(&self, congested: bool) {
-        if self.congested.replace(congested) != congested {
-            let mean_ms = self.mean.get().as_millis() as u64;
-            log::info!(congested = congested, mean_connect_ms = mean_ms; "state of the own link");
-        }
+    pub fn is_congested(&self, now: Instant) -> bool {
+        self.congested_until.get().is_some_and(|until| now < until)
     }
 }
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -104,7 +104,7 @@
     /// Whether the platform should send callers here.
     pub fn is_ready(&self) -> bool {
         let can_serve = self.table().is_some() && self.known_engines() > 0 && self.can_pay();
-        can_serve && !self.is_draining() && !self.congestion.is_congested()
+        can_serve && !self.is_draining() && !self.congestion.is_congested(Instant::now())
     }
 
     /// A router that was started out of touch has nothing to spend; callers are better served by
