Say in the log what a refusal for budget rested on, and which budgets are short

Cause: a refused request's line named no tenant, amount, balance or age, so it could not be told whether the budget was gone, stranded or only on its way. Change: each such refusal says tenant, tokens, priority, hand, reserve, what could be spent, time since the leader was heard and the leader's word on the budget; the leader says once a second which budgets routers want more of, with limit, what nobody holds and what routers hold.

--- a/crates/coordinator/src/prepaid_planner.rs
+++ b/crates/coordinator/src/prepaid_planner.rs
@@ -3,7 +3,7 @@
 use crate::message::{ClockEcho, RouterStatus};
 use crate::state::Command;
 use stackpost_prepaid::{
-    AccountReport, Contact, LifeEnd, Outlook, PrepaidLedger, SteadyTime, plan,
+    AccountReport, Contact, LifeEnd, Outlook, PrepaidLedger, ShortBudget, SteadyTime, plan,
 };
 use stackpost_types::{Millis, NodeId, TenantName, Timestamp, Tokens};
 use std::collections::{BTreeMap, BTreeSet};
@@ -21,6 +21,9 @@
 /// Least time between two words to the routers about which budgets run out.
 const OUTLOOK_INTERVAL: Millis = Millis(500);
 
+/// Least time between two log lines about the same short budget.
+const SHORT_LOGGED_EVERY: Millis = Millis(1_000);
+
 /// A new life of a machine is seen for so long before earlier ones are charged: what they have
 /// left with other routers may still be on its way.
 const CUSTODY_TIME: Millis = Millis(700);
@@ -46,6 +49,7 @@
     recalls: BTreeMap<NodeId, Vec<(TenantName, Tokens)>>,
     outlooks: BTreeMap<TenantName, Outlook>,
     outlooks_told_at: Option<Timestamp>,
+    short_logged_at: BTreeMap<TenantName, Timestamp>,
     urgent: bool,
     round_at: Timestamp,
     planned_at: Option<Timestamp>,
@@ -135,6 +139,7 @@
             of_router.push((recall.tenant, recall.keep));
         }
         self.outlooks = plan.outlooks;
+        self.log_short(now, &plan.short);
         if !plan.grants.is_empty() {
             commands.push(Command::Grant(plan.grants));
         }
@@ -142,6 +147,25 @@
         commands
     }
 
+    /// Says which budgets routers want more of, each now and then.
+    fn log_short(&mut self, now: Timestamp, short: &[ShortBudget]) {
+        self.short_logged_at.retain(|_, at| now.since(*at) < SHORT_LOGGED_EVERY);
+        for budget in short {
+            if self.short_logged_at.contains_key(&budget.tenant) {
+                continue;
+            }
+            self.short_logged_at.insert(budget.tenant.clone(), now);
+            log::info!(
+                tenant = budget.tenant.as_str(),
+                limit = budget.limit.0,
+                available = budget.available.0,
+                held = budget.held.0,
+                wanted = budget.wanted.0;
+                "budget short"
+            );
+        }
+    }
+
     /// Recalls that were planned.
     pub fn take_recalls(&mut self) -> BTreeMap<NodeId, Vec<(TenantName, Tokens)>> {
         std::mem::take(&mut self.recalls)
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -2,6 +2,7 @@
 
 use crate::attempt::{self, AttemptResult, EngineAnswer, Payload, strip_connection_headers};
 use crate::body::GatewayBody;
+use crate::decision_log;
 use crate::dialect::{CallerRequest, EngineAddressing};
 use crate::refusal::Refusal;
 use crate::relay;
@@ -17,7 +18,7 @@
     Admission, AttemptEnd, EngineRecord, PickQuery, Route, RouteTable, Tenant,
 };
 use stackpost_prepaid::Demand;
-use stackpost_types::{BackEndName, Digest, Millis, ServiceName};
+use stackpost_types::{BackEndName, Digest, Millis, ServiceName, TenantName};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -191,6 +192,7 @@
         };
         let demand = Demand { amount: generation.most(), priority: self.route.priority };
         if !self.router.may_draw(&tenant.name, demand) {
+            self.log_unpaid(&tenant.name, demand, "precedence");
             return Err(Refusal::BudgetExhausted);
         }
         let wait = Duration::from_millis(self.route.objective.0 * TOKEN_WAIT_PERCENT / 100);
@@ -198,9 +200,14 @@
         let per_event = self.tokens_per_event();
         Reservation::make(&self.router, &tenant.name, generation, per_event, wait_until)
             .await
+            .inspect_err(|_| self.log_unpaid(&tenant.name, demand, "wallet"))
             .map(Some)
     }
 
+    fn log_unpaid(&self, tenant: &TenantName, demand: Demand, step: &str) {
+        decision_log::unpaid(&self.router, &self.payload.caller.id, tenant, demand, step);
+    }
+
     fn tokens_per_event(&self) -> u64 {
         let service = self.table.config().services.get(&self.service);
         let engine = service.and_then(|service| service.engine.as_ref());
--- a/crates/prepaid/src/lib.rs
+++ b/crates/prepaid/src/lib.rs
@@ -17,7 +17,7 @@
 pub use ledger::{
     Allotment, Charge, Contact, Grant, LifeEnd, Pace, PrepaidLedger, RESERVE_LOCK, SteadyTime,
 };
-pub use policy::{AccountReport, Outlook, Plan, Recall, plan, ration};
+pub use policy::{AccountReport, Outlook, Plan, Recall, ShortBudget, plan, ration};
 pub use precedence::DemandByPriority;
 pub use rate::DemandRate;
-pub use wallet::{Demand, Shortfall, Wallet};
+pub use wallet::{Balance, Demand, Shortfall, Wallet};
--- a/crates/prepaid/src/policy.rs
+++ b/crates/prepaid/src/policy.rs
@@ -72,6 +72,21 @@
     pub keep: Tokens,
 }
 
+/// A budget that some router wants more of than it holds, as the leader sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ShortBudget {
+    /// The tenant.
+    pub tenant: TenantName,
+    /// Its limit.
+    pub limit: Tokens,
+    /// What nobody holds and nobody has used.
+    pub available: Tokens,
+    /// What routers that report hold unused.
+    pub held: Tokens,
+    /// The largest request that did not fit.
+    pub wanted: Tokens,
+}
+
 /// What is to be done in one round.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Plan {
@@ -81,6 +96,8 @@
     pub recalls: Vec<Recall>,
     /// Budgets that are going to run out.
     pub outlooks: BTreeMap<TenantName, Outlook>,
+    /// Budgets that some router wants more of, for logs.
+    pub short: Vec<ShortBudget>,
 }
 
 /// How long a budget is going to last.
@@ -134,6 +151,11 @@
             })
             .collect();
         let held: Tokens = shares.iter().map(|share| share.held).sum();
+        let wanted = shares.iter().map(|share| share.report.wanted).max().unwrap_or_default();
+        if !wanted.is_zero() {
+            let (tenant, available) = (tenant.clone(), ledger.available(tenant));
+            plan.short.push(ShortBudget { tenant, limit, available, held, wanted });
+        }
         if pool.is_zero() && held < limit.scaled(SCARCE_HELD_PERMILLE, 1_000) {
             plan.outlooks.insert(tenant.clone(), Outlook::Scarce);
             let allowed = available.min(ration(limit, elapsed));
--- a/crates/prepaid/src/wallet.rs
+++ b/crates/prepaid/src/wallet.rs
@@ -28,6 +28,21 @@
     pub priority: u32,
 }
 
+/// What a router holds of one tenant's budget at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Balance {
+    /// What the hand has left.
+    pub hand: Tokens,
+    /// What the reserve has left, locked or not.
+    pub reserve: Tokens,
+    /// What may be reserved now.
+    pub spendable: Tokens,
+    /// Set aside for requests under way.
+    pub reserved: Tokens,
+    /// Time since the last contact with a leader.
+    pub silent_for: Millis,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Account {
     allotment: Allotment,
@@ -169,6 +184,23 @@
         }
     }
 
+    /// What is held of `tenant`'s budget, for logs.
+    pub fn balance(&self, now: Timestamp, tenant: &TenantName) -> Balance {
+        let silent_for = now.since(self.contact);
+        let Some(account) = self.accounts.get(tenant) else {
+            return Balance { silent_for, ..Balance::default() };
+        };
+        let held = account.allotment.outstanding() - account.used();
+        let hand = account.hand_left();
+        Balance {
+            hand,
+            reserve: held - hand,
+            spendable: account.spendable(silent_for),
+            reserved: account.reserved,
+            silent_for,
+        }
+    }
+
     /// What the hand of `tenant` has left.
     pub fn hand_left(&self, tenant: &TenantName) -> Tokens {
         self.accounts.get(tenant).map(Account::hand_left).unwrap_or_default()
