--- a/crates/coordinator/src/router_peers.rs
+++ b/crates/coordinator/src/router_peers.rs
@@ -1,11 +1,13 @@
-//! Which other routers a router is told of, for the times when it can't reach control.
+//! Which other routers a router is told of: to tell them what it sends to engines, and to borrow
+//! from them when it can't reach control.
 
 use std::net::SocketAddr;
 
 use stackpost_types::ZoneName;
 
-/// Other routers that each router is told of.
-pub const PEERS_PER_ROUTER: usize = 12;
+/// Other routers that each router is told of. More would cost each router more in datagrams than a
+/// fuller picture of the engines saves.
+pub const PEERS_PER_ROUTER: usize = 96;
 
 /// A router and where other routers find it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/coordinator/tests/router_peers.rs
+++ b/crates/coordinator/tests/router_peers.rs
@@ -19,7 +19,7 @@
 
 #[test]
 fn routers_of_the_own_zone_come_first() {
-    let sites = sites(&[("east", 4), ("west", 30)]);
+    let sites = sites(&[("east", 4), ("west", 130)]);
     let peers = peers_of(&sites, &site("east", 1_001));
     assert_eq!(peers.len(), PEERS_PER_ROUTER);
     let in_zone: Vec<u16> = peers[..3].iter().map(|address| address.port()).collect();
--- /dev/null
+++ b/crates/gateway-core/src/engine_load.rs
@@ -0,0 +1,307 @@
+//! What an engine has to do, as far as one router can tell.
+//!
+//! An engine reads prompts in pieces, between the tokens of the streams that run on it. While it
+//! reads, those streams come more slowly, and prompts that come later wait. So the two things that
+//! matter are how much is left to be read and how much runs. A router knows both of its own
+//! requests and hears of those of other routers; what is read goes down with time, at the speed
+//! that the engine has shown.
+
+use crate::placement::Harm;
+use serde::{Deserialize, Serialize};
+use stackpost_types::{Millis, Timestamp, Tokens};
+use std::collections::HashMap;
+
+/// Reading speed assumed before any engine has shown its own, in tokens per millisecond. Low, so
+/// that a first estimate errs on the side of a longer wait.
+const SPEED_ASSUMED: f64 = 45.0;
+/// Slowest and fastest speed that is believed, in tokens per millisecond.
+const SPEED_BOUNDS: (f64, f64) = (2.0, 1_000.0);
+/// Factor by which the speed follows each reading that was faster or slower. The speed is a running
+/// median: a prompt that was kept after all looks read in no time, and a mean would follow it.
+const SPEED_STEP: f64 = 1.06;
+/// Least tokens that must have been read before a first event for it to say something of the speed.
+const SPEED_SAMPLE: f64 = 3_000.0;
+/// Time from sending a request to its first event if nothing has to be read: connection, one step
+/// and the way back.
+const FIRST_EVENT_OVERHEAD_MS: f64 = 30.0;
+/// What another router has said of its streams counts for so long.
+const PEER_WORD_KEPT: Millis = Millis(2_500);
+/// Part of a prompt that an engine has read this lately is taken to be kept there.
+const KEPT_FOR: Millis = Millis(20_000);
+/// Parts remembered for one engine before old ones are forgotten.
+const KEPT_PARTS: usize = 512;
+/// Other routers are told of shared parts of prompts from this size on, in tokens.
+const PART_TOLD_FROM: Tokens = Tokens(1_000);
+/// Bounds of the weight of one request.
+const LEAST_WEIGHT: f64 = 0.5;
+const MOST_WEIGHT: f64 = 8.0;
+/// Time over which long readings at an engine are averaged.
+const LONG_READING_TIME_MS: f64 = 6_000.0;
+
+/// What a generation asks of an engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Work {
+    /// Tokens of the prompt's parts that other requests share.
+    pub shared: Tokens,
+    /// Tokens of the prompt's last part, which is its own.
+    pub own: Tokens,
+    /// Time within which the first event is wanted.
+    pub objective: Millis,
+    /// Longest pause between events at which the stream is in time.
+    pub gap_objective: Millis,
+}
+
+impl Work {
+    /// How much the request counts beside others. It grows with the tokens, but more slowly: ten
+    /// short answers are worth more than one that costs as much.
+    pub fn weight(&self) -> f64 {
+        let tokens = (self.shared + self.own).0 as f64;
+        (tokens / 1_000.0).sqrt().clamp(LEAST_WEIGHT, MOST_WEIGHT)
+    }
+}
+
+/// What one router says of its requests at one engine.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct EngineNews {
+    /// Weight of its streams that run there.
+    pub running: f32,
+    /// Tokens to be read that were sent there since it spoke last.
+    pub to_read: u32,
+    /// Longest pause, in milliseconds, that these tokens make for streams that run there.
+    pub long_reading_ms: u32,
+    /// Large shared parts of prompts among them.
+    pub parts: Vec<u64>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PeerWord {
+    running: f64,
+    at: Timestamp,
+}
+
+/// A request and the engine it is sent to, with what was estimated.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Placement {
+    /// What it asks for.
+    pub work: Work,
+    /// Hash of what it is about.
+    pub subject: Option<u64>,
+    /// What was estimated.
+    pub estimate: Estimate,
+    /// The harm that was expected.
+    pub harm: Harm,
+}
+
+/// The load of one engine.
+#[derive(Clone, Debug, Default)]
+pub struct EngineLoad {
+    to_read: f64,
+    to_read_at: Timestamp,
+    /// All tokens that were ever sent to be read.
+    sent: f64,
+    own_running: f64,
+    /// What other routers were told of it last.
+    told_running: f64,
+    peers: HashMap<u64, PeerWord>,
+    speed: Option<f64>,
+    kept: HashMap<u64, Timestamp>,
+    long_reading_ms: f64,
+    long_reading_at: Timestamp,
+    /// What other routers have not been told yet.
+    untold: EngineNews,
+}
+
+/// What was estimated when a request was sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Estimate {
+    /// Tokens of this prompt that the engine has to read.
+    pub to_read: f64,
+    /// Tokens of earlier prompts that it has to read first.
+    pub ahead: f64,
+    /// Time to the first event, in milliseconds.
+    pub first_event_ms: f64,
+    /// Time for which streams that run there come slowly, in milliseconds.
+    pub reading_ms: f64,
+    /// Weight of the streams that run there.
+    pub running: f64,
+    /// Part of the time of late for which long readings held up the streams there.
+    pub long_readings: f64,
+    /// Tokens that had been sent there when this request was, itself among them.
+    mark: f64,
+}
+
+impl EngineLoad {
+    /// Tokens left to be read.
+    pub fn to_read(&self, now: Timestamp, usual_speed: Option<f64>) -> f64 {
+        let read = now.since(self.to_read_at).0 as f64 * self.speed(usual_speed);
+        (self.to_read - read).max(0.0)
+    }
+
+    /// Reading speed in tokens per millisecond: its own, that of the others, or an assumption.
+    pub fn speed(&self, usual_speed: Option<f64>) -> f64 {
+        self.speed.or(usual_speed).unwrap_or(SPEED_ASSUMED)
+    }
+
+    /// Weight of all streams that run there, as far as is known.
+    pub fn running(&self, now: Timestamp) -> f64 {
+        let of_peers = self.peers.values().filter(|word| now.since(word.at) < PEER_WORD_KEPT);
+        self.own_running + of_peers.map(|word| word.running).sum::<f64>()
+    }
+
+    /// Part of the time of late for which streams there were held up by long readings.
+    pub fn long_readings(&self, now: Timestamp) -> f64 {
+        (self.long_reading_left(now) / LONG_READING_TIME_MS).min(1.0)
+    }
+
+    /// Whether the engine keeps a part of a prompt, as far as is known.
+    pub fn keeps(&self, now: Timestamp, subject: u64) -> bool {
+        self.kept.get(&subject).is_some_and(|at| now.since(*at) < KEPT_FOR)
+    }
+
+    /// What would become of a request that is sent there now. `kept` says whether the engine is
+    /// taken to keep the shared parts of its prompt.
+    pub fn estimate(
+        &self,
+        now: Timestamp,
+        usual_speed: Option<f64>,
+        work: &Work,
+        kept: bool,
+    ) -> Estimate {
+        let speed = self.speed(usual_speed);
+        let shared = if kept { 0.0 } else { work.shared.0 as f64 };
+        let to_read = work.own.0 as f64 + shared;
+        let ahead = self.to_read(now, usual_speed);
+        let reading_ms = (ahead + to_read) / speed;
+        Estimate {
+            to_read,
+            ahead,
+            first_event_ms: FIRST_EVENT_OVERHEAD_MS + reading_ms,
+            reading_ms,
+            running: self.running(now),
+            long_readings: self.long_readings(now),
+            mark: self.sent + to_read,
+        }
+    }
+
+    /// Notes that a request was sent.
+    pub fn on_sent(&mut self, now: Timestamp, usual_speed: Option<f64>, sent: &Placement) {
+        let (work, made) = (&sent.work, &sent.estimate);
+        let held_up_ms = long_reading(made.reading_ms, work.gap_objective);
+        self.add(now, usual_speed, made.to_read, held_up_ms);
+        self.own_running += work.weight();
+        self.untold.to_read = self.untold.to_read.saturating_add(made.to_read as u32);
+        self.untold.long_reading_ms = self.untold.long_reading_ms.saturating_add(held_up_ms as u32);
+        if let Some(subject) = sent.subject {
+            self.note_kept(now, subject);
+            if work.shared >= PART_TOLD_FROM {
+                self.untold.parts.push(subject);
+            }
+        }
+    }
+
+    /// Notes the first event of a request. What was sent before it has been read. Returns the
+    /// reading speed that it shows, in tokens per millisecond, if it shows one.
+    pub fn on_first_event(
+        &mut self,
+        now: Timestamp,
+        usual_speed: Option<f64>,
+        made: &Estimate,
+        took: Millis,
+    ) -> Option<f64> {
+        let sent_since = (self.sent - made.mark).max(0.0);
+        if sent_since < self.to_read {
+            self.set_to_read(now, sent_since);
+        }
+        let read = made.ahead + made.to_read;
+        if read < SPEED_SAMPLE {
+            return None;
+        }
+        let reading_ms = (took.0 as f64 - FIRST_EVENT_OVERHEAD_MS).max(1.0);
+        let seen = read / reading_ms;
+        self.speed = Some(follow(self.speed.or(usual_speed), seen));
+        Some(seen)
+    }
+
+    /// Notes that a request has ended.
+    pub fn on_end(&mut self, work: &Work) {
+        let left = self.own_running - work.weight();
+        // What is left of adding and taking away fractions is no stream.
+        self.own_running = if left < LEAST_WEIGHT / 2.0 { 0.0 } else { left };
+    }
+
+    /// Takes in what another router says.
+    pub fn on_news(
+        &mut self,
+        now: Timestamp,
+        usual_speed: Option<f64>,
+        router: u64,
+        news: &EngineNews,
+    ) {
+        self.add(now, usual_speed, f64::from(news.to_read), f64::from(news.long_reading_ms));
+        for part in &news.parts {
+            self.note_kept(now, *part);
+        }
+        let word = PeerWord { running: f64::from(news.running), at: now };
+        self.peers.retain(|_, word| now.since(word.at) < PEER_WORD_KEPT);
+        self.peers.insert(router, word);
+    }
+
+    /// Notes that an engine keeps a part of prompts.
+    pub fn note_kept(&mut self, now: Timestamp, subject: u64) {
+        if self.kept.len() >= KEPT_PARTS {
+            self.kept.retain(|_, at| now.since(*at) < KEPT_FOR);
+        }
+        if self.kept.len() < KEPT_PARTS {
+            self.kept.insert(subject, now);
+        }
+    }
+
+    /// What other routers should know and have not been told. Counts as told.
+    pub fn take_news(&mut self) -> EngineNews {
+        self.told_running = self.own_running;
+        let untold = std::mem::take(&mut self.untold);
+        EngineNews { running: self.own_running as f32, ..untold }
+    }
+
+    /// Whether other routers should be told of this engine: this one has streams there, or its last
+    /// one has just ended.
+    pub fn has_news(&self) -> bool {
+        self.own_running > 0.0 || self.told_running > 0.0 || self.untold.to_read > 0
+    }
+
+    /// Tokens to be read that other routers have not been told of.
+    pub fn untold(&self) -> Tokens {
+        Tokens(u64::from(self.untold.to_read))
+    }
+
+    fn add(&mut self, now: Timestamp, usual_speed: Option<f64>, to_read: f64, held_up_ms: f64) {
+        let left = self.to_read(now, usual_speed);
+        self.set_to_read(now, left + to_read);
+        self.sent += to_read;
+        self.long_reading_ms = self.long_reading_left(now) + held_up_ms;
+        self.long_reading_at = now;
+    }
+
+    fn set_to_read(&mut self, now: Timestamp, to_read: f64) {
+        self.to_read = to_read.max(0.0);
+        self.to_read_at = now;
+    }
+
+    fn long_reading_left(&self, now: Timestamp) -> f64 {
+        let age = now.since(self.long_reading_at).0 as f64;
+        self.long_reading_ms * (-age / LONG_READING_TIME_MS).exp()
+    }
+}
+
+/// Moves the usual reading speed towards what was just seen.
+pub(crate) fn follow(usual: Option<f64>, seen: f64) -> f64 {
+    let usual = usual.unwrap_or(SPEED_ASSUMED);
+    let next = if seen > usual { usual * SPEED_STEP } else { usual / SPEED_STEP };
+    next.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1)
+}
+
+/// How long streams are held up by a reading, if that makes them late: the reading itself and the
+/// streams that begin in it.
+fn long_reading(reading_ms: f64, gap_objective: Millis) -> f64 {
+    if reading_ms >= gap_objective.0 as f64 { reading_ms } else { 0.0 }
+}
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -2,14 +2,17 @@
 //!
 //! - [`RoutingConfig`]: routes by host and longest path prefix, services, tenants and their keys.
 //! - [`EngineDirectory`]: which engines are said to exist, merged from late and crossed notices.
-//! - [`EnginePicker`]: which engine a request goes to.
+//! - [`EnginePicker`]: which engine a request goes to; for generations by the [`Harm`] that follows
+//!   from each engine's [`EngineLoad`].
 //! - [`RetryBudget`]: how many requests may be sent to a further engine.
 //! - [`EventSplitter`]: whole events of a stream.
 
 mod config;
 mod directory;
+mod engine_load;
 mod event_stream;
 mod picker;
+mod placement;
 mod retry_budget;
 mod route_table;
 
@@ -18,7 +21,9 @@
     Tenant,
 };
 pub use directory::{EngineDirectory, EngineNotice, EngineRecord, EngineState, Merge};
+pub use engine_load::{EngineLoad, EngineNews, Estimate, Placement, Work};
 pub use event_stream::{Event, EventSplitter};
-pub use picker::{AttemptEnd, EnginePicker, PickQuery};
+pub use picker::{AttemptEnd, Choice, EnginePicker, PickQuery};
+pub use placement::Harm;
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use route_table::{Admission, RouteTable, TenantMatch};
--- a/crates/gateway-core/src/picker.rs
+++ b/crates/gateway-core/src/picker.rs
@@ -9,7 +9,9 @@
 //! announced for some time; it is used all the same if there is no better one.
 
 use crate::directory::{EngineDirectory, EngineRecord, EngineState};
-use stackpost_types::{BackEndName, Digest, Millis, ServiceName, Timestamp, ZoneName};
+use crate::engine_load::{EngineLoad, EngineNews, Estimate, Placement, Work, follow};
+use crate::placement::Harm;
+use stackpost_types::{BackEndName, Digest, Millis, ServiceName, Timestamp, Tokens, ZoneName};
 use std::collections::HashMap;
 
 /// First time for which a failing engine is avoided; doubled at each further one.
@@ -50,6 +52,15 @@
     Abandoned,
 }
 
+/// The engine for a request.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The engine.
+    pub engine: EngineRecord,
+    /// What a generation is expected to meet there; `None` for other requests.
+    pub placement: Option<Placement>,
+}
+
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct PickQuery<'a> {
@@ -57,6 +68,8 @@
     pub service: &'a ServiceName,
     /// Hash of what the request is about.
     pub subject: Option<u64>,
+    /// What it asks of a model engine; `None` for requests to other services.
+    pub work: Option<Work>,
     /// Engines that it has been sent to.
     pub tried: &'a [BackEndName],
     /// Breaks ties.
@@ -106,6 +119,9 @@
     own_zone: ZoneName,
     engines: HashMap<BackEndName, Health>,
     zones: HashMap<ZoneName, ZoneHealth>,
+    loads: HashMap<BackEndName, EngineLoad>,
+    /// Mean reading speed of all engines, in tokens per millisecond.
+    usual_speed: Option<f64>,
 }
 
 struct Candidate<'a> {
@@ -117,32 +133,86 @@
 impl EnginePicker {
     /// A picker of a router in `own_zone`.
     pub fn new(own_zone: ZoneName) -> Self {
-        Self { own_zone, engines: HashMap::new(), zones: HashMap::new() }
+        Self {
+            own_zone,
+            engines: HashMap::new(),
+            zones: HashMap::new(),
+            loads: HashMap::new(),
+            usual_speed: None,
+        }
     }
 
     /// The engine for a request; `None` if no engine of the service takes work.
-    pub fn pick<'a>(
+    pub fn pick(
         &self,
         now: Timestamp,
-        directory: &'a EngineDirectory,
+        directory: &EngineDirectory,
         query: &PickQuery<'_>,
-    ) -> Option<&'a EngineRecord> {
+    ) -> Option<Choice> {
         let mut candidates = self.candidates(now, directory, query);
         let best = candidates.iter().map(|candidate| candidate.tier).min()?;
         candidates.retain(|candidate| candidate.tier == best);
-        match query.subject {
+        if let Some(work) = query.work {
+            return self.pick_by_harm(now, &candidates, &work, query);
+        }
+        let engine = match query.subject {
             Some(subject) => self.pick_by_subject(&candidates, subject),
             None => self.pick_by_load(&candidates, query.tie_breaker),
-        }
+        };
+        engine.map(|engine| Choice { engine: engine.clone(), placement: None })
     }
 
     /// Notes that a request is sent to an engine.
-    pub fn on_start(&mut self, engine: &BackEndName) {
+    pub fn on_start(&mut self, now: Timestamp, engine: &BackEndName, sent: Option<&Placement>) {
         self.engines.entry(engine.clone()).or_default().in_flight += 1;
+        if let Some(sent) = sent {
+            let load = self.loads.entry(engine.clone()).or_default();
+            load.on_sent(now, self.usual_speed, sent);
+        }
+    }
+
+    /// Notes the first event of a generation, `took` after it was sent.
+    pub fn on_first_event(
+        &mut self,
+        now: Timestamp,
+        engine: &BackEndName,
+        sent: &Placement,
+        took: Millis,
+    ) {
+        let load = self.loads.entry(engine.clone()).or_default();
+        if let Some(seen) = load.on_first_event(now, self.usual_speed, &sent.estimate, took) {
+            self.usual_speed = Some(follow(self.usual_speed, seen));
+        }
+    }
+
+    /// Takes in what another router says of its requests at an engine.
+    pub fn on_news(&mut self, now: Timestamp, router: u64, engine: BackEndName, news: &EngineNews) {
+        let load = self.loads.entry(engine).or_default();
+        load.on_news(now, self.usual_speed, router, news);
+    }
+
+    /// What other routers should know of this one's requests. Counts as told.
+    pub fn take_news(&mut self) -> Vec<(BackEndName, EngineNews)> {
+        let told = self.loads.iter_mut().filter(|(_, load)| load.has_news());
+        told.map(|(engine, load)| (engine.clone(), load.take_news())).collect()
+    }
+
+    /// Tokens to be read at an engine that other routers have not been told of.
+    pub fn untold(&self, engine: &BackEndName) -> Tokens {
+        self.loads.get(engine).map(EngineLoad::untold).unwrap_or_default()
     }
 
     /// Notes the end of a request at an engine.
-    pub fn on_end(&mut self, now: Timestamp, engine: &EngineRecord, end: AttemptEnd) {
+    pub fn on_end(
+        &mut self,
+        now: Timestamp,
+        engine: &EngineRecord,
+        sent: Option<&Placement>,
+        end: AttemptEnd,
+    ) {
+        if let (Some(sent), Some(load)) = (sent, self.loads.get_mut(&engine.notice.engine)) {
+            load.on_end(&sent.work);
+        }
         let zone = engine.notice.zone.clone();
         let health = self.engines.entry(engine.notice.engine.clone()).or_default();
         health.in_flight = health.in_flight.saturating_sub(1);
@@ -173,6 +243,7 @@
     pub fn forget_unknown(&mut self, directory: &EngineDirectory) {
         self.engines
             .retain(|engine, health| health.in_flight > 0 || directory.get(engine).is_some());
+        self.loads.retain(|engine, _| directory.get(engine).is_some());
     }
 
     fn candidates<'a>(
@@ -207,6 +278,35 @@
         if silent && !trusted { Tier::Silent } else { Tier::Good }
     }
 
+    /// The engine where the request does least harm; among equals the first of its subject.
+    fn pick_by_harm(
+        &self,
+        now: Timestamp,
+        candidates: &[Candidate<'_>],
+        work: &Work,
+        query: &PickQuery<'_>,
+    ) -> Option<Choice> {
+        let key = query.subject.unwrap_or(query.tie_breaker);
+        let home = candidates.iter().max_by_key(|candidate| rank(candidate, key))?;
+        let unused = EngineLoad::default();
+        let judge = |candidate: &Candidate<'_>| {
+            let engine = &candidate.record.notice.engine;
+            let load = self.loads.get(engine).unwrap_or(&unused);
+            let is_home = *engine == home.record.notice.engine;
+            let kept = is_home || query.subject.is_some_and(|subject| load.keeps(now, subject));
+            let estimate = load.estimate(now, self.usual_speed, work, kept);
+            (Harm::of(work, &estimate, kept), estimate)
+        };
+        let judged: Vec<(&Candidate<'_>, (Harm, Estimate))> =
+            candidates.iter().map(|candidate| (candidate, judge(candidate))).collect();
+        let (candidate, (harm, estimate)) = judged.into_iter().min_by(|left, right| {
+            let by_harm = left.1.0.total().total_cmp(&right.1.0.total());
+            by_harm.then_with(|| rank(right.0, key).cmp(&rank(left.0, key)))
+        })?;
+        let placement = Placement { work: *work, subject: query.subject, estimate, harm };
+        Some(Choice { engine: candidate.record.clone(), placement: Some(placement) })
+    }
+
     fn pick_by_subject<'a>(
         &self,
         candidates: &[Candidate<'a>],
@@ -215,10 +315,7 @@
         let total: u64 = candidates.iter().map(|candidate| candidate.in_flight).sum();
         let bound =
             (total + 1) * LOAD_BOUND_PERMILLE / (1_000 * candidates.len() as u64) + LOAD_SLACK;
-        let rank = |candidate: &&Candidate<'a>| {
-            mix(subject
-                ^ Digest::of(&[candidate.record.notice.engine.as_str().as_bytes()]).to_u64())
-        };
+        let rank = |candidate: &&Candidate<'a>| rank(candidate, subject);
         let free = candidates.iter().filter(|candidate| candidate.in_flight <= bound);
         let chosen = free.max_by_key(rank).or_else(|| candidates.iter().max_by_key(rank))?;
         Some(chosen.record)
@@ -274,6 +371,12 @@
     }
 }
 
+/// Rank of an engine for a subject (rendezvous hashing); the highest comes first.
+fn rank(candidate: &Candidate<'_>, subject: u64) -> u64 {
+    let engine = candidate.record.notice.engine.as_str();
+    mix(subject ^ Digest::of(&[engine.as_bytes()]).to_u64())
+}
+
 /// Spreads the bits of a number (the finalizer of SplitMix64; Steele, Lea and Flood, 2014).
 fn mix(value: u64) -> u64 {
     let mut mixed = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- /dev/null
+++ b/crates/gateway-core/src/placement.rs
@@ -0,0 +1,77 @@
+//! Where a generation does least harm.
+//!
+//! For each engine the harm is estimated that sending a request there does: to the request, which
+//! may begin late or be held up by others; to the streams that run there, which are held up while
+//! its prompt is read; and to all, by reading again what another engine keeps. All three are counted
+//! in requests that are late, each with its weight.
+
+use crate::engine_load::{Estimate, Work};
+use stackpost_types::Millis;
+
+/// Part of the time to the first event from which on a request may be late, and from which on it
+/// will be.
+const LATE_FROM_TO: (f64, f64) = (0.45, 1.0);
+/// Part of the longest pause that reading may take before streams may be late, and from which on
+/// they will be.
+const PAUSE_FROM_TO: (f64, f64) = (0.7, 1.05);
+/// Time that a stream runs, in milliseconds, over which long readings may hit it.
+const STREAM_MS: f64 = 1_200.0;
+/// Harm of reading 1,000 tokens again that another engine keeps.
+const READ_AGAIN: f64 = 0.3;
+/// Harm of each second of reading, so that of two engines where nothing is late the idle one is
+/// taken.
+const READING_SECOND: f64 = 0.15;
+/// Harm that makes no difference: less than the estimates are exact.
+const INDIFFERENT: f64 = 0.04;
+
+/// The harm that sending a request to an engine does.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Harm {
+    /// To the request itself: that it begins late.
+    pub late: f64,
+    /// To the request itself: that others hold it up.
+    pub held_up: f64,
+    /// To the streams that run there.
+    pub to_others: f64,
+    /// By reading what is kept elsewhere.
+    pub read_again: f64,
+    /// By making an engine read longer than another one would.
+    pub reading: f64,
+}
+
+impl Harm {
+    /// The harm of sending a request with `work` where `estimate` was made.
+    pub fn of(work: &Work, estimate: &Estimate, kept: bool) -> Self {
+        let weight = work.weight();
+        let gap = work.gap_objective.0 as f64;
+        let late = ramp(estimate.first_event_ms / at_least_one(work.objective), LATE_FROM_TO);
+        let own_ms = estimate.reading_ms;
+        let ahead_ms = own_ms * estimate.ahead / (estimate.ahead + estimate.to_read).max(1.0);
+        let pause = ramp(own_ms / gap.max(1.0), PAUSE_FROM_TO);
+        let pause_before = ramp(ahead_ms / gap.max(1.0), PAUSE_FROM_TO);
+        let hits = estimate.long_readings * STREAM_MS / gap.max(1.0);
+        let shared = if kept { 0.0 } else { work.shared.0 as f64 };
+        Self {
+            late: weight * late,
+            held_up: weight * hits.min(1.0),
+            to_others: estimate.running * (pause - pause_before).max(0.0),
+            read_again: READ_AGAIN * shared / 1_000.0,
+            reading: READING_SECOND * own_ms / 1_000.0,
+        }
+    }
+
+    /// All of it, in steps that are worth telling apart.
+    pub fn total(&self) -> f64 {
+        let all = self.late + self.held_up + self.to_others + self.read_again + self.reading;
+        (all / INDIFFERENT).floor()
+    }
+}
+
+fn at_least_one(time: Millis) -> f64 {
+    time.0.max(1) as f64
+}
+
+/// Zero up to the first bound, one from the second on, in between by proportion.
+fn ramp(value: f64, (from, to): (f64, f64)) -> f64 {
+    ((value - from) / (to - from)).clamp(0.0, 1.0)
+}
--- a/crates/gateway-core/tests/engines.rs
+++ b/crates/gateway-core/tests/engines.rs
@@ -24,16 +24,16 @@
     directory
 }
 
-fn pick<'a>(
+fn pick(
     picker: &EnginePicker,
     now: Timestamp,
-    directory: &'a EngineDirectory,
+    directory: &EngineDirectory,
     subject: Option<u64>,
     tried: &[BackEndName],
-) -> Option<&'a str> {
+) -> Option<String> {
     let service = ServiceName::new("models");
-    let query = PickQuery { service: &service, subject, tried, tie_breaker: 3 };
-    picker.pick(now, directory, &query).map(|record| record.notice.engine.as_str())
+    let query = PickQuery { service: &service, subject, work: None, tried, tie_breaker: 3 };
+    picker.pick(now, directory, &query).map(|choice| choice.engine.notice.engine.to_string())
 }
 
 #[test]
@@ -70,7 +70,7 @@
     let mut directory = directory(now, &["e1", "e2"]);
     directory.merge(now, notice("e1", 2, EngineState::Draining));
     let picker = EnginePicker::new("jetty".into());
-    assert_eq!(pick(&picker, now, &directory, None, &[]), Some("e2"));
+    assert_eq!(pick(&picker, now, &directory, None, &[]).as_deref(), Some("e2"));
     assert_eq!(pick(&picker, now, &directory, None, &["e2".into()]), None);
 }
 
@@ -79,15 +79,15 @@
     let now = Timestamp(1_000);
     let directory = directory(now, &["e1", "e2", "e3"]);
     let mut picker = EnginePicker::new("jetty".into());
-    let home = pick(&picker, now, &directory, Some(77), &[]).expect("there are engines").to_owned();
+    let home = pick(&picker, now, &directory, Some(77), &[]).expect("there are engines");
     for _ in 0..3 {
-        assert_eq!(pick(&picker, now, &directory, Some(77), &[]), Some(home.as_str()));
-        picker.on_start(&BackEndName::new(&home));
+        assert_eq!(pick(&picker, now, &directory, Some(77), &[]), Some(home.clone()));
+        picker.on_start(now, &BackEndName::new(&home), None);
     }
     for _ in 0..20 {
-        picker.on_start(&BackEndName::new(&home));
+        picker.on_start(now, &BackEndName::new(&home), None);
     }
-    assert_ne!(pick(&picker, now, &directory, Some(77), &[]), Some(home.as_str()));
+    assert_ne!(pick(&picker, now, &directory, Some(77), &[]), Some(home.clone()));
 }
 
 #[test]
@@ -97,14 +97,15 @@
     let mut picker = EnginePicker::new("jetty".into());
     let failing = directory.get(&BackEndName::new("e1")).expect("known").clone();
     for _ in 0..6 {
-        picker.on_start(&failing.notice.engine);
-        picker.on_end(now, &failing, AttemptEnd::Broken);
+        picker.on_start(now, &failing.notice.engine, None);
+        picker.on_end(now, &failing, None, AttemptEnd::Broken);
     }
     for subject in 0..40 {
-        assert_eq!(pick(&picker, now, &directory, Some(subject), &[]), Some("e2"));
+        assert_eq!(pick(&picker, now, &directory, Some(subject), &[]).as_deref(), Some("e2"));
     }
     let later = now + Millis(3_000);
-    let back = (0..40).any(|s| pick(&picker, later, &directory, Some(s), &[]) == Some("e1"));
+    let back =
+        (0..40).any(|s| pick(&picker, later, &directory, Some(s), &[]).as_deref() == Some("e1"));
     assert!(back, "an engine that was avoided gets another chance");
 }
 
@@ -114,9 +115,9 @@
     let directory = directory(now, &["e1"]);
     let mut picker = EnginePicker::new("jetty".into());
     let only = directory.get(&BackEndName::new("e1")).expect("known").clone();
-    picker.on_start(&only.notice.engine);
-    picker.on_end(now, &only, AttemptEnd::Unreachable);
-    assert_eq!(pick(&picker, now, &directory, None, &[]), Some("e1"));
+    picker.on_start(now, &only.notice.engine, None);
+    picker.on_end(now, &only, None, AttemptEnd::Unreachable);
+    assert_eq!(pick(&picker, now, &directory, None, &[]).as_deref(), Some("e1"));
 }
 
 #[test]
@@ -126,11 +127,11 @@
     let mut picker = EnginePicker::new("jetty".into());
     for engine in ["e1x", "e2x", "e3x"] {
         let record = directory.get(&BackEndName::new(engine)).expect("known").clone();
-        picker.on_start(&record.notice.engine);
-        picker.on_end(now, &record, AttemptEnd::Unreachable);
+        picker.on_start(now, &record.notice.engine, None);
+        picker.on_end(now, &record, None, AttemptEnd::Unreachable);
     }
     for subject in 0..40 {
-        assert_eq!(pick(&picker, now, &directory, Some(subject), &[]), Some("e5"));
+        assert_eq!(pick(&picker, now, &directory, Some(subject), &[]).as_deref(), Some("e5"));
     }
 }
 
@@ -154,10 +155,11 @@
     let mut directory = directory(now, &["e1", "e2"]);
     directory.set_silent([BackEndName::new("e1")].into());
     let mut picker = EnginePicker::new("jetty".into());
-    assert_eq!(pick(&picker, now, &directory, None, &[]), Some("e2"));
+    assert_eq!(pick(&picker, now, &directory, None, &[]).as_deref(), Some("e2"));
     let silent = directory.get(&BackEndName::new("e1")).expect("known").clone();
-    picker.on_start(&silent.notice.engine);
-    picker.on_end(now, &silent, AttemptEnd::Answered);
-    let used = (0..40).any(|s| pick(&picker, now, &directory, Some(s), &[]) == Some("e1"));
+    picker.on_start(now, &silent.notice.engine, None);
+    picker.on_end(now, &silent, None, AttemptEnd::Answered);
+    let used =
+        (0..40).any(|s| pick(&picker, now, &directory, Some(s), &[]).as_deref() == Some("e1"));
     assert!(used, "an engine that answers is there, whatever is announced");
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,7 +9,8 @@
 use hyper::header::{self, HeaderName};
 use hyper::http::response;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
-use stackpost_gateway_core::{AttemptEnd, EngineRecord};
+use stackpost_gateway_core::{AttemptEnd, Choice, EngineRecord, Placement};
+use stackpost_types::Millis;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -60,14 +61,33 @@
 pub(crate) struct EngineHold {
     router: Rc<Router>,
     engine: EngineRecord,
+    placement: Option<Placement>,
+    since: Instant,
     connection: Option<EngineConnection>,
     ended: bool,
 }
 
 impl EngineHold {
-    fn new(router: Rc<Router>, engine: EngineRecord) -> Self {
-        router.picker.borrow_mut().on_start(&engine.notice.engine);
-        Self { router, engine, connection: None, ended: false }
+    fn new(router: Rc<Router>, choice: Choice) -> Self {
+        let Choice { engine, placement } = choice;
+        router.on_placed(&engine.notice.engine, placement.as_ref());
+        Self { router, engine, placement, since: Instant::now(), connection: None, ended: false }
+    }
+
+    /// What was expected of a generation when it was sent.
+    pub fn placement(&self) -> Option<&Placement> {
+        self.placement.as_ref()
+    }
+
+    /// The first event of a stream is here. Returns how long that took.
+    pub fn on_first_event(&self) -> Duration {
+        let took = self.since.elapsed();
+        if let Some(placement) = &self.placement {
+            let (now, engine) = (self.router.now(), &self.engine.notice.engine);
+            let took = Millis(took.as_millis() as u64);
+            self.router.picker.borrow_mut().on_first_event(now, engine, placement, took);
+        }
+        took
     }
 
     /// The engine.
@@ -95,7 +115,8 @@
         if !std::mem::replace(&mut self.ended, true) {
             let now = self.router.now();
             self.router.metrics.on_attempt_end(end);
-            self.router.picker.borrow_mut().on_end(now, &self.engine, end);
+            let sent = self.placement.as_ref();
+            self.router.picker.borrow_mut().on_end(now, &self.engine, sent, end);
         }
     }
 }
@@ -112,14 +133,14 @@
 /// Sends a request to an engine and waits for the head of the answer until `head_until`.
 pub(crate) async fn send(
     router: &Rc<Router>,
-    engine: EngineRecord,
+    choice: Choice,
     payload: &Payload,
     addressing: &EngineAddressing<'_>,
     fresh: bool,
     head_until: Instant,
     on_sent: impl FnOnce(),
 ) -> AttemptResult {
-    let mut hold = EngineHold::new(router.clone(), engine);
+    let mut hold = EngineHold::new(router.clone(), choice);
     let begun = Instant::now();
     let connecting = router.pool.acquire(&hold.engine, fresh);
     let mut connection = match timeout_at(head_until, connecting).await {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -24,6 +24,8 @@
 pub struct Generation {
     /// Tokens of the prompt.
     pub prompt: Tokens,
+    /// Tokens of the parts of the prompt that other requests share; at most `prompt`.
+    pub shared: Tokens,
     /// Most tokens to be generated.
     pub most_generated: Tokens,
     /// Hash of the last part of the prompt that other requests share.
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -4,6 +4,7 @@
 mod loan_exchange;
 
 use self::farewell::Custody;
+use crate::load_exchange::LoadExchange;
 use crate::loans::{LoanCommand, Loans};
 use crate::machine_clock::machine_time;
 use crate::router::Router;
@@ -11,7 +12,7 @@
 use stackpost_gateway_core::{EngineNotice, Merge};
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
 use stackpost_prepaid::{AccountReport, Allotment, Contact};
-use stackpost_types::{BackEndName, NodeId, PeerError, TenantName};
+use stackpost_types::{BackEndName, Digest, NodeId, PeerError, TenantName};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -48,6 +49,7 @@
     peers_dialed_at: Cell<Option<Instant>>,
     peer_links: RefCell<BTreeSet<LinkId>>,
     loans: Loans,
+    exchange: Rc<LoadExchange>,
     /// Engines that each control process has not heard of late.
     silent: RefCell<BTreeMap<LinkId, BTreeSet<BackEndName>>>,
     /// What routers that stopped out of touch have spent, to be passed on to the leader.
@@ -66,6 +68,8 @@
         let node = own.node.clone();
         let (mesh, events) = Mesh::new(own);
         mesh.listen(listens_at).await?;
+        let life = Digest::of(&[node.to_string().as_bytes()]).to_u64();
+        let exchange = LoadExchange::start(life, listens_at, router.clone()).await?;
         let link = Rc::new(Self {
             node,
             mesh,
@@ -83,6 +87,7 @@
             peers_dialed_at: Cell::new(None),
             peer_links: RefCell::default(),
             loans: Loans::default(),
+            exchange,
             silent: RefCell::default(),
             custody: RefCell::default(),
             stopped: Cell::new(false),
@@ -218,7 +223,10 @@
                 self.on_silent_engines(link, engines);
             }
             FleetMessage::Outlooks(outlooks) => *self.router.outlooks.borrow_mut() = outlooks,
-            FleetMessage::RouterPeers(peers) => *self.peers.borrow_mut() = peers,
+            FleetMessage::RouterPeers(peers) => {
+                self.exchange.set_peers(&peers);
+                *self.peers.borrow_mut() = peers;
+            }
             FleetMessage::Raft(_)
             | FleetMessage::Alive
             | FleetMessage::RouterStatus(_)
--- a/crates/gateway/src/fleet_link/loan_exchange.rs
+++ b/crates/gateway/src/fleet_link/loan_exchange.rs
@@ -10,6 +10,9 @@
 /// Time in which connections to other routers come up, if they come up at all.
 const PEERS_COME_UP: Duration = Duration::from_millis(400);
 
+/// Other routers that a router may ask for loans.
+const LENDERS: usize = 12;
+
 impl FleetLink {
     pub(super) fn on_loan_command(&self, command: LoanCommand) {
         match command {
@@ -26,7 +29,7 @@
         if self.peers_dialed_at.get().is_none() {
             self.peers_dialed_at.set(Some(Instant::now()));
         }
-        for peer in self.peers.borrow().iter() {
+        for peer in self.peers.borrow().iter().take(LENDERS) {
             self.mesh.dial(*peer);
         }
     }
@@ -36,7 +39,8 @@
         let peers = self.peer_links.borrow();
         let dialed_just_now =
             self.peers_dialed_at.get().is_some_and(|at| at.elapsed() < PEERS_COME_UP);
-        let more_may_come = dialed_just_now && peers.len() < self.peers.borrow().len();
+        let expected = self.peers.borrow().len().min(LENDERS);
+        let more_may_come = dialed_just_now && peers.len() < expected;
         for question in self.loans.questions(self.router.now(), &peers, more_may_come) {
             let (token, tenant, amount) = (question.token, question.tenant, question.amount);
             self.mesh.send(question.to, &FleetMessage::Borrow { token, tenant, amount });
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod dialect;
 mod engine_pool;
 mod fleet_link;
+mod load_exchange;
 pub mod loans;
 mod machine_clock;
 mod metrics;
--- /dev/null
+++ b/crates/gateway/src/load_exchange.rs
@@ -0,0 +1,124 @@
+//! Routers tell each other what they send to engines.
+//!
+//! Each router sees only its own requests, a small part of what an engine has to do. So every
+//! router tells the others, by datagrams: at once when it has sent much to be read, else now and
+//! then. A datagram says what is new to be read and how much runs; one that is lost makes the
+//! picture of the others a little older and nothing else. Nobody waits for an answer.
+
+use crate::router::Router;
+use serde::{Deserialize, Serialize};
+use stackpost_gateway_core::EngineNews;
+use stackpost_types::{BackEndName, PeerError, Step};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+/// Time between two words while nothing has to be told at once, for few routers.
+const TELL_INTERVAL: Duration = Duration::from_millis(250);
+/// Routers from which on the interval grows with their number, so that what one of them receives
+/// does not.
+const FEW_ROUTERS: u32 = 12;
+/// Longest interval; what is said counts for a little over twice as long.
+const MOST_INTERVALS: u32 = 4;
+/// Pause after each word, in which what follows is gathered.
+const GATHER_TIME: Duration = Duration::from_millis(8);
+/// Engines in one datagram, so that it fits one packet.
+const ENGINES_PER_DATAGRAM: usize = 24;
+/// Largest datagram that is read.
+const DATAGRAM_LIMIT: usize = 4_096;
+
+/// What one router tells the others.
+#[derive(Debug, Serialize, Deserialize)]
+struct LoadNews {
+    /// Names the sender's life.
+    router: u64,
+    engines: Vec<(BackEndName, EngineNews)>,
+}
+
+/// One router's part in the exchange.
+pub(crate) struct LoadExchange {
+    own: u64,
+    router: Rc<Router>,
+    socket: UdpSocket,
+    peers: RefCell<Vec<SocketAddr>>,
+}
+
+impl LoadExchange {
+    /// Listens for other routers at `address` and tells them from now on. `own` names this life of
+    /// the router. Must be called inside a `LocalSet`.
+    pub async fn start(
+        own: u64,
+        address: SocketAddr,
+        router: Rc<Router>,
+    ) -> Result<Rc<Self>, PeerError> {
+        let socket = UdpSocket::bind(address)
+            .await
+            .map_err(|error| PeerError::new(Step::Listen, address, error))?;
+        let exchange = Rc::new(Self { own, router, socket, peers: RefCell::default() });
+        tokio::task::spawn_local(exchange.clone().listen());
+        tokio::task::spawn_local(exchange.clone().tell());
+        Ok(exchange)
+    }
+
+    /// Takes over who is to be told.
+    pub fn set_peers(&self, peers: &[SocketAddr]) {
+        *self.peers.borrow_mut() = peers.to_vec();
+    }
+
+    async fn listen(self: Rc<Self>) {
+        let mut buffer = vec![0; DATAGRAM_LIMIT];
+        loop {
+            match self.socket.recv_from(&mut buffer).await {
+                Ok((length, from)) => self.take_in(&buffer[..length], from),
+                // An earlier datagram met a closed port; the socket goes on.
+                Err(error) => log::debug!(step = "load"; "{error}"),
+            }
+        }
+    }
+
+    fn take_in(&self, datagram: &[u8], from: SocketAddr) {
+        match postcard::from_bytes::<LoadNews>(datagram) {
+            Ok(news) => {
+                let now = self.router.now();
+                let mut picker = self.router.picker.borrow_mut();
+                for (engine, of_engine) in news.engines {
+                    picker.on_news(now, news.router, engine, &of_engine);
+                }
+            }
+            Err(error) => log::warn!(step = "load", peer = from.to_string(); "{error}"),
+        }
+    }
+
+    async fn tell(self: Rc<Self>) {
+        loop {
+            tokio::select! {
+                () = self.router.load_changed.notified() => {}
+                () = sleep(self.interval()) => {}
+            }
+            self.tell_all().await;
+            sleep(GATHER_TIME).await;
+        }
+    }
+
+    fn interval(&self) -> Duration {
+        let peers = self.peers.borrow().len() as u32;
+        TELL_INTERVAL * (peers.div_ceil(FEW_ROUTERS)).clamp(1, MOST_INTERVALS)
+    }
+
+    async fn tell_all(&self) {
+        let news = self.router.picker.borrow_mut().take_news();
+        let peers = self.peers.borrow().clone();
+        for engines in news.chunks(ENGINES_PER_DATAGRAM) {
+            let news = LoadNews { router: self.own, engines: engines.to_vec() };
+            let datagram = postcard::to_stdvec(&news).expect("news can be encoded");
+            for peer in &peers {
+                if let Err(error) = self.socket.send_to(&datagram, peer).await {
+                    log::debug!(step = "load", peer = peer.to_string(); "{error}");
+                }
+            }
+        }
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,6 +2,7 @@
 
 use crate::attempt::{EngineAnswer, EngineHold};
 use crate::body::{BodyBroken, GatewayBody};
+use crate::decision_log;
 use crate::request::{Progress, RequestContext, response_of};
 use crate::reservation::Reservation;
 use bytes::Bytes;
@@ -19,8 +20,6 @@
 const PIECES_AHEAD: usize = 16;
 /// A resumable stream that has paused for this part of its gap objective is taken up elsewhere.
 const GAP_PATIENCE_PERCENT: u64 = 350;
-/// Gap objective of routes that name none.
-const DEFAULT_GAP: Duration = Duration::from_millis(1_000);
 
 type PieceSender = mpsc::Sender<Result<Bytes, BodyBroken>>;
 
@@ -79,7 +78,11 @@
     let headers = head.headers.clone();
     let mut source = StreamSource { body, headers, hold, splitter: EventSplitter::default() };
     match timeout_at(context.deadline, source.next()).await {
-        Ok(NextEvent::Event(event)) => Ok(BegunStream { head, source, first: Some(event) }),
+        Ok(NextEvent::Event(event)) => {
+            let took = source.hold.on_first_event();
+            decision_log::first_event(context, &source.hold, took);
+            Ok(BegunStream { head, source, first: Some(event) })
+        }
         Ok(NextEvent::End) => Ok(BegunStream { head, source, first: None }),
         Ok(NextEvent::Broken) | Err(_) => {
             source.hold.finish(AttemptEnd::Broken, None);
@@ -96,7 +99,7 @@
 ) -> Response<GatewayBody> {
     let (sender, pieces) = mpsc::channel(PIECES_AHEAD);
     let BegunStream { head, source, first } = begun;
-    let relay = Relay { context, progress, sender, last_event: None };
+    let relay = Relay { context, progress, sender, last_event: None, event_at: Instant::now() };
     tokio::task::spawn_local(relay.run(source, first));
     response_of(head, GatewayBody::Pieces(pieces))
 }
@@ -106,6 +109,8 @@
     progress: Progress,
     sender: PieceSender,
     last_event: Option<u64>,
+    /// When the last event came.
+    event_at: Instant,
 }
 
 /// Why passing on has stopped.
@@ -126,6 +131,7 @@
                 Err(Stopped::CallerGone) => return,
                 Err(Stopped::TimeOver) => return self.break_off("time over").await,
                 Ok(NextEvent::Event(event)) => {
+                    self.note_pause(&source);
                     if self.pass(event).await.is_err() {
                         return;
                     }
@@ -167,11 +173,19 @@
         if !route.kind.may_repeat() || !attempts_left {
             return self.context.deadline;
         }
-        let objective = route.gap_objective.map_or(DEFAULT_GAP, |gap| Duration::from_millis(gap.0));
+        let objective = Duration::from_millis(self.context.gap_objective().0);
         let patience = objective * GAP_PATIENCE_PERCENT as u32 / 100;
         self.context.deadline.min(Instant::now() + patience)
     }
 
+    fn note_pause(&mut self, source: &StreamSource) {
+        let pause = self.event_at.elapsed();
+        self.event_at = Instant::now();
+        if pause.as_millis() as u64 > self.context.gap_objective().0 {
+            decision_log::long_pause(&self.context, &source.hold, pause);
+        }
+    }
+
     /// Passes an event on. An engine that takes a stream up may repeat events that are here.
     async fn pass(&mut self, event: Event) -> Result<(), Stopped> {
         if event.id.is_some() && event.id <= self.last_event {
@@ -193,14 +207,14 @@
         self.progress.may_have_run = true;
         self.context.router.metrics.on_resumed();
         while self.context.may_go_on(&self.progress) {
-            let engine = self.context.next_engine(&self.progress)?;
+            let choice = self.context.next_engine(&self.progress)?;
             log::info!(
                 request = self.context.payload.caller.id.as_str(),
-                engine = engine.notice.engine.as_str(),
+                engine = choice.engine.notice.engine.as_str(),
                 last_event = last_event;
                 "stream taken up"
             );
-            let attempt = self.context.attempt(engine, &mut self.progress, Some(last_event));
+            let attempt = self.context.attempt(choice, &mut self.progress, Some(last_event));
             let answer = tokio::select! {
                 answer = attempt => answer,
                 () = self.sender.closed() => return None,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -3,7 +3,7 @@
 use crate::attempt::{self, AttemptResult, EngineAnswer, Payload, strip_connection_headers};
 use crate::body::GatewayBody;
 use crate::decision_log;
-use crate::dialect::{CallerRequest, EngineAddressing};
+use crate::dialect::{CallerRequest, EngineAddressing, Generation};
 use crate::refusal::Refusal;
 use crate::relay;
 use crate::reservation::Reservation;
@@ -15,7 +15,7 @@
 use hyper::http::request;
 use hyper::{Request, Response, StatusCode};
 use stackpost_gateway_core::{
-    Admission, AttemptEnd, EngineRecord, PickQuery, Route, RouteTable, Tenant,
+    Admission, AttemptEnd, Choice, PickQuery, Route, RouteTable, Tenant, Work,
 };
 use stackpost_prepaid::Demand;
 use stackpost_types::{BackEndName, Digest, Millis, ServiceName, TenantName};
@@ -36,6 +36,9 @@
 /// Wait of callers that do not say how long they wait.
 const DEFAULT_WAIT: Millis = Millis(15_000);
 
+/// Gap objective of routes that name none.
+const DEFAULT_GAP: Millis = Millis(1_000);
+
 /// Everything about a request that stays the same over its attempts.
 pub(crate) struct RequestContext {
     pub router: Rc<Router>,
@@ -217,10 +220,10 @@
     async fn run(self) -> Result<Response<GatewayBody>, Refusal> {
         let mut progress = Progress::default();
         loop {
-            let Some(engine) = self.next_engine(&progress) else {
+            let Some(choice) = self.next_engine(&progress) else {
                 return self.give_up(progress);
             };
-            let Some(answer) = self.attempt(engine, &mut progress, None).await else {
+            let Some(answer) = self.attempt(choice, &mut progress, None).await else {
                 if self.may_go_on(&progress) {
                     continue;
                 }
@@ -246,11 +249,11 @@
     /// Sends the request to an engine. `None` if no answer will come of it.
     pub async fn attempt(
         &self,
-        engine: EngineRecord,
+        choice: Choice,
         progress: &mut Progress,
         last_event: Option<u64>,
     ) -> Option<EngineAnswer> {
-        let name = engine.notice.engine.clone();
+        let name = choice.engine.notice.engine.clone();
         let remaining = |until: Instant| until.saturating_duration_since(Instant::now());
         let wait = Millis(remaining(self.deadline).as_millis() as u64);
         let tenant = self.tenant.as_ref();
@@ -270,7 +273,7 @@
         };
         let result = attempt::send(
             &self.router,
-            engine,
+            choice,
             &self.payload,
             &addressing,
             !self.route.kind.may_repeat(),
@@ -310,7 +313,7 @@
     }
 
     /// The engine for the next attempt.
-    pub fn next_engine(&self, progress: &Progress) -> Option<EngineRecord> {
+    pub fn next_engine(&self, progress: &Progress) -> Option<Choice> {
         let tried: Vec<BackEndName> =
             progress.tried.iter().chain(&progress.unreachable).cloned().collect();
         let generation = self.payload.caller.generation;
@@ -319,12 +322,27 @@
         let query = PickQuery {
             service: &self.service,
             subject: subject.filter(|_| self.route.sticky),
+            work: generation.map(|generation| self.work(generation)),
             tried: &tried,
             tie_breaker,
         };
         let directory = self.router.directory.borrow();
         let picker = self.router.picker.borrow();
-        picker.pick(self.router.now(), &directory, &query).cloned()
+        picker.pick(self.router.now(), &directory, &query)
+    }
+
+    fn work(&self, generation: Generation) -> Work {
+        Work {
+            shared: generation.shared,
+            own: generation.prompt - generation.shared,
+            objective: self.route.objective,
+            gap_objective: self.gap_objective(),
+        }
+    }
+
+    /// Longest pause between events at which a stream of this route is in time.
+    pub fn gap_objective(&self) -> Millis {
+        self.route.gap_objective.unwrap_or(DEFAULT_GAP)
     }
 
     /// Whether another attempt is allowed and makes sense. Counts it if so.
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -7,11 +7,11 @@
 use crate::metrics::RouterMetrics;
 use stackpost_coordinator::{Document, DocumentCodec, DocumentDelta};
 use stackpost_gateway_core::{
-    EngineDirectory, EnginePicker, EngineState, RetryBudget, RetryLimits, RouteTable,
+    EngineDirectory, EnginePicker, EngineState, Placement, RetryBudget, RetryLimits, RouteTable,
 };
 use stackpost_prepaid::{Demand, Outlook, Wallet};
 use stackpost_telemetry::Meter;
-use stackpost_types::{Millis, TenantName, Timestamp, ZoneName};
+use stackpost_types::{BackEndName, Millis, TenantName, Timestamp, Tokens, ZoneName};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -30,6 +30,10 @@
 /// Routers assumed while control has not told their number.
 const ROUTERS_ASSUMED: u64 = 8;
 
+/// Other routers are told at once of so many tokens to be read at one engine: less is read before
+/// anyone else could send something there because of it.
+const TOLD_AT_ONCE: Tokens = Tokens(3_000);
+
 /// How a router is run.
 #[derive(Clone, Debug)]
 pub struct RouterSettings {
@@ -56,6 +60,8 @@
     pub(crate) wallet_grown: Notify,
     /// Rung when a request does not fit the wallet.
     pub(crate) wallet_short: Notify,
+    /// Rung when other routers should hear at once what was sent to an engine.
+    pub(crate) load_changed: Notify,
     document: RefCell<Option<Document>>,
     table: RefCell<Option<Rc<RouteTable>>>,
     confirmed: Cell<bool>,
@@ -86,6 +92,7 @@
             loan_desk: LoanDesk::default(),
             wallet_grown: Notify::new(),
             wallet_short: Notify::new(),
+            load_changed: Notify::new(),
             document: RefCell::default(),
             table: RefCell::default(),
             confirmed: Cell::new(false),
@@ -137,6 +144,15 @@
         self.wallet.borrow_mut().admits(self.now(), tenant, demand, outlook)
     }
 
+    /// Notes that a request is about to be sent to an engine.
+    pub(crate) fn on_placed(&self, engine: &BackEndName, placement: Option<&Placement>) {
+        let mut picker = self.picker.borrow_mut();
+        picker.on_start(self.now(), engine, placement);
+        if picker.untold(engine) >= TOLD_AT_ONCE {
+            self.load_changed.notify_one();
+        }
+    }
+
     /// Begins a planned stop.
     pub fn begin_drain(&self) {
         self.draining_since.set(Some(Instant::now()));
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -38,6 +38,7 @@
         let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
         let generation = headers.contains_key("generation").then_some(Generation {
             prompt: Tokens(PROMPT),
+            shared: Tokens::ZERO,
             most_generated: Tokens(MOST_GENERATED),
             subject: None,
         });
