Count what was sent to an engine lately, beside what it still has to read

Change: a reading lasts for what was sent in about the last half second, if that is more than what is left.

--- a/crates/gateway-core/src/engine_load.rs
+++ b/crates/gateway-core/src/engine_load.rs
@@ -30,6 +30,9 @@
 const KEPT_FOR: Millis = Millis(20_000);
 /// Parts remembered for one engine before old ones are forgotten.
 const KEPT_PARTS: usize = 512;
+/// Time over which what was sent lately counts, in milliseconds: about as long as one pause between
+/// events may take.
+const LATELY_MS: f64 = 500.0;
 /// Other routers are told of shared parts of prompts from this size on, in tokens.
 const PART_TOLD_FROM: Tokens = Tokens(1_000);
 /// Bounds of the weight of one request.
@@ -99,6 +102,9 @@
     to_read_at: Timestamp,
     /// All tokens that were ever sent to be read.
     sent: f64,
+    /// Tokens sent of late to be read; older ones count less.
+    sent_lately: f64,
+    sent_lately_at: Timestamp,
     own_running: f64,
     /// What other routers were told of it last.
     told_running: f64,
@@ -120,7 +126,10 @@
     pub ahead: f64,
     /// Time to the first event, in milliseconds.
     pub first_event_ms: f64,
-    /// Time for which streams that run there come slowly, in milliseconds.
+    /// Time that the engine needs for what it has to read and, if that is more, has been sent lately,
+    /// in milliseconds: so long do streams that run there come slowly, this request left out.
+    pub read_before_ms: f64,
+    /// The same with this request.
     pub reading_ms: f64,
     /// Weight of the streams that run there.
     pub running: f64,
@@ -171,12 +180,13 @@
         let shared = if kept { 0.0 } else { work.shared.0 as f64 };
         let to_read = work.own.0 as f64 + shared;
         let ahead = self.to_read(now, usual_speed);
-        let reading_ms = (ahead + to_read) / speed;
+        let lately = self.sent_lately(now).max(ahead);
         Estimate {
             to_read,
             ahead,
-            first_event_ms: FIRST_EVENT_OVERHEAD_MS + reading_ms,
-            reading_ms,
+            first_event_ms: FIRST_EVENT_OVERHEAD_MS + (ahead + to_read) / speed,
+            read_before_ms: lately / speed,
+            reading_ms: (lately + to_read) / speed,
             running: self.running(now),
             long_readings: self.long_readings(now),
             mark: self.sent + to_read,
@@ -278,6 +288,8 @@
         let left = self.to_read(now, usual_speed);
         self.set_to_read(now, left + to_read);
         self.sent += to_read;
+        self.sent_lately = self.sent_lately(now) + to_read;
+        self.sent_lately_at = now;
         self.long_reading_ms = self.long_reading_left(now) + held_up_ms;
         self.long_reading_at = now;
     }
@@ -287,6 +299,11 @@
         self.to_read_at = now;
     }
 
+    fn sent_lately(&self, now: Timestamp) -> f64 {
+        let age = now.since(self.sent_lately_at).0 as f64;
+        self.sent_lately * (-age / LATELY_MS).exp()
+    }
+
     fn long_reading_left(&self, now: Timestamp) -> f64 {
         let age = now.since(self.long_reading_at).0 as f64;
         self.long_reading_ms * (-age / LONG_READING_TIME_MS).exp()
--- a/crates/gateway-core/src/placement.rs
+++ b/crates/gateway-core/src/placement.rs
@@ -45,10 +45,8 @@
         let weight = work.weight();
         let gap = work.gap_objective.0 as f64;
         let late = ramp(estimate.first_event_ms / at_least_one(work.objective), LATE_FROM_TO);
-        let own_ms = estimate.reading_ms;
-        let ahead_ms = own_ms * estimate.ahead / (estimate.ahead + estimate.to_read).max(1.0);
-        let pause = ramp(own_ms / gap.max(1.0), PAUSE_FROM_TO);
-        let pause_before = ramp(ahead_ms / gap.max(1.0), PAUSE_FROM_TO);
+        let pause = ramp(estimate.reading_ms / gap.max(1.0), PAUSE_FROM_TO);
+        let pause_before = ramp(estimate.read_before_ms / gap.max(1.0), PAUSE_FROM_TO);
         let hits = estimate.long_readings * STREAM_MS / gap.max(1.0);
         let shared = if kept { 0.0 } else { work.shared.0 as f64 };
         Self {
@@ -56,7 +54,7 @@
             held_up: weight * hits.min(1.0),
             to_others: estimate.running * (pause - pause_before).max(0.0),
             read_again: READ_AGAIN * shared / 1_000.0,
-            reading: READING_SECOND * own_ms / 1_000.0,
+            reading: READING_SECOND * estimate.reading_ms / 1_000.0,
         }
     }
 
