--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -196,7 +196,7 @@
         let demand = Demand { amount: generation.most(), priority: self.route.priority };
         if !self.router.may_draw(&tenant.name, demand) {
             self.log_unpaid(&tenant.name, demand, "precedence");
-            return Err(Refusal::BudgetExhausted);
+            return Err(self.out_of_reach(Refusal::BudgetExhausted));
         }
         let wait = Duration::from_millis(self.route.objective.0 * TOKEN_WAIT_PERCENT / 100);
         let wait_until = self.deadline.min(self.arrived + wait);
