--- a/crates/gateway-core/src/engine_load.rs
+++ b/crates/gateway-core/src/engine_load.rs
@@ -25,7 +25,7 @@
 /// and the way back.
 const FIRST_EVENT_OVERHEAD_MS: f64 = 30.0;
 /// What another router has said of its streams counts for so long.
-const PEER_WORD_KEPT: Millis = Millis(2_500);
+const PEER_WORD_KEPT: Millis = Millis(4_000);
 /// Part of a prompt that an engine has read this lately is taken to be kept there.
 const KEPT_FOR: Millis = Millis(20_000);
 /// Parts remembered for one engine before old ones are forgotten.
@@ -273,9 +273,12 @@
         for part in &news.parts {
             self.note_kept(now, *part);
         }
-        let word = PeerWord { running: f64::from(news.running), at: now };
-        self.peers.retain(|_, word| now.since(word.at) < PEER_WORD_KEPT);
-        self.peers.insert(router, word);
+        if news.running > 0.0 {
+            let word = PeerWord { running: f64::from(news.running), at: now };
+            self.peers.insert(router, word);
+        } else {
+            self.peers.remove(&router);
+        }
     }
 
     /// Notes that an engine keeps a part of prompts.
@@ -295,7 +298,13 @@
         EngineNews { running: self.own_running as f32, ..untold }
     }
 
-    /// Whether other routers should be told of this engine: this one has streams there, or its last
+    /// Forgets what routers have said that say nothing any more.
+    pub fn forget_old(&mut self, now: Timestamp) {
+        self.peers.retain(|_, word| now.since(word.at) < PEER_WORD_KEPT);
+        self.kept.retain(|_, at| now.since(*at) < KEPT_FOR);
+    }
+
+    /// Whether other routers should be told of this engine now and then: this one has streams there, or its last
     /// one has just ended.
     pub fn has_news(&self) -> bool {
         self.own_running > 0.0 || self.told_running > 0.0 || self.untold.to_read > 0
--- a/crates/gateway-core/src/picker.rs
+++ b/crates/gateway-core/src/picker.rs
@@ -9,7 +9,7 @@
 //! announced for some time; it is used all the same if there is no better one.
 
 use crate::directory::{EngineDirectory, EngineRecord, EngineState};
-use crate::engine_load::{EngineLoad, EngineNews, Estimate, Placement, Work, follow};
+use crate::engine_load::{EngineLoad, EngineNews, Placement, Work, follow};
 use crate::placement::Harm;
 use stackpost_types::{BackEndName, Digest, Millis, ServiceName, Timestamp, Tokens, ZoneName};
 use std::collections::HashMap;
@@ -191,9 +191,11 @@
         load.on_news(now, self.usual_speed, router, news);
     }
 
-    /// What other routers should know of this one's requests. Counts as told.
-    pub fn take_news(&mut self) -> Vec<(BackEndName, EngineNews)> {
-        let told = self.loads.iter_mut().filter(|(_, load)| load.has_news());
+    /// What other routers should know of this one's requests. Counts as told. `urgent` leaves out
+    /// the engines to which nothing was sent that is to be read.
+    pub fn take_news(&mut self, urgent: bool) -> Vec<(BackEndName, EngineNews)> {
+        let is_due = |load: &EngineLoad| load.has_news() && (!urgent || !load.untold().is_zero());
+        let told = self.loads.iter_mut().filter(|(_, load)| is_due(load));
         told.map(|(engine, load)| (engine.clone(), load.take_news())).collect()
     }
 
@@ -240,10 +242,11 @@
     }
 
     /// Forgets engines that the directory no longer knows.
-    pub fn forget_unknown(&mut self, directory: &EngineDirectory) {
+    pub fn forget_unknown(&mut self, now: Timestamp, directory: &EngineDirectory) {
         self.engines
             .retain(|engine, health| health.in_flight > 0 || directory.get(engine).is_some());
         self.loads.retain(|engine, _| directory.get(engine).is_some());
+        self.loads.values_mut().for_each(|load| load.forget_old(now));
     }
 
     fn candidates<'a>(
@@ -297,12 +300,10 @@
             let estimate = load.estimate(now, self.usual_speed, work, kept);
             (Harm::of(work, &estimate, kept), estimate)
         };
-        let judged: Vec<(&Candidate<'_>, (Harm, Estimate))> =
-            candidates.iter().map(|candidate| (candidate, judge(candidate))).collect();
-        let (candidate, (harm, estimate)) = judged.into_iter().min_by(|left, right| {
+        let judged = candidates.iter().map(|candidate| (candidate, judge(candidate)));
+        let (candidate, (harm, estimate)) = judged.min_by(|left, right| {
             let by_harm = left.1.0.total().total_cmp(&right.1.0.total());
-            let by_rank = rank(right.0, key).cmp(&rank(left.0, key));
-            by_harm.then(by_rank)
+            by_harm.then_with(|| rank(right.0, key).cmp(&rank(left.0, key)))
         })?;
         let placement = Placement { work: *work, subject: query.subject, estimate, harm };
         Some(Choice { engine: candidate.record.clone(), placement: Some(placement) })
--- a/crates/gateway-core/tests/placement.rs
+++ b/crates/gateway-core/tests/placement.rs
@@ -162,15 +162,16 @@
     let sent = send(&mut picker, START, &directory, 7, work(4_000, 1_000));
     let engine = sent.engine.notice.engine.clone();
     assert!(picker.untold(&engine) >= Tokens(1_000));
-    let news = picker.take_news();
+    let news = picker.take_news(false);
     assert_eq!(news.len(), 1);
     assert_eq!(news[0].1.parts, vec![7]);
     assert!(news[0].1.running > 0.0);
     assert_eq!(picker.untold(&engine), Tokens::ZERO);
-    assert_eq!(picker.take_news()[0].1.to_read, 0, "told before");
+    assert!(picker.take_news(true).is_empty(), "nothing that is urgent");
+    assert_eq!(picker.take_news(false)[0].1.to_read, 0, "told before");
     picker.on_end(START, &sent.engine, sent.placement.as_ref(), AttemptEnd::Answered);
-    assert_eq!(picker.take_news()[0].1.running, 0.0);
-    assert!(picker.take_news().is_empty(), "there is nothing more to say");
+    assert_eq!(picker.take_news(false)[0].1.running, 0.0);
+    assert!(picker.take_news(false).is_empty(), "there is nothing more to say");
 }
 
 #[test]
@@ -179,5 +180,5 @@
     let news = EngineNews { running: 9.0, ..EngineNews::default() };
     load.on_news(START, None, 1, &news);
     assert_eq!(load.running(START + Millis(1_000)), 9.0);
-    assert_eq!(load.running(START + Millis(4_000)), 0.0);
+    assert_eq!(load.running(START + Millis(4_500)), 0.0);
 }
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -337,7 +337,7 @@
     fn forget_old(&self) {
         let mut directory = self.router.directory.borrow_mut();
         directory.forget_old(self.router.now());
-        self.router.picker.borrow_mut().forget_unknown(&directory);
+        self.router.picker.borrow_mut().forget_unknown(self.router.now(), &directory);
         self.router.pool.forget_idle(&directory);
     }
 }
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -8,21 +8,25 @@
 use crate::router::Router;
 use serde::{Deserialize, Serialize};
 use stackpost_gateway_core::EngineNews;
-use stackpost_types::{BackEndName, PeerError, Step};
+use stackpost_types::{BackEndName, PeerError, Step, Tokens};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Time between two words while nothing has to be told at once, for few routers.
 const TELL_INTERVAL: Duration = Duration::from_millis(250);
-/// Routers from which on the interval grows with their number, so that what one of them receives
-/// does not.
-const FEW_ROUTERS: u32 = 12;
-/// Longest interval; what is said counts for a little over twice as long.
-const MOST_INTERVALS: u32 = 4;
+/// Routers from which on they tell each other less, so that what one of them sends and receives does
+/// not grow with their number: 70 routers that all told of 3,000 tokens at once spent more than
+/// their links and processors had.
+const FEW_ROUTERS: u64 = 12;
+/// Most by which the interval grows: what is said counts for a little over twice as long.
+const MOST_INTERVALS: u64 = 6;
+/// Other routers are told at once of so many tokens to be read at one engine, if they are few: less
+/// is read before anyone else could send something there because of it.
+const TOLD_AT_ONCE: Tokens = Tokens(3_000);
 /// Pause after each word, in which what follows is gathered.
 const GATHER_TIME: Duration = Duration::from_millis(8);
 /// Engines in one datagram, so that it fits one packet.
@@ -66,6 +70,12 @@
     /// Takes over who is to be told.
     pub fn set_peers(&self, peers: &[SocketAddr]) {
         *self.peers.borrow_mut() = peers.to_vec();
+        self.router.told_at_once.set(Tokens(TOLD_AT_ONCE.0 * self.crowd()));
+    }
+
+    /// One for few routers, and more the more there are.
+    fn crowd(&self) -> u64 {
+        (self.peers.borrow().len() as u64).div_ceil(FEW_ROUTERS).max(1)
     }
 
     async fn listen(self: Rc<Self>) {
@@ -93,23 +103,26 @@
     }
 
     async fn tell(self: Rc<Self>) {
+        let mut told_all_at = Instant::now();
         loop {
-            tokio::select! {
-                () = self.router.load_changed.notified() => {}
-                () = sleep(self.interval()) => {}
+            let urgent = tokio::select! {
+                () = self.router.load_changed.notified() => true,
+                () = sleep_until(told_all_at + self.interval()) => false,
+            };
+            if !urgent {
+                told_all_at = Instant::now();
             }
-            self.tell_all().await;
+            self.tell_all(urgent).await;
             sleep(GATHER_TIME).await;
         }
     }
 
     fn interval(&self) -> Duration {
-        let peers = self.peers.borrow().len() as u32;
-        TELL_INTERVAL * (peers.div_ceil(FEW_ROUTERS)).clamp(1, MOST_INTERVALS)
+        TELL_INTERVAL * self.crowd().min(MOST_INTERVALS) as u32
     }
 
-    async fn tell_all(&self) {
-        let news = self.router.picker.borrow_mut().take_news();
+    async fn tell_all(&self, urgent: bool) {
+        let news = self.router.picker.borrow_mut().take_news(urgent);
         let peers = self.peers.borrow().clone();
         for engines in news.chunks(ENGINES_PER_DATAGRAM) {
             let news = LoadNews { router: self.own, engines: engines.to_vec() };
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -30,10 +30,6 @@
 /// Routers assumed while control has not told their number.
 const ROUTERS_ASSUMED: u64 = 8;
 
-/// Other routers are told at once of so many tokens to be read at one engine: less is read before
-/// anyone else could send something there because of it.
-const TOLD_AT_ONCE: Tokens = Tokens(3_000);
-
 /// How a router is run.
 #[derive(Clone, Debug)]
 pub struct RouterSettings {
@@ -62,6 +58,8 @@
     pub(crate) wallet_short: Notify,
     /// Rung when other routers should hear at once what was sent to an engine.
     pub(crate) load_changed: Notify,
+    /// Tokens to be read at one engine from which on that is so.
+    pub(crate) told_at_once: Cell<Tokens>,
     document: RefCell<Option<Document>>,
     table: RefCell<Option<Rc<RouteTable>>>,
     confirmed: Cell<bool>,
@@ -93,6 +91,7 @@
             wallet_grown: Notify::new(),
             wallet_short: Notify::new(),
             load_changed: Notify::new(),
+            told_at_once: Cell::new(Tokens(u64::MAX)),
             document: RefCell::default(),
             table: RefCell::default(),
             confirmed: Cell::new(false),
@@ -148,7 +147,7 @@
     pub(crate) fn on_placed(&self, engine: &BackEndName, placement: Option<&Placement>) {
         let mut picker = self.picker.borrow_mut();
         picker.on_start(self.now(), engine, placement);
-        if picker.untold(engine) >= TOLD_AT_ONCE {
+        if picker.untold(engine) >= self.told_at_once.get() {
             self.load_changed.notify_one();
         }
     }
