--- a/crates/gateway-core/src/picker.rs
+++ b/crates/gateway-core/src/picker.rs
@@ -199,6 +199,12 @@
         told.map(|(engine, load)| (engine.clone(), load.take_news())).collect()
     }
 
+    /// Tokens that an engine has to read.
+    pub fn to_read(&self, now: Timestamp, engine: &BackEndName) -> Tokens {
+        let load = self.loads.get(engine);
+        load.map_or(Tokens::ZERO, |load| Tokens(load.to_read(now, self.usual_speed) as u64))
+    }
+
     /// Tokens to be read at an engine that other routers have not been told of.
     pub fn untold(&self, engine: &BackEndName) -> Tokens {
         self.loads.get(engine).map(EngineLoad::untold).unwrap_or_default()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! A request's way: [`serve_callers`] accepts the connection, `request` admits it and sets its
 //! tokens aside, `attempt` sends it to an engine over a connection of `engine_pool`, and `relay`
 //! passes a stream on, at another engine if the first one breaks off. `fleet_link` keeps the
-//! router's knowledge up to date. What is written in which header is the affair of a [`Dialect`].
+//! router's knowledge up to date, `load_exchange` tells other routers what is sent to engines. What is written in which header is the affair of a [`Dialect`].
 
 mod attempt;
 mod body;
@@ -12,7 +12,7 @@
 mod dialect;
 mod engine_pool;
 mod fleet_link;
-mod load_exchange;
+pub mod load_exchange;
 pub mod loans;
 mod machine_clock;
 mod metrics;
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -43,7 +43,7 @@
 }
 
 /// One router's part in the exchange.
-pub(crate) struct LoadExchange {
+pub struct LoadExchange {
     own: u64,
     router: Rc<Router>,
     socket: UdpSocket,
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -144,7 +144,7 @@
     }
 
     /// Notes that a request is about to be sent to an engine.
-    pub(crate) fn on_placed(&self, engine: &BackEndName, placement: Option<&Placement>) {
+    pub fn on_placed(&self, engine: &BackEndName, placement: Option<&Placement>) {
         let mut picker = self.picker.borrow_mut();
         picker.on_start(self.now(), engine, placement);
         if picker.untold(engine) >= self.told_at_once.get() {
@@ -152,6 +152,11 @@
         }
     }
 
+    /// Tokens that an engine has to read, as far as this router knows.
+    pub fn to_read(&self, engine: &BackEndName) -> Tokens {
+        self.picker.borrow().to_read(self.now(), engine)
+    }
+
     /// Begins a planned stop.
     pub fn begin_drain(&self) {
         self.draining_since.set(Some(Instant::now()));
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -299,7 +299,7 @@
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
 /// An address at which nobody listens and that no other test of this process is given.
-fn free_address() -> SocketAddr {
+pub fn free_address() -> SocketAddr {
     let block = (std::process::id() % PROCESSES) as u16 * PORTS_PER_PROCESS;
     loop {
         let step = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
@@ -317,6 +317,17 @@
     PeerInfo { node, role, zone: "hall".into(), listens_at }
 }
 
+/// A router that knows nothing yet.
+pub fn router() -> Rc<Router> {
+    let retry_limits = RetryLimits { permille: 200, extra: 200, window: Millis(10_000) };
+    Router::new(
+        RouterSettings { zone: "hall".into(), retry_limits },
+        Box::new(TestDialect),
+        Arc::new(TestDocuments),
+        &stackpost_telemetry::MetricsRegistry::new().expect("a registry").meter(),
+    )
+}
+
 /// Waits until `condition` holds.
 pub async fn wait_until(mut condition: impl FnMut() -> bool) {
     while !condition() {
@@ -345,13 +356,7 @@
         let settings = ControlSettings { mesh_address: mesh, seeds: vec![mesh] };
         let own = peer(PeerRole::Control, name.as_str(), mesh);
         let control = ControlNode::start(own, settings, replica, effects).await.expect("started");
-        let retry_limits = RetryLimits { permille: 200, extra: 200, window: Millis(10_000) };
-        let router = Router::new(
-            RouterSettings { zone: "hall".into(), retry_limits },
-            Box::new(TestDialect),
-            Arc::new(TestDocuments),
-            &stackpost_telemetry::MetricsRegistry::new().expect("a registry").meter(),
-        );
+        let router = router();
         let own = peer(PeerRole::Router, "router", free_address());
         let link = FleetLink::start(own, router.clone(), &[mesh]).await.expect("started");
         let callers = free_address();
