--- a/crates/gateway-core/src/engine_load.rs
+++ b/crates/gateway-core/src/engine_load.rs
@@ -70,7 +70,7 @@
     pub running: f32,
     /// Tokens to be read that were sent there since it spoke last.
     pub to_read: u32,
-    /// Longest pause, in milliseconds, that these tokens make for streams that run there.
+    /// Time, in milliseconds, for which they hold streams up there, as far as that makes them late.
     pub long_reading_ms: u32,
     /// Large shared parts of prompts among them.
     pub parts: Vec<u64>,
@@ -304,8 +304,8 @@
         self.kept.retain(|_, at| now.since(*at) < KEPT_FOR);
     }
 
-    /// Whether other routers should be told of this engine now and then: this one has streams there, or its last
-    /// one has just ended.
+    /// Whether other routers should be told of this engine now and then: this one has streams there,
+    /// or its last one has just ended.
     pub fn has_news(&self) -> bool {
         self.own_running > 0.0 || self.told_running > 0.0 || self.untold.to_read > 0
     }
