Assert the ration of a scarce budget again, a second after it began

Cause: when the last part shrank to 0.5% of a limit, the bound of a_scarce_budget_is_said_to_be_scarce_and_lasts became the part itself (0.3% in the test), which holds without any ration; the bound that it replaced had held the pace over ten seconds. The test asserts now that a second hands out one ration at most.

--- a/crates/prepaid/tests/escrow.rs
+++ b/crates/prepaid/tests/escrow.rs
@@ -366,7 +366,7 @@
         pace: Pace::default(),
     });
     let mut used = all_but_last;
-    for _ in 0..40 {
+    for round in 0..40 {
         let report = AccountReport {
             used,
             wanted: Tokens(50),
@@ -379,6 +379,10 @@
         assert_eq!(plan.outlooks.get(&tenant()), Some(&Outlook::Scarce));
         plan.grants.iter().for_each(|grant| ledger.allot(grant));
         used = ledger.allotment(&holder, &tenant()).hand;
+        if round == 3 {
+            let second = ration(Tokens(LIMIT), Millis(1_000));
+            assert!(used <= all_but_last + second, "a second hands out one ration at most");
+        }
     }
     assert!(used > all_but_last, "something is handed out");
     // Half a percent of the limit is never handed out.
