Log what a replica found at its start, who votes, and why votes are refused

Raft hands out typed election events with its Ready; the replica writes them, a line with the same content at most every two seconds, and says after two seconds that it knows no leader. No decision changes: the order of checks in a pre-vote is kept (a lease is asked about last). Ruled out: the reason on the wire, in the reply (a version of the protocol more for what the refuser's own log says).

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -1,5 +1,6 @@
 //! Elections: pre-vote, vote, and the change of roles.
 
+use crate::election_event::{ElectionEvent, Refusal};
 use crate::message::*;
 use crate::raft::{Progress, Raft, Role};
 use stackpost_types::MachineName;
@@ -27,6 +28,7 @@
         self.just_started = [self.config.name.clone()].into();
         self.retry_campaign_soon();
         let term = self.hard_state.term + 1;
+        self.elections.push(ElectionEvent::PreVoteAsked { term });
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
         for other in self.other_voters() {
             self.send(other, Message::PreVote { term, last_index, last_term });
@@ -37,6 +39,7 @@
     fn start_vote(&mut self, nobody_leads: bool) {
         let term = self.hard_state.term + 1;
         self.role = Role::Candidate;
+        self.elections.push(ElectionEvent::Campaigned { term });
         self.set_term(term, Some(self.config.name.clone()));
         self.votes = [self.config.name.clone()].into();
         self.reset_campaign_timer();
@@ -54,12 +57,13 @@
         last_index: LogIndex,
         last_term: Term,
     ) {
-        let would = self.is_voter()
-            && self.is_up_to_date(last_index, last_term)
-            && term > self.hard_state.term
-            && !self.goes_first(&from, last_index, last_term);
-        let granted = would && !self.has_live_leader();
+        let refusal = self.pre_vote_refusal(&from, term, last_index, last_term);
+        let would = matches!(refusal, None | Some(Refusal::LeaseMayRun));
+        let granted = refusal.is_none();
         let just_started = would && self.has_only_started();
+        if let Some(reason) = refusal {
+            self.note_refusal(&from, reason);
+        }
         if granted || just_started {
             self.campaign_at = self.campaign_at.max(self.now + self.config.heartbeat_interval);
         }
@@ -67,6 +71,37 @@
         self.send(from, Message::PreVoteReply { term, granted, just_started });
     }
 
+    /// Why this replica would not vote for `candidate`. A lease comes last: all else keeps a
+    /// replica from voting whether it has only started or not.
+    fn pre_vote_refusal(
+        &self,
+        candidate: &MachineName,
+        term: Term,
+        last_index: LogIndex,
+        last_term: Term,
+    ) -> Option<Refusal> {
+        if let Some(refusal) = self.vote_refusal(last_index, last_term) {
+            return Some(refusal);
+        }
+        if term <= self.hard_state.term {
+            return Some(Refusal::OldTerm);
+        }
+        if self.goes_first(candidate, last_index, last_term) {
+            return Some(Refusal::OwnCampaign);
+        }
+        self.has_live_leader().then_some(Refusal::LeaseMayRun)
+    }
+
+    /// Why this replica votes for no candidate with such a log, whatever the term.
+    fn vote_refusal(&self, last_index: LogIndex, last_term: Term) -> Option<Refusal> {
+        if !self.is_voter() {
+            return Some(Refusal::NotAVoter);
+        }
+        let own = self.log.last_index();
+        let behind = Refusal::CandidateBehind { candidate: last_index, own };
+        (!self.is_up_to_date(last_index, last_term)).then_some(behind)
+    }
+
     pub(crate) fn on_pre_vote_reply(
         &mut self,
         from: MachineName,
@@ -96,16 +131,19 @@
     ) {
         if term > self.hard_state.term {
             // Not observed as a newer term because a leader's lease runs: no answer, no change.
+            self.note_refusal(&from, Refusal::LeaseMayRun);
             return;
         }
-        let free = match &self.hard_state.voted_for {
-            None => true,
-            Some(candidate) => *candidate == from,
+        let given = self.hard_state.voted_for.clone().filter(|candidate| *candidate != from);
+        let refusal = match given {
+            Some(other) => Some(Refusal::VoteGiven(other)),
+            None if self.role != Role::Follower => Some(Refusal::OwnCampaign),
+            None => self.vote_refusal(last_index, last_term),
         };
-        let granted = self.is_voter()
-            && self.role == Role::Follower
-            && free
-            && self.is_up_to_date(last_index, last_term);
+        let granted = refusal.is_none();
+        if let Some(reason) = refusal {
+            self.note_refusal(&from, reason);
+        }
         if granted {
             self.set_term(term, Some(from.clone()));
             self.reset_campaign_timer();
@@ -138,6 +176,7 @@
 
     fn become_leader(&mut self) {
         self.role = Role::Leader;
+        self.elections.push(ElectionEvent::Elected { term: self.hard_state.term });
         self.heard_leader = true;
         self.leader = Some(self.config.name.clone());
         self.leader_since = self.now;
--- /dev/null
+++ b/crates/consensus/src/election_event.rs
@@ -0,0 +1,87 @@
+//! What happened in elections, for logs. Nothing rests on these events.
+
+use crate::message::{LogIndex, Term};
+use stackpost_types::MachineName;
+use std::fmt;
+
+/// Why a replica does not vote for a candidate.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The candidate's machine does not vote, as far as this replica knows.
+    CandidateNotAVoter,
+    /// The candidate's machine votes, but under another identity: its data folder is a new one.
+    CandidateReplaced {
+        /// The identity that counts.
+        counted: u64,
+        /// The candidate's.
+        identity: u64,
+    },
+    /// This replica does not count under its own identity.
+    NotAVoter,
+    /// The candidate lacks entries that this replica holds.
+    CandidateBehind {
+        /// Index of the candidate's last entry.
+        candidate: LogIndex,
+        /// Index of this replica's last entry.
+        own: LogIndex,
+    },
+    /// The candidate's term is not newer than this replica's.
+    OldTerm,
+    /// A leader has been heard so lately that it may hold a lease, or this replica leads.
+    LeaseMayRun,
+    /// This replica has an equal log and campaigns itself; its name goes first.
+    OwnCampaign,
+    /// The vote of this term has been given to another candidate.
+    VoteGiven(MachineName),
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::CandidateNotAVoter => write!(formatter, "the candidate is no voter"),
+            Self::CandidateReplaced { counted, identity } => {
+                write!(formatter, "the candidate counts as {counted:x}, it is {identity:x}")
+            }
+            Self::NotAVoter => write!(formatter, "this replica is no voter"),
+            Self::CandidateBehind { candidate, own } => {
+                write!(formatter, "the candidate's log ends at {candidate}, the own one at {own}")
+            }
+            Self::OldTerm => write!(formatter, "the candidate's term is old"),
+            Self::LeaseMayRun => write!(formatter, "a leader may hold a lease"),
+            Self::OwnCampaign => write!(formatter, "this replica campaigns itself"),
+            Self::VoteGiven(machine) => write!(formatter, "the vote went to {machine}"),
+        }
+    }
+}
+
+/// One event of an election.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ElectionEvent {
+    /// This replica asks whether a campaign could succeed.
+    PreVoteAsked {
+        /// The term that it would campaign in.
+        term: Term,
+    },
+    /// This replica campaigns.
+    Campaigned {
+        /// The term.
+        term: Term,
+    },
+    /// This replica leads.
+    Elected {
+        /// The term.
+        term: Term,
+    },
+    /// This replica does not vote, or would not vote, for a candidate.
+    Refused {
+        /// The candidate.
+        candidate: MachineName,
+        /// Why.
+        reason: Refusal,
+    },
+    /// This replica leads no more, because no majority has answered it for an election timeout.
+    LostQuorum {
+        /// The term that it led.
+        term: Term,
+    },
+}
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -11,12 +11,14 @@
 //! its new identity, because the votes and entries it has forgotten may have formed a quorum.
 
 mod election;
+mod election_event;
 mod log;
 mod message;
 mod raft;
 mod ready;
 mod replication;
 
+pub use election_event::{ElectionEvent, Refusal};
 pub use message::{Entry, Envelope, HardState, LogIndex, Message, Snapshot, Term};
 pub use raft::{Config, NotLeader, Raft, Restored, Role};
 pub use ready::{ReadConfirmed, Ready};
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -1,5 +1,6 @@
 //! The replica: state shared by election and replication, and the entry points.
 
+use crate::election_event::{ElectionEvent, Refusal};
 use crate::log::Log;
 use crate::message::*;
 use crate::ready::{ReadConfirmed, Ready};
@@ -116,6 +117,7 @@
     pub(crate) messages: Vec<(MachineName, Envelope)>,
     pub(crate) confirmed_reads: Vec<ReadConfirmed>,
     pub(crate) caught_up: Vec<(MachineName, u64)>,
+    pub(crate) elections: Vec<ElectionEvent>,
     pub(crate) new_snapshot: Option<Snapshot>,
     hard_state_dirty: bool,
     /// Last entry known to be durable here; a leader counts itself only up to this one.
@@ -157,6 +159,7 @@
             messages: Vec::new(),
             confirmed_reads: Vec::new(),
             caught_up: Vec::new(),
+            elections: Vec::new(),
             new_snapshot: None,
             hard_state_dirty: false,
             durable,
@@ -187,6 +190,11 @@
         self.commit
     }
 
+    /// Index of the last entry, committed or not.
+    pub fn last_index(&self) -> LogIndex {
+        self.log.last_index()
+    }
+
     /// Index covered by the newest snapshot.
     pub fn snapshot_index(&self) -> LogIndex {
         self.log.snapshot.index
@@ -288,6 +296,7 @@
     pub fn step(&mut self, now: Timestamp, envelope: Envelope) {
         self.now = self.now.max(now);
         if self.is_foreign(&envelope) {
+            self.note_uncounted_candidate(&envelope);
             return;
         }
         self.observe_term(&envelope);
@@ -295,6 +304,7 @@
             self.answer_stale(&envelope);
             return;
         }
+        self.note_uncounted_candidate(&envelope);
         let Envelope { from, identity, message } = envelope;
         let counts = self.voters.get(&from) == Some(&identity);
         match message {
@@ -360,6 +370,7 @@
             committed,
             reads: std::mem::take(&mut self.confirmed_reads),
             caught_up: std::mem::take(&mut self.caught_up),
+            elections: std::mem::take(&mut self.elections),
         }
     }
 
@@ -441,13 +452,36 @@
         self.become_follower(envelope.message.term(), None);
     }
 
+    /// Notes that a candidate is passed over because it does not count.
+    fn note_uncounted_candidate(&mut self, envelope: &Envelope) {
+        if !matches!(envelope.message, Message::PreVote { .. } | Message::Vote { .. }) {
+            return;
+        }
+        let reason = match self.voters.get(&envelope.from) {
+            None => Refusal::CandidateNotAVoter,
+            Some(counted) if *counted != envelope.identity => {
+                Refusal::CandidateReplaced { counted: *counted, identity: envelope.identity }
+            }
+            Some(_) => return,
+        };
+        self.note_refusal(&envelope.from, reason);
+    }
+
+    pub(crate) fn note_refusal(&mut self, candidate: &MachineName, reason: Refusal) {
+        self.elections.push(ElectionEvent::Refused { candidate: candidate.clone(), reason });
+    }
+
     fn answer_stale(&mut self, envelope: &Envelope) {
         let term = self.hard_state.term;
         let reply = match envelope.message {
             Message::PreVote { .. } => {
+                self.note_refusal(&envelope.from, Refusal::OldTerm);
                 Message::PreVoteReply { term, granted: false, just_started: false }
             }
-            Message::Vote { .. } => Message::VoteReply { term, granted: false },
+            Message::Vote { .. } => {
+                self.note_refusal(&envelope.from, Refusal::OldTerm);
+                Message::VoteReply { term, granted: false }
+            }
             Message::Append { round, .. } | Message::Install { round, .. } => {
                 let index = self.log.last_index();
                 Message::AppendReply { term, accepted: false, index, round }
--- a/crates/consensus/src/ready.rs
+++ b/crates/consensus/src/ready.rs
@@ -1,5 +1,6 @@
 //! What a replica asks of its driver.
 
+use crate::election_event::ElectionEvent;
 use crate::message::{Entry, Envelope, HardState, LogIndex, Snapshot};
 use stackpost_types::MachineName;
 
@@ -31,6 +32,8 @@
     /// Replicas under a new identity that hold all committed entries; the driver proposes each
     /// as a replacement.
     pub caught_up: Vec<(MachineName, u64)>,
+    /// What happened in elections, for logs.
+    pub elections: Vec<ElectionEvent>,
 }
 
 impl Ready {
@@ -43,6 +46,7 @@
             && self.committed.is_empty()
             && self.reads.is_empty()
             && self.caught_up.is_empty()
+            && self.elections.is_empty()
     }
 
     /// Whether something must be synced before the messages are sent.
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -1,5 +1,6 @@
 //! Replication: the leader's side and the followers' side.
 
+use crate::election_event::ElectionEvent;
 use crate::message::*;
 use crate::raft::{Progress, Raft, Role};
 use crate::ready::ReadConfirmed;
@@ -24,6 +25,7 @@
     fn check_quorum(&mut self) {
         let confirmed = self.majority_round_time().unwrap_or(self.leader_since);
         if self.now.since(confirmed) >= self.config.election_timeout {
+            self.elections.push(ElectionEvent::LostQuorum { term: self.hard_state.term });
             self.become_follower(self.hard_state.term, None);
         }
     }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -14,6 +14,7 @@
 mod prepaid_planner;
 mod replica;
 mod replica_api;
+mod replica_log;
 mod replica_opening;
 mod replica_thread;
 mod router_peers;
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -6,6 +6,7 @@
 use crate::message::Document;
 use crate::prepaid_planner::PrepaidPlanner;
 use crate::replica_api::*;
+use crate::replica_log::ReplicaLog;
 use crate::replica_opening::{open_store, read_command, read_state, voters_at_start};
 use crate::state::{Command, FleetState, Outcome};
 use crate::voters::{VoterStep, VoterView, next_step};
@@ -51,12 +52,14 @@
     /// Up to this entry the voters rest on changes that may not have been committed.
     unsettled_until: u64,
     was_leading: bool,
+    log: ReplicaLog,
     effects: Vec<ReplicaEffect>,
 }
 
 impl<D: Disk> Replica<D> {
     /// Opens the data folder, or makes it.
     pub fn open(config: ReplicaConfig, disk: D, now: Timestamp) -> Result<Self, ReplicaError> {
+        let disk_was_empty = !LogStore::exists(&disk).map_err(ReplicaError::Store)?;
         let (store, restored) = open_store(&config, disk)?;
         let state = read_state(&restored.snapshot)?;
         let (voters, unsettled_until) = voters_at_start(&state, &restored.entries)?;
@@ -70,8 +73,11 @@
             seed: config.seed,
         };
         let applied = restored.snapshot.index;
+        let raft = Raft::new(raft_config, restored, now);
+        let log = ReplicaLog::opened(&raft, store.identity(), disk_was_empty, now);
         Ok(Self {
-            raft: Raft::new(raft_config, restored, now),
+            raft,
+            log,
             config,
             store,
             state,
@@ -296,8 +302,10 @@
             if ready.is_empty() {
                 break;
             }
+            ready.elections.iter().for_each(|event| self.log.election(now, event));
             self.carry_out(ready)?;
         }
+        self.log.look(now, &self.raft);
         let leading = self.raft.role() == Role::Leader;
         if leading != self.was_leading {
             self.was_leading = leading;
