--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -92,11 +92,9 @@
         self.has_live_leader().then_some(Refusal::LeaseMayRun)
     }
 
-    /// Why this replica votes for no candidate with such a log, whatever the term.
+    /// Why this replica votes for no candidate with such a log, whatever the term. It need not know
+    /// that it votes: the candidate's log says whose votes count.
     fn vote_refusal(&self, last_index: LogIndex, last_term: Term) -> Option<Refusal> {
-        if !self.is_voter() {
-            return Some(Refusal::NotAVoter);
-        }
         let own = self.log.last_index();
         let behind = Refusal::CandidateBehind { candidate: last_index, own };
         (!self.is_up_to_date(last_index, last_term)).then_some(behind)
@@ -162,7 +160,7 @@
     /// start it takes the word of every voter that none of them leads: whoever held a lease is one
     /// of them, so no lease is left, whatever a voter had promised before it started.
     fn count_pre_votes(&mut self) {
-        let nobody_leads = self.voters.keys().all(|voter| self.just_started.contains(voter));
+        let nobody_leads = self.voters().keys().all(|voter| self.just_started.contains(voter));
         if nobody_leads || self.votes.len() >= self.quorum() {
             self.start_vote(nobody_leads);
         }
@@ -183,16 +181,10 @@
         self.reads.clear();
         self.rounds_sent.clear();
         let next = self.log.last_index() + 1;
-        self.progress = self
-            .other_voters()
-            .into_iter()
-            .map(|name| {
-                let (round_sent, heard_at) = (self.now, self.now);
-                (name, Progress { next, round_sent, heard_at, ..Progress::default() })
-            })
-            .collect();
+        let others = self.other_voters().into_iter();
+        self.progress = others.map(|name| (name, Progress::starting_at(next, self.now))).collect();
         // Entries of earlier terms commit only together with one of this term (Raft, 5.4.2).
-        self.append_own(Vec::new());
+        self.append_own(Payload::Empty);
         self.begin_round();
         self.broadcast_append();
     }
--- a/crates/consensus/src/election_event.rs
+++ b/crates/consensus/src/election_event.rs
@@ -7,17 +7,6 @@
 /// Why a replica does not vote for a candidate.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Refusal {
-    /// The candidate's machine does not vote, as far as this replica knows.
-    CandidateNotAVoter,
-    /// The candidate's machine votes, but under another identity: its data folder is a new one.
-    CandidateReplaced {
-        /// The identity that counts.
-        counted: u64,
-        /// The candidate's.
-        identity: u64,
-    },
-    /// This replica does not count under its own identity.
-    NotAVoter,
     /// The candidate lacks entries that this replica holds.
     CandidateBehind {
         /// Index of the candidate's last entry.
@@ -38,11 +27,6 @@
 impl fmt::Display for Refusal {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::CandidateNotAVoter => write!(formatter, "the candidate is no voter"),
-            Self::CandidateReplaced { counted, identity } => {
-                write!(formatter, "the candidate counts as {counted:x}, it is {identity:x}")
-            }
-            Self::NotAVoter => write!(formatter, "this replica is no voter"),
             Self::CandidateBehind { candidate, own } => {
                 write!(formatter, "the candidate's log ends at {candidate}, the own one at {own}")
             }
@@ -79,6 +63,15 @@
         /// Why.
         reason: Refusal,
     },
+    /// A voter has answered this candidate from another data folder than the one that counts.
+    UncountedVote {
+        /// The voter.
+        voter: MachineName,
+        /// The identity that answered.
+        identity: u64,
+        /// The identity that counts.
+        counted: u64,
+    },
     /// This replica leads no more, because no majority has answered it for an election timeout.
     LostQuorum {
         /// The term that it led.
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -6,20 +6,22 @@
 //! drains [`Raft::ready`]: it makes the [`Ready`]'s hard state, snapshot and entries durable,
 //! calls [`Raft::advance`], and only then sends the messages and applies the committed entries.
 //!
-//! Membership is fixed by name, but each replica votes under an identity that is drawn anew with
-//! its data folder. A replica that lost its folder is a learner until the others have committed
+//! Each replica votes under an identity that is drawn anew with its data folder. The log itself names
+//! the voters and their identities. A replica that lost its folder does not count until an entry names
 //! its new identity, because the votes and entries it has forgotten may have formed a quorum.
 
 mod election;
 mod election_event;
 mod log;
+mod membership;
 mod message;
 mod raft;
 mod ready;
 mod replication;
 
 pub use election_event::{ElectionEvent, Refusal};
-pub use message::{Entry, Envelope, HardState, LogIndex, Message, Snapshot, Term};
+pub use membership::VoterChangeError;
+pub use message::{Entry, Envelope, HardState, LogIndex, Message, Payload, Snapshot, Term, Voters};
 pub use raft::{Config, NotLeader, Raft, Restored, Role};
 pub use ready::{ReadConfirmed, Ready};
 
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -1,17 +1,39 @@
 //! The part of the log that is kept in memory: everything after the last snapshot.
 
-use crate::message::{Entry, LogIndex, Snapshot, Term};
+use crate::message::{Entry, LogIndex, Payload, Snapshot, Term, Voters};
 
-/// Entries after a snapshot.
+/// Entries after a snapshot, and who votes as of the last one.
+///
+/// A change of voters counts from the moment at which its entry is in the log, committed or not, and
+/// counts no more if the entry is replaced (Ongaro's dissertation, section 4.1). Whether a replica has
+/// heard that a change is committed thus makes no difference to what it does.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Log {
-    pub snapshot: Snapshot,
+    snapshot: Snapshot,
     entries: Vec<Entry>,
+    voters: Voters,
+    voters_index: LogIndex,
 }
 
 impl Log {
     pub fn new(snapshot: Snapshot, entries: Vec<Entry>) -> Self {
-        Self { snapshot, entries }
+        let mut log = Self { snapshot, entries, ..Self::default() };
+        log.find_voters();
+        log
+    }
+
+    pub fn snapshot(&self) -> &Snapshot {
+        &self.snapshot
+    }
+
+    /// The newest voters in the log.
+    pub fn voters(&self) -> &Voters {
+        &self.voters
+    }
+
+    /// The entry that made them voters; the snapshot's index if it is no longer kept.
+    pub fn voters_index(&self) -> LogIndex {
+        self.voters_index
     }
 
     pub fn last_index(&self) -> LogIndex {
@@ -43,6 +65,10 @@
 
     pub fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
+        if let Payload::Voters(voters) = &entry.payload {
+            self.voters = voters.clone();
+            self.voters_index = entry.index;
+        }
         self.entries.push(entry);
     }
 
@@ -50,14 +76,40 @@
     pub fn truncate_from(&mut self, index: LogIndex) {
         let kept = index.saturating_sub(self.snapshot.index + 1) as usize;
         self.entries.truncate(kept);
+        self.find_voters();
+    }
+
+    /// Replaces the entries up to `index` by the state `data` as of `index`.
+    pub fn compact(&mut self, index: LogIndex, data: Vec<u8>) {
+        let Some(term) = self.term_at(index) else {
+            return;
+        };
+        let voters = self.voters_at(index).1;
+        self.install(Snapshot { index, term, voters, data });
     }
 
     /// Replaces what precedes the snapshot's index by the snapshot. Entries after it are kept if
     /// they follow on from it, otherwise dropped.
-    pub fn compact(&mut self, snapshot: Snapshot) {
+    pub fn install(&mut self, snapshot: Snapshot) {
         let follows_on = self.term_at(snapshot.index) == Some(snapshot.term);
         let index = snapshot.index;
         self.entries.retain(|entry| follows_on && entry.index > index);
         self.snapshot = snapshot;
+        self.find_voters();
+    }
+
+    fn find_voters(&mut self) {
+        (self.voters_index, self.voters) = self.voters_at(self.last_index());
+    }
+
+    /// The voters as of the entry at `index`, and the entry that made them voters.
+    fn voters_at(&self, index: LogIndex) -> (LogIndex, Voters) {
+        let changes = self.entries.iter().rev().filter(|entry| entry.index <= index);
+        let newest = changes.filter_map(|entry| match &entry.payload {
+            Payload::Voters(voters) => Some((entry.index, voters.clone())),
+            Payload::Empty | Payload::Command(_) => None,
+        });
+        let from_snapshot = || (self.snapshot.index, self.snapshot.voters.clone());
+        newest.into_iter().next().unwrap_or_else(from_snapshot)
     }
 }
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -2,12 +2,27 @@
 
 use serde::{Deserialize, Serialize};
 use stackpost_types::MachineName;
+use std::collections::BTreeMap;
 
 /// A leader's term.
 pub type Term = u64;
 /// Position in the log; the first entry has index 1.
 pub type LogIndex = u64;
 
+/// The machines that vote, each with the identity of the data folder that counts.
+pub type Voters = BTreeMap<MachineName, u64>;
+
+/// What an entry carries.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Payload {
+    /// Nothing: a leader begins its term with such an entry.
+    Empty,
+    /// An encoded command for the user of the log.
+    Command(Vec<u8>),
+    /// Who votes from this entry on.
+    Voters(Voters),
+}
+
 /// One entry of the log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -15,8 +30,8 @@
     pub term: Term,
     /// Its position.
     pub index: LogIndex,
-    /// An encoded command.
-    pub data: Vec<u8>,
+    /// What it carries.
+    pub payload: Payload,
 }
 
 /// The state of the log's user up to an index.
@@ -26,6 +41,8 @@
     pub index: LogIndex,
     /// Its term.
     pub term: Term,
+    /// Who voted as of that entry.
+    pub voters: Voters,
     /// The encoded state.
     pub data: Vec<u8>,
 }
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -17,9 +17,9 @@
     pub name: MachineName,
     /// The identity drawn with its data folder.
     pub identity: u64,
-    /// The voters that were known when this replica started, each with its identity. Empty for a
-    /// replica that has yet to be taken in by the others.
-    pub voters: BTreeMap<MachineName, u64>,
+    /// Who votes as long as neither a snapshot nor an entry names the voters. Empty for a replica
+    /// that has yet to be taken in by the others.
+    pub first_voters: Voters,
     /// Shortest silence of the leader before a campaign. Also the length of a lease.
     pub election_timeout: Millis,
     /// Time between two heartbeats.
@@ -70,12 +70,17 @@
     pub round_sent: Timestamp,
     /// The identity under which it answered last.
     pub identity: u64,
-    /// A replacement was reported for this identity.
-    pub replacement_proposed: u64,
     /// When it last answered, by the leader's clock.
     pub heard_at: Timestamp,
 }
 
+impl Progress {
+    /// Nothing is known of the replica yet; entries are sent from `next` on.
+    pub fn starting_at(next: LogIndex, now: Timestamp) -> Self {
+        Self { next, round_sent: now, heard_at: now, ..Self::default() }
+    }
+}
+
 /// A read that waits for a majority to confirm the leader.
 #[derive(Clone, Debug)]
 pub(crate) struct PendingRead {
@@ -89,8 +94,6 @@
 pub struct Raft {
     pub(crate) config: Config,
     pub(crate) rng: ChaCha8Rng,
-    /// The voters and the identity under which each one counts.
-    pub(crate) voters: BTreeMap<MachineName, u64>,
     /// Machines that get the log without counting. Kept by the leader only; never durable.
     pub(crate) learners: BTreeSet<MachineName>,
     pub(crate) hard_state: HardState,
@@ -116,7 +119,6 @@
     // Not yet handed to the driver.
     pub(crate) messages: Vec<(MachineName, Envelope)>,
     pub(crate) confirmed_reads: Vec<ReadConfirmed>,
-    pub(crate) caught_up: Vec<(MachineName, u64)>,
     pub(crate) elections: Vec<ElectionEvent>,
     pub(crate) new_snapshot: Option<Snapshot>,
     hard_state_dirty: bool,
@@ -127,16 +129,17 @@
 
 impl Raft {
     /// Starts a replica from what it read at `now`.
-    pub fn new(config: Config, restored: Restored, now: Timestamp) -> Self {
-        let voters = config.voters.clone();
+    pub fn new(config: Config, mut restored: Restored, now: Timestamp) -> Self {
+        if restored.snapshot.index == 0 {
+            restored.snapshot.voters = config.first_voters.clone();
+        }
         let rng = ChaCha8Rng::seed_from_u64(config.seed);
         let log = Log::new(restored.snapshot, restored.entries);
-        let commit = log.snapshot.index;
+        let commit = log.snapshot().index;
         let durable = log.last_index();
         let mut raft = Self {
             config,
             rng,
-            voters,
             learners: BTreeSet::new(),
             hard_state: restored.hard_state,
             commit,
@@ -158,12 +161,11 @@
             leader_since: now,
             messages: Vec::new(),
             confirmed_reads: Vec::new(),
-            caught_up: Vec::new(),
             elections: Vec::new(),
             new_snapshot: None,
             hard_state_dirty: false,
             durable,
-            applied: log.snapshot.index,
+            applied: commit,
             log,
         };
         raft.retry_campaign_soon();
@@ -197,73 +199,7 @@
 
     /// Index covered by the newest snapshot.
     pub fn snapshot_index(&self) -> LogIndex {
-        self.log.snapshot.index
-    }
-
-    /// Whether this replica's own identity is the one that the others count.
-    pub fn is_voter(&self) -> bool {
-        self.voters.get(&self.config.name) == Some(&self.config.identity)
-    }
-
-    /// Records the committed identity of a replica; a name that was no voter becomes one.
-    pub fn set_identity(&mut self, name: MachineName, identity: u64) {
-        self.learners.remove(&name);
-        if self.role == Role::Leader && name != self.config.name {
-            self.track(name.clone());
-        }
-        self.voters.insert(name, identity);
-    }
-
-    /// Records that a replica has been removed from the voters by a committed entry.
-    pub fn remove_voter(&mut self, name: &MachineName) {
-        self.voters.remove(name);
-        if !self.learners.contains(name) {
-            self.progress.remove(name);
-        }
-        if self.role == Role::Leader {
-            self.advance_commit();
-        }
-    }
-
-    /// The voters with their identities.
-    pub fn voters(&self) -> &BTreeMap<MachineName, u64> {
-        &self.voters
-    }
-
-    /// Lets a leader send its log to a machine that does not vote. Once the machine holds all
-    /// committed entries it is reported in [`Ready::caught_up`].
-    pub fn add_learner(&mut self, name: MachineName) {
-        if self.role != Role::Leader || self.voters.contains_key(&name) {
-            return;
-        }
-        self.track(name.clone());
-        self.learners.insert(name);
-    }
-
-    /// The identity of a machine that does not count and holds all committed entries.
-    pub fn caught_up_learner(&self, name: &MachineName) -> Option<u64> {
-        let progress = self.progress.get(name)?;
-        let counts = self.voters.get(name) == Some(&progress.identity);
-        let complete = progress.matched >= self.commit && self.commit > 0;
-        (!counts && complete).then_some(progress.identity)
-    }
-
-    /// Time since `name` last answered this leader; `None` if it is not tracked.
-    pub fn silence_of(&self, name: &MachineName) -> Option<Millis> {
-        let progress = self.progress.get(name)?;
-        Some(self.now.since(progress.heard_at))
-    }
-
-    /// Starts to follow how far a replica's log has come.
-    fn track(&mut self, name: MachineName) {
-        let next = self.log.last_index() + 1;
-        let now = self.now;
-        self.progress.entry(name).or_insert_with(|| Progress {
-            next,
-            round_sent: now,
-            heard_at: now,
-            ..Progress::default()
-        });
+        self.log.snapshot().index
     }
 
     /// Until when no other replica can have become leader, by this replica's clock. `None` if
@@ -296,7 +232,6 @@
     pub fn step(&mut self, now: Timestamp, envelope: Envelope) {
         self.now = self.now.max(now);
         if self.is_foreign(&envelope) {
-            self.note_uncounted_candidate(&envelope);
             return;
         }
         self.observe_term(&envelope);
@@ -304,14 +239,14 @@
             self.answer_stale(&envelope);
             return;
         }
-        self.note_uncounted_candidate(&envelope);
+        self.note_uncounted_vote(&envelope);
         let Envelope { from, identity, message } = envelope;
-        let counts = self.voters.get(&from) == Some(&identity);
+        let counts = self.counts(&from, identity);
         match message {
-            Message::PreVote { term, last_index, last_term } if counts => {
+            Message::PreVote { term, last_index, last_term } => {
                 self.on_pre_vote(from, term, last_index, last_term);
             }
-            Message::Vote { term, last_index, last_term, .. } if counts => {
+            Message::Vote { term, last_index, last_term, .. } => {
                 self.on_vote(from, term, last_index, last_term);
             }
             Message::PreVoteReply { term, granted, just_started } if counts => {
@@ -327,7 +262,7 @@
             Message::AppendReply { accepted, index, round, .. } => {
                 self.on_append_reply(from, identity, accepted, index, round);
             }
-            _ => {}
+            Message::PreVoteReply { .. } | Message::VoteReply { .. } => {}
         }
     }
 
@@ -336,7 +271,7 @@
         if self.role != Role::Leader {
             return Err(NotLeader { leader: self.leader.clone() });
         }
-        let index = self.append_own(data);
+        let index = self.append_own(Payload::Command(data));
         self.broadcast_append();
         Ok((self.hard_state.term, index))
     }
@@ -369,7 +304,6 @@
             messages: std::mem::take(&mut self.messages),
             committed,
             reads: std::mem::take(&mut self.confirmed_reads),
-            caught_up: std::mem::take(&mut self.caught_up),
             elections: std::mem::take(&mut self.elections),
         }
     }
@@ -384,11 +318,8 @@
 
     /// The driver has stored a snapshot of its state at `index`; entries up to it are dropped.
     pub fn compact(&mut self, index: LogIndex, data: Vec<u8>) {
-        let Some(term) = self.log.term_at(index) else {
-            return;
-        };
         if index <= self.applied {
-            self.log.compact(Snapshot { index, term, data });
+            self.log.compact(index, data);
         }
     }
 
@@ -399,12 +330,12 @@
 
     /// The newest snapshot.
     pub fn snapshot(&self) -> &Snapshot {
-        &self.log.snapshot
+        self.log.snapshot()
     }
 
     /// The entries kept after the newest snapshot.
     pub fn entries_after_snapshot(&self) -> Vec<Entry> {
-        self.log.slice(self.log.snapshot.index + 1, usize::MAX)
+        self.log.slice(self.snapshot_index() + 1, usize::MAX)
     }
 
     /// Term of the entry at `index`, if it is still kept.
@@ -412,14 +343,18 @@
         self.log.term_at(index)
     }
 
-    /// A machine that does not vote can neither campaign nor raise the others' term. What a leader
-    /// sends is taken from anyone: a replica that was just made does not know the voters yet.
+    /// Answers are taken only from machines that could have been asked. What a leader or a candidate
+    /// sends is taken from anyone: the sender counts by its own log, which may be ahead of this one
+    /// (Ongaro's dissertation, section 4.1). Nobody is put at risk by it: a candidate counts only
+    /// the votes of identities in its own log, and whoever was removed lacks the entry that says so.
     fn is_foreign(&self, envelope: &Envelope) -> bool {
-        let from_leader =
-            matches!(envelope.message, Message::Append { .. } | Message::Install { .. });
+        let answers = matches!(
+            envelope.message,
+            Message::AppendReply { .. } | Message::PreVoteReply { .. } | Message::VoteReply { .. }
+        );
         let known =
-            self.voters.contains_key(&envelope.from) || self.learners.contains(&envelope.from);
-        !from_leader && !known
+            self.voters().contains_key(&envelope.from) || self.learners.contains(&envelope.from);
+        answers && !known
     }
 
     fn take_committed(&mut self) -> Vec<Entry> {
@@ -452,19 +387,15 @@
         self.become_follower(envelope.message.term(), None);
     }
 
-    /// Notes that a candidate is passed over because it does not count.
-    fn note_uncounted_candidate(&mut self, envelope: &Envelope) {
-        if !matches!(envelope.message, Message::PreVote { .. } | Message::Vote { .. }) {
+    /// Notes that an answer to a campaign comes from another data folder than the one that counts.
+    fn note_uncounted_vote(&mut self, envelope: &Envelope) {
+        if !matches!(envelope.message, Message::PreVoteReply { .. } | Message::VoteReply { .. }) {
             return;
         }
-        let reason = match self.voters.get(&envelope.from) {
-            None => Refusal::CandidateNotAVoter,
-            Some(counted) if *counted != envelope.identity => {
-                Refusal::CandidateReplaced { counted: *counted, identity: envelope.identity }
-            }
-            Some(_) => return,
-        };
-        self.note_refusal(&envelope.from, reason);
+        let (voter, identity) = (envelope.from.clone(), envelope.identity);
+        if let Some(counted) = self.voters().get(&voter).copied().filter(|one| *one != identity) {
+            self.elections.push(ElectionEvent::UncountedVote { voter, identity, counted });
+        }
     }
 
     pub(crate) fn note_refusal(&mut self, candidate: &MachineName, reason: Refusal) {
@@ -502,21 +433,6 @@
         self.hard_state_dirty = true;
     }
 
-    /// The voters other than this replica.
-    pub(crate) fn other_voters(&self) -> Vec<MachineName> {
-        let name = &self.config.name;
-        self.voters.keys().filter(|other| *other != name).cloned().collect()
-    }
-
-    /// All machines that get this leader's log.
-    pub(crate) fn followers(&self) -> Vec<MachineName> {
-        self.other_voters().into_iter().chain(self.learners.iter().cloned()).collect()
-    }
-
-    pub(crate) fn quorum(&self) -> usize {
-        self.voters.len() / 2 + 1
-    }
-
     /// Whether this replica counts itself: a leader that is no voter any more must not.
     pub(crate) fn own_vote(&self) -> bool {
         self.is_voter()
--- a/crates/consensus/src/ready.rs
+++ b/crates/consensus/src/ready.rs
@@ -29,9 +29,6 @@
     pub committed: Vec<Entry>,
     /// Reads that may now be answered.
     pub reads: Vec<ReadConfirmed>,
-    /// Replicas under a new identity that hold all committed entries; the driver proposes each
-    /// as a replacement.
-    pub caught_up: Vec<(MachineName, u64)>,
     /// What happened in elections, for logs.
     pub elections: Vec<ElectionEvent>,
 }
@@ -45,7 +42,6 @@
             && self.messages.is_empty()
             && self.committed.is_empty()
             && self.reads.is_empty()
-            && self.caught_up.is_empty()
             && self.elections.is_empty()
     }
 
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -39,9 +39,9 @@
         self.heartbeat_at = self.now + self.config.heartbeat_interval;
     }
 
-    pub(crate) fn append_own(&mut self, data: Vec<u8>) -> LogIndex {
+    pub(crate) fn append_own(&mut self, payload: Payload) -> LogIndex {
         let index = self.log.last_index() + 1;
-        self.log.push(Entry { term: self.hard_state.term, index, data });
+        self.log.push(Entry { term: self.hard_state.term, index, payload });
         index
     }
 
@@ -59,7 +59,7 @@
         };
         let prev_index = progress.next - 1;
         let Some(prev_term) = self.log.term_at(prev_index) else {
-            let snapshot = self.log.snapshot.clone();
+            let snapshot = self.log.snapshot().clone();
             progress.next = snapshot.index + 1;
             self.send(to, Message::Install { term, snapshot, round });
             return;
@@ -97,11 +97,11 @@
 
     /// Entries before the snapshot are committed and therefore match.
     fn matches(&self, prev_index: LogIndex, prev_term: Term) -> bool {
-        prev_index < self.log.snapshot.index || self.log.term_at(prev_index) == Some(prev_term)
+        prev_index < self.snapshot_index() || self.log.term_at(prev_index) == Some(prev_term)
     }
 
     fn accept_entry(&mut self, entry: Entry) {
-        if entry.index <= self.log.snapshot.index {
+        if entry.index <= self.snapshot_index() {
             return;
         }
         match self.log.term_at(entry.index) {
@@ -121,7 +121,7 @@
         let index = snapshot.index;
         if index > self.commit {
             self.commit = index;
-            self.log.compact(snapshot.clone());
+            self.log.install(snapshot.clone());
             self.durable = self.durable.max(index);
             self.new_snapshot = Some(snapshot);
         }
@@ -158,7 +158,7 @@
         progress.heard_at = now;
         if progress.identity != identity {
             // A new data folder: nothing that the old one acknowledged counts any more.
-            *progress = Progress { identity, next: last + 1, heard_at: now, ..Progress::default() };
+            *progress = Progress { identity, ..Progress::starting_at(last + 1, now) };
         }
         if accepted {
             progress.matched = progress.matched.max(index);
@@ -176,28 +176,10 @@
         if !accepted || behind {
             self.send_append(from.clone());
         }
-        self.note_caught_up(&from);
         self.advance_commit();
         self.confirm_reads();
     }
 
-    fn counts(&self, name: &MachineName, progress: &Progress) -> bool {
-        self.voters.get(name) == Some(&progress.identity)
-    }
-
-    fn note_caught_up(&mut self, name: &MachineName) {
-        let Some(identity) = self.caught_up_learner(name) else {
-            return;
-        };
-        let Some(progress) = self.progress.get_mut(name) else {
-            return;
-        };
-        if progress.replacement_proposed != identity {
-            progress.replacement_proposed = identity;
-            self.caught_up.push((name.clone(), identity));
-        }
-    }
-
     pub(crate) fn has_committed_in_term(&self) -> bool {
         self.log.term_at(self.commit) == Some(self.hard_state.term)
     }
@@ -206,7 +188,7 @@
         let mut matched: Vec<LogIndex> = self
             .progress
             .iter()
-            .filter(|(name, progress)| self.counts(name, progress))
+            .filter(|(name, progress)| self.counts(name, progress.identity))
             .map(|(_, progress)| progress.matched)
             .collect();
         if self.own_vote() {
@@ -227,7 +209,7 @@
         let mut times: Vec<Timestamp> = self
             .progress
             .iter()
-            .filter(|(name, progress)| self.counts(name, progress) && progress.round > 0)
+            .filter(|(name, progress)| self.counts(name, progress.identity) && progress.round > 0)
             .map(|(_, progress)| progress.round_sent)
             .collect();
         if self.own_vote() {
@@ -241,7 +223,7 @@
         let mut rounds: Vec<u64> = self
             .progress
             .iter()
-            .filter(|(name, progress)| self.counts(name, progress))
+            .filter(|(name, progress)| self.counts(name, progress.identity))
             .map(|(_, progress)| progress.round)
             .collect();
         if self.own_vote() {
--- a/crates/control-core/src/replica.rs
+++ b/crates/control-core/src/replica.rs
@@ -5,7 +5,7 @@
 use crate::liveness::Liveness;
 use crate::orders::{EngineOrder, Orders};
 use serde::{Deserialize, Serialize};
-use stackpost_consensus::{Config, FIRST_IDENTITY, Raft, Role};
+use stackpost_consensus::{Config, Entry, FIRST_IDENTITY, Payload, Raft, Role};
 use stackpost_protocol::{Message, Peer};
 use stackpost_storage::{Disk, LogStore, StoreError};
 use stackpost_table::*;
@@ -199,13 +199,17 @@
         let raft_config = Config {
             name: config.name.clone(),
             identity: store.identity(),
-            voters: config.replicas.iter().map(|name| (name.clone(), FIRST_IDENTITY)).collect(),
+            first_voters: config
+                .replicas
+                .iter()
+                .map(|name| (name.clone(), FIRST_IDENTITY))
+                .collect(),
             election_timeout: config.election_timeout,
             heartbeat_interval: config.heartbeat_interval,
             lease_margin: config.lease_margin,
             seed: config.seed,
         };
-        let mut replica = Self {
+        Ok(Self {
             raft: Raft::new(raft_config, restored, now),
             config,
             now,
@@ -217,9 +221,7 @@
             store,
             bills: BillStore::open(bill_disk)?,
             pending_edits: BTreeMap::new(),
-        };
-        replica.take_over_identities();
-        Ok(replica)
+        })
     }
 
     /// Takes in one event. An error means that the data folder can't be trusted any more: the
@@ -286,6 +288,7 @@
 
     fn on_tick(&mut self) -> Result<(), StoreError> {
         self.raft.tick(self.now);
+        self.renew_voter();
         self.drain_raft()?;
         self.tick_liveness();
         self.tick_pushes();
@@ -374,36 +377,30 @@
                 self.send(Peer::Control(to), Message::Raft(envelope));
             }
             for entry in ready.committed {
-                self.apply(entry.index, entry.term, &entry.data)?;
+                self.apply(entry)?;
             }
             for read in ready.reads {
                 self.on_read_confirmed(read);
             }
-            for (machine, identity) in ready.caught_up {
-                self.propose(&Command::ReplaceReplica { machine, identity });
-            }
         }
     }
 
     fn install(&mut self, snapshot: &stackpost_consensus::Snapshot) -> Result<(), StoreError> {
         self.state = StateMachine::from_snapshot(&snapshot.data)
             .map_err(|_| StoreError::Damaged { file: "snapshot".into(), position: 0 })?;
-        self.take_over_identities();
         let following = self.raft.entries_after_snapshot();
         self.store.install(snapshot, self.raft.hard_state(), &following)
     }
 
-    fn apply(&mut self, index: u64, term: u64, data: &[u8]) -> Result<(), StoreError> {
-        let command = if data.is_empty() {
-            Command::Noop
-        } else {
-            postcard::from_bytes(data)
-                .map_err(|_| StoreError::Damaged { file: "log".into(), position: index as usize })?
+    fn apply(&mut self, entry: Entry) -> Result<(), StoreError> {
+        let Entry { index, term, payload } = entry;
+        let command = match payload {
+            Payload::Empty | Payload::Voters(_) => Command::Noop,
+            Payload::Command(data) => postcard::from_bytes(&data).map_err(|_| {
+                StoreError::Damaged { file: "log".into(), position: index as usize }
+            })?,
         };
         let outcome = self.state.apply(Version(index), &command);
-        if let Command::ReplaceReplica { machine, identity } = &command {
-            self.raft.set_identity(machine.clone(), *identity);
-        }
         self.answer_applied(index, term, outcome);
         if index - self.raft.snapshot_index() >= SNAPSHOT_EVERY {
             self.take_snapshot(index)?;
@@ -430,12 +427,21 @@
         self.store.install(&snapshot, self.raft.hard_state(), &following)
     }
 
-    fn take_over_identities(&mut self) {
-        for name in self.config.replicas.clone() {
-            if let Some(Row::Replica(row)) = self.state.table().get(&RowKey::Replica(name.clone()))
-            {
-                self.raft.set_identity(name, row.identity);
-            }
+    /// Lets a replica whose data folder was lost vote again, once it has caught up.
+    fn renew_voter(&mut self) {
+        if self.raft.may_change_voters().is_err() {
+            return;
+        }
+        let mut voters = self.raft.voters().clone();
+        let renewed = voters
+            .keys()
+            .find_map(|machine| Some((machine.clone(), self.raft.caught_up_identity(machine)?)));
+        let Some((machine, identity)) = renewed else {
+            return;
+        };
+        voters.insert(machine, identity);
+        if let Err(error) = self.raft.propose_voters(voters) {
+            log::warn!(step = "membership"; "the voters stay as they are: {error}");
         }
     }
 }
--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -396,7 +396,7 @@
             .links
             .values()
             .filter(|link| link.peer.role == PeerRole::Control)
-            .map(|link| link.peer.node.machine.clone())
+            .map(|link| (link.peer.node.machine.clone(), link.peer.zone.clone()))
             .collect();
         self.replica.send(ReplicaEvent::ControlPeers(peers));
     }
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -7,12 +7,12 @@
 use crate::prepaid_planner::PrepaidPlanner;
 use crate::replica_api::*;
 use crate::replica_log::ReplicaLog;
-use crate::replica_opening::{open_store, read_command, read_state, voters_at_start};
+use crate::replica_opening::{open_store, read_command, read_state};
 use crate::state::{Command, FleetState, Outcome};
-use crate::voters::{VoterStep, VoterView, next_step};
-use stackpost_consensus::{Config, Entry, Raft, Ready, Role, Snapshot};
+use crate::voters::{VoterSight, VoterStep, VoterView, next_step};
+use stackpost_consensus::{Config, Entry, Payload, Raft, Ready, Role, Snapshot, Voters};
 use stackpost_storage::{Disk, LogStore};
-use stackpost_types::{MachineName, Millis, NodeId, Timestamp};
+use stackpost_types::{MachineName, Millis, NodeId, Timestamp, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -47,10 +47,10 @@
     reads: BTreeMap<u64, PendingRead>,
     next_context: u64,
     planner: PrepaidPlanner,
-    control_peers: BTreeSet<MachineName>,
-    voter_change: Option<u64>,
-    /// Up to this entry the voters rest on changes that may not have been committed.
-    unsettled_until: u64,
+    /// The control machines that are connected, with their zones.
+    control_peers: BTreeMap<MachineName, ZoneName>,
+    /// The zones of control machines that are connected or have been.
+    zones_seen: BTreeMap<MachineName, ZoneName>,
     was_leading: bool,
     log: ReplicaLog,
     effects: Vec<ReplicaEffect>,
@@ -62,11 +62,11 @@
         let disk_was_empty = !LogStore::exists(&disk).map_err(ReplicaError::Store)?;
         let (store, restored) = open_store(&config, disk)?;
         let state = read_state(&restored.snapshot)?;
-        let (voters, unsettled_until) = voters_at_start(&state, &restored.entries)?;
         let raft_config = Config {
             name: config.name.clone(),
             identity: store.identity(),
-            voters,
+            // The founders' snapshot names them; whoever joins later learns of them from the leader.
+            first_voters: Voters::new(),
             election_timeout: config.election_timeout,
             heartbeat_interval: config.heartbeat_interval,
             lease_margin: config.lease_margin,
@@ -86,9 +86,8 @@
             reads: BTreeMap::new(),
             next_context: 1,
             planner: PrepaidPlanner::default(),
-            control_peers: BTreeSet::new(),
-            voter_change: None,
-            unsettled_until,
+            control_peers: BTreeMap::new(),
+            zones_seen: BTreeMap::new(),
             was_leading: false,
             effects: Vec::new(),
         })
@@ -126,7 +125,10 @@
             ReplicaEvent::RouterFarewell { router, spent } => {
                 self.planner.on_farewell(&router, spent);
             }
-            ReplicaEvent::ControlPeers(machines) => self.control_peers = machines,
+            ReplicaEvent::ControlPeers(machines) => {
+                self.zones_seen.extend(machines.clone());
+                self.control_peers = machines;
+            }
         }
     }
 
@@ -156,7 +158,7 @@
     }
 
     /// The voters.
-    pub fn voters(&self) -> &BTreeMap<MachineName, u64> {
+    pub fn voters(&self) -> &Voters {
         self.raft.voters()
     }
 
@@ -165,7 +167,7 @@
         self.answer_overdue(now);
         if self.raft.role() == Role::Leader {
             self.plan_prepaid(now);
-            self.plan_voters();
+            self.plan_voters(now);
         }
     }
 
@@ -257,42 +259,54 @@
         }
     }
 
-    fn plan_voters(&mut self) {
-        let in_flight = self.voter_change.is_some_and(|index| index > self.applied);
-        if in_flight || self.raft.lease_until().is_none() {
+    fn plan_voters(&mut self, now: Timestamp) {
+        if !self.leads(now) || self.raft.may_change_voters().is_err() {
             return;
         }
-        let command = match next_step(&self.voter_view()) {
-            VoterStep::None => return,
-            VoterStep::Teach(machines) => {
-                machines.into_iter().for_each(|machine| self.raft.add_learner(machine));
-                return;
-            }
-            VoterStep::Add(machine, identity) => Command::SetVoter { machine, identity },
-            VoterStep::Remove(machine) => Command::RemoveVoter { machine },
+        let mut voters = self.raft.voters().clone();
+        match next_step(&self.voter_view()) {
+            VoterStep::None => return self.raft.set_learners(BTreeSet::new()),
+            VoterStep::Teach(machines) => return self.raft.set_learners(machines),
+            VoterStep::Add(machine, identity) => voters.insert(machine, identity),
+            VoterStep::Remove(machine) => voters.remove(&machine),
         };
-        log::info!(step = "membership"; "proposes {command:?}");
-        self.voter_change = self.propose(&command).map(|(_, index)| index);
+        if let Err(error) = self.raft.propose_voters(voters) {
+            log::warn!(step = "membership"; "the voters stay as they are: {error}");
+        }
     }
 
     fn voter_view(&self) -> VoterView {
-        let own = self.config.name.clone();
-        let silence = |machine: &MachineName| self.raft.silence_of(machine).unwrap_or(Millis(0));
-        let voters: BTreeMap<MachineName, Millis> =
-            self.raft.voters().keys().map(|name| (name.clone(), silence(name))).collect();
-        let standby: BTreeSet<MachineName> = self
+        let own = &self.config.name;
+        let voters: BTreeMap<MachineName, VoterSight> =
+            self.raft.voters().keys().map(|name| (name.clone(), self.voter_sight(name))).collect();
+        let standby: BTreeMap<MachineName, ZoneName> = self
             .control_peers
             .iter()
-            .filter(|machine| !voters.contains_key(*machine))
-            .cloned()
+            .filter(|(machine, _)| !voters.contains_key(*machine))
+            .map(|(machine, zone)| (machine.clone(), zone.clone()))
             .collect();
         let caught_up = voters
             .keys()
-            .chain(&standby)
-            .filter(|machine| **machine != own)
-            .filter_map(|machine| Some((machine.clone(), self.raft.caught_up_learner(machine)?)))
+            .chain(standby.keys())
+            .filter(|machine| *machine != own)
+            .filter_map(|machine| Some((machine.clone(), self.raft.caught_up_identity(machine)?)))
             .collect();
-        VoterView { own, voters, standby, caught_up, wanted: self.config.voters_wanted }
+        VoterView {
+            own: own.clone(),
+            voters,
+            standby,
+            caught_up,
+            wanted: self.config.voters_wanted,
+            zones: self.config.zones,
+        }
+    }
+
+    fn voter_sight(&self, machine: &MachineName) -> VoterSight {
+        if *machine == self.config.name {
+            return VoterSight { silence: Millis(0), zone: Some(self.config.zone.clone()) };
+        }
+        let silence = self.raft.silence_of(machine).unwrap_or(Millis(0));
+        VoterSight { silence, zone: self.zones_seen.get(machine).cloned() }
     }
 
     /// Carries out what the log asks for until it asks for nothing more.
@@ -310,7 +324,6 @@
         if leading != self.was_leading {
             self.was_leading = leading;
             self.planner.on_role_change(now);
-            self.voter_change = None;
             self.effects.push(ReplicaEffect::RoleChanged(leading));
         }
         Ok(())
@@ -344,7 +357,6 @@
     fn install(&mut self, snapshot: &Snapshot) -> Result<(), ReplicaError> {
         self.state = read_state(snapshot)?;
         self.applied = snapshot.index;
-        self.take_over_voters();
         let following = self.raft.entries_after_snapshot();
         self.store.install(snapshot, self.raft.hard_state(), &following)?;
         if let Some(document) = self.state.document.clone() {
@@ -353,50 +365,18 @@
         Ok(())
     }
 
-    /// The last change found at the start is committed, or another entry has taken its place.
-    fn settle_voters(&mut self, entry: &Entry) -> Result<(), ReplicaError> {
-        let is_change = !entry.data.is_empty() && read_command(entry)?.changes_voters();
-        if !is_change {
-            self.take_over_voters();
-        }
-        Ok(())
-    }
-
-    fn take_over_voters(&mut self) {
-        let gone: Vec<MachineName> = self
-            .raft
-            .voters()
-            .keys()
-            .filter(|machine| !self.state.voters.contains_key(*machine))
-            .cloned()
-            .collect();
-        for machine in gone {
-            self.raft.remove_voter(&machine);
-        }
-        for (machine, identity) in &self.state.voters {
-            self.raft.set_identity(machine.clone(), *identity);
-        }
-    }
-
     fn apply(&mut self, entry: Entry) -> Result<(), ReplicaError> {
         self.applied = entry.index;
-        if entry.index == self.unsettled_until {
-            self.settle_voters(&entry)?;
-        }
-        if entry.data.is_empty() {
+        let Payload::Command(bytes) = &entry.payload else {
             return Ok(());
-        }
-        let command = read_command(&entry)?;
-        let voters_change = command.changes_voters();
+        };
+        let command = read_command(entry.index, bytes)?;
         let touched = self.planner.routers_touched(entry.index, &command);
         let closed = match &command {
             Command::CloseRouter { router, .. } => Some(router.clone()),
             _ => None,
         };
         let outcome = self.state.apply(command);
-        if voters_change && entry.index >= self.unsettled_until {
-            self.take_over_voters();
-        }
         if outcome == Outcome::DocumentTaken
             && let Some(document) = self.state.document.clone()
         {
--- a/crates/coordinator/src/replica_api.rs
+++ b/crates/coordinator/src/replica_api.rs
@@ -5,8 +5,8 @@
 use stackpost_consensus::Envelope;
 use stackpost_prepaid::{Allotment, Outlook};
 use stackpost_storage::StoreError;
-use stackpost_types::{MachineName, Millis, NodeId, TenantName, Tokens};
-use std::collections::{BTreeMap, BTreeSet};
+use stackpost_types::{MachineName, Millis, NodeId, TenantName, Tokens, ZoneName};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use thiserror::Error;
 
@@ -27,6 +27,10 @@
     pub lease_margin: Millis,
     /// Voters wanted.
     pub voters_wanted: usize,
+    /// The zone that this machine stands in.
+    pub zone: ZoneName,
+    /// Zones of the fleet.
+    pub zones: usize,
     /// Seed for election timeouts.
     pub seed: u64,
     /// Reads documents.
@@ -82,8 +86,8 @@
         /// What it has spent.
         spent: BTreeMap<TenantName, Tokens>,
     },
-    /// The control machines that are connected now.
-    ControlPeers(BTreeSet<MachineName>),
+    /// The control machines that are connected now, with their zones.
+    ControlPeers(BTreeMap<MachineName, ZoneName>),
 }
 
 /// Answer to a `Put`.
--- a/crates/coordinator/src/replica_log.rs
+++ b/crates/coordinator/src/replica_log.rs
@@ -47,6 +47,11 @@
             ElectionEvent::Refused { candidate, reason } => {
                 format!("no vote for {candidate}: {reason}")
             }
+            ElectionEvent::UncountedVote { voter, identity, counted } => {
+                format!(
+                    "the answer of {voter} does not count: it is {identity:x}, {counted:x} votes"
+                )
+            }
             ElectionEvent::LostQuorum { term } => {
                 format!("leads no more in term {term}: no majority has answered")
             }
--- a/crates/coordinator/src/state.rs
+++ b/crates/coordinator/src/state.rs
@@ -3,8 +3,7 @@
 use crate::message::Document;
 use serde::{Deserialize, Serialize};
 use stackpost_prepaid::{Charge, Contact, GivenBack, Grant, LifeEnd, PrepaidLedger};
-use stackpost_types::{MachineName, NodeId, TenantName, Tokens};
-use std::collections::BTreeMap;
+use stackpost_types::{NodeId, TenantName, Tokens};
 
 /// One entry of the replicated log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -36,25 +35,6 @@
         /// What was gone of each of its allotments some time after.
         gone: Vec<(TenantName, Tokens)>,
     },
-    /// Makes a machine a voter, or lets a voter count under a new identity.
-    SetVoter {
-        /// The machine.
-        machine: MachineName,
-        /// The identity of its data folder.
-        identity: u64,
-    },
-    /// Removes a voter.
-    RemoveVoter {
-        /// The machine.
-        machine: MachineName,
-    },
-}
-
-impl Command {
-    /// Whether the command changes who votes.
-    pub fn changes_voters(&self) -> bool {
-        matches!(self, Self::SetVoter { .. } | Self::RemoveVoter { .. })
-    }
 }
 
 /// What applying a command did.
@@ -75,16 +55,9 @@
     pub document: Option<Document>,
     /// The prepaid budgets.
     pub ledger: PrepaidLedger,
-    /// The voters and their identities.
-    pub voters: BTreeMap<MachineName, u64>,
 }
 
 impl FleetState {
-    /// The state of a new fleet.
-    pub fn found(voters: BTreeMap<MachineName, u64>) -> Self {
-        Self { voters, ..Self::default() }
-    }
-
     /// Version of the configuration in force; zero if there is none.
     pub fn document_version(&self) -> u64 {
         self.document.as_ref().map_or(0, |document| document.version)
@@ -112,12 +85,6 @@
             Command::NoteContact { router, contact, gone } => {
                 self.ledger.note_contact(&router, contact, &gone);
             }
-            Command::SetVoter { machine, identity } => {
-                self.voters.insert(machine, identity);
-            }
-            Command::RemoveVoter { machine } => {
-                self.voters.remove(&machine);
-            }
         }
         Outcome::Done
     }
--- a/crates/coordinator/src/voters.rs
+++ b/crates/coordinator/src/voters.rs
@@ -1,30 +1,49 @@
 //! Who should vote.
 //!
-//! A fleet that must bear the loss of `n` machines at once needs `2n + 1` voters. A voter that has
-//! been silent for long is replaced by a machine that does not vote yet: the new one is added
-//! first, once it holds the whole log, and only then the silent one is removed. One change at a
-//! time, so that any two majorities, before and after, share a replica.
+//! A fleet that must bear the loss of `n` machines at once needs `2n + 1` voters, and no zone may hold
+//! so many of them that its loss takes the majority. A voter that falls silent is replaced by a machine
+//! that does not vote yet: the new one is added first, once it holds the log, and only then the silent
+//! one is removed. One change at a time, so that any two majorities, before and after, share a replica.
+//!
+//! A lost machine's successor must vote before the next machine may be lost, whoever leads
+//! meanwhile: an election, this much silence and two changes have to fit into the time that is
+//! given to a new machine to catch up (four seconds from its start). A voter that was only cut off
+//! loses nothing: it stands by when it is back.
 
-use stackpost_types::{MachineName, Millis};
+use stackpost_types::{MachineName, Millis, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Silence after which a voter is replaced if another machine can take its place.
+/// Silence after which a voter is replaced if a machine in a fitting zone stands by.
 pub const REPLACE_AFTER: Millis = Millis(8_000);
+/// Silence after which it is replaced by any machine. Longer, because the voters stand in fewer
+/// zones then until a better machine stands by.
+pub const REPLACE_FROM_ANY_ZONE_AFTER: Millis = Millis(8_000);
+
+/// What the leader knows of one voter.
+#[derive(Clone, Debug)]
+pub struct VoterSight {
+    /// Time since it was last heard from; zero for the leader itself.
+    pub silence: Millis,
+    /// Its zone, if it is connected or has been.
+    pub zone: Option<ZoneName>,
+}
 
 /// What the leader knows of the machines that serve control.
 #[derive(Clone, Debug)]
 pub struct VoterView {
     /// The leader itself.
     pub own: MachineName,
-    /// The voters, with the time since each was last heard from.
-    pub voters: BTreeMap<MachineName, Millis>,
-    /// Machines that do not vote and are connected now.
-    pub standby: BTreeSet<MachineName>,
-    /// Those among them, and voters with a new data folder, that hold the whole log; with their
+    /// The voters.
+    pub voters: BTreeMap<MachineName, VoterSight>,
+    /// Machines that do not vote and are connected now, with their zones.
+    pub standby: BTreeMap<MachineName, ZoneName>,
+    /// Those among them, and voters with a new data folder, that hold the log; with their
     /// identities.
     pub caught_up: BTreeMap<MachineName, u64>,
     /// Voters wanted.
     pub wanted: usize,
+    /// Zones in which machines may serve control.
+    pub zones: usize,
 }
 
 /// One step towards the voters that should be.
@@ -32,7 +51,7 @@
 pub enum VoterStep {
     /// Nothing to do.
     None,
-    /// Send the log to these machines.
+    /// Send the log to just these machines that do not vote.
     Teach(BTreeSet<MachineName>),
     /// Let a machine vote under an identity.
     Add(MachineName, u64),
@@ -46,29 +65,74 @@
     if let Some((machine, identity)) = renewed {
         return VoterStep::Add(machine.clone(), *identity);
     }
-    let silent = silent_voter(view);
-    if view.voters.len() > view.wanted
-        && let Some(machine) = &silent
-    {
-        return VoterStep::Remove(machine.clone());
+    if view.voters.len() > view.wanted {
+        return view.surplus_voter().map_or(VoterStep::None, VoterStep::Remove);
     }
-    let lacking = view.voters.len() < view.wanted;
-    if !lacking && silent.is_none() || view.voters.len() > view.wanted {
-        return VoterStep::None;
-    }
-    let ready = view.caught_up.iter().find(|(machine, _)| view.standby.contains(*machine));
+    let candidates = view.candidates();
+    let ready = view.caught_up.iter().find(|(machine, _)| candidates.contains(*machine));
     match ready {
         Some((machine, identity)) => VoterStep::Add(machine.clone(), *identity),
-        None if view.standby.is_empty() => VoterStep::None,
-        None => VoterStep::Teach(view.standby.clone()),
+        None if candidates.is_empty() => VoterStep::None,
+        None => VoterStep::Teach(candidates),
     }
 }
 
-/// The voter that has been silent for longest, if for long enough.
-fn silent_voter(view: &VoterView) -> Option<MachineName> {
-    view.voters
-        .iter()
-        .filter(|(machine, silence)| **machine != view.own && **silence >= REPLACE_AFTER)
-        .max_by_key(|(_, silence)| **silence)
-        .map(|(machine, _)| machine.clone())
+impl VoterView {
+    /// The voter to be removed when there is one too many: the most silent one, or else one in the
+    /// zone that holds most.
+    fn surplus_voter(&self) -> Option<MachineName> {
+        if let Some((machine, _)) = self.most_silent() {
+            return Some(machine);
+        }
+        let others = self.voters.iter().filter(|(machine, _)| **machine != self.own);
+        let crowding =
+            |sight: &VoterSight| sight.zone.as_ref().map_or(0, |zone| self.voters_in(zone));
+        others.max_by_key(|(_, sight)| crowding(sight)).map(|(machine, _)| machine.clone())
+    }
+
+    /// Machines that may take a place: a free one, that of a silent voter, or that of a voter in a
+    /// crowded zone.
+    fn candidates(&self) -> BTreeSet<MachineName> {
+        let fitting: BTreeSet<MachineName> = self
+            .standby
+            .iter()
+            .filter(|(_, zone)| self.voters_in(zone) < self.most_in_a_zone())
+            .map(|(machine, _)| machine.clone())
+            .collect();
+        let place_is_free = self.voters.len() < self.wanted;
+        let silence = self.most_silent().map(|(_, silence)| silence);
+        if !fitting.is_empty() && (place_is_free || silence.is_some() || self.is_crowded()) {
+            return fitting;
+        }
+        if place_is_free || silence.is_some_and(|time| time >= REPLACE_FROM_ANY_ZONE_AFTER) {
+            return self.standby.keys().cloned().collect();
+        }
+        BTreeSet::new()
+    }
+
+    /// The voter that has been silent for longest, if for long enough.
+    fn most_silent(&self) -> Option<(MachineName, Millis)> {
+        self.voters
+            .iter()
+            .filter(|(machine, sight)| **machine != self.own && sight.silence >= REPLACE_AFTER)
+            .max_by_key(|(_, sight)| sight.silence)
+            .map(|(machine, sight)| (machine.clone(), sight.silence))
+    }
+
+    /// Voters in a zone that are not silent.
+    fn voters_in(&self, zone: &ZoneName) -> usize {
+        let heard = self.voters.values().filter(|sight| sight.silence < REPLACE_AFTER);
+        heard.filter(|sight| sight.zone.as_ref() == Some(zone)).count()
+    }
+
+    /// Voters that one zone may hold.
+    fn most_in_a_zone(&self) -> usize {
+        self.wanted.div_ceil(self.zones.max(1))
+    }
+
+    fn is_crowded(&self) -> bool {
+        let zones: BTreeSet<&ZoneName> =
+            self.voters.values().filter_map(|sight| sight.zone.as_ref()).collect();
+        zones.into_iter().any(|zone| self.voters_in(zone) > self.most_in_a_zone())
+    }
 }
--- a/crates/coordinator/tests/replacement.rs
+++ b/crates/coordinator/tests/replacement.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use rand::Rng;
-use support::{FOUNDERS, TICK, World};
+use support::{FOUNDERS, TICK, World, name};
 
 /// Time after its start in which a new or emptied machine has to be up to date.
 const CATCH_UP: u64 = 4_000;
@@ -90,3 +90,24 @@
     }
     world.run_for(end.saturating_sub(world.now));
 }
+
+/// The leader ends right after a newcomer was let in, before anyone else hears that it was, with an
+/// entry that only it holds. The newcomer's vote is needed then.
+#[test]
+fn a_newcomer_votes_before_it_has_heard_that_it_may() {
+    for seed in 0..SEEDS {
+        let mut world = World::with_machines(seed, FOUNDERS);
+        world.run_for(3_000);
+        let gone = (0..FOUNDERS).find(|one| world.leader() != Some(*one)).expect("a follower");
+        let newcomer = world.replace(gone, PAUSE);
+        world.run_until(|world| world.voters().contains(&name(newcomer)));
+        let leader = world.leader().expect("it has just let the newcomer in");
+        world.lose_mail();
+        world.cut_off(leader);
+        world.put(leader);
+        world.stop(leader, 300);
+        world.heal();
+        world.run_for(8_000);
+        assert!(world.newest_read(), "seed {seed}: nobody leads");
+    }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -349,6 +349,8 @@
             heartbeat_interval: Millis(50),
             lease_margin: Millis(50),
             voters_wanted: 1,
+            zone: ZoneName::new("one"),
+            zones: 1,
             seed: 1,
             codec: Arc::new(TestDocuments),
         };
--- a/crates/table/src/command.rs
+++ b/crates/table/src/command.rs
@@ -50,13 +50,6 @@
         /// All that it has ever given back.
         total: Tokens,
     },
-    /// A replica whose data folder was lost has caught up under a new identity.
-    ReplaceReplica {
-        /// The replica's machine.
-        machine: MachineName,
-        /// The new identity.
-        identity: u64,
-    },
 }
 
 /// Why a change of an account was not made.
--- a/crates/table/src/key.rs
+++ b/crates/table/src/key.rs
@@ -29,8 +29,6 @@
     Issue(BudgetName),
     /// Which accounts keep the idempotency keys of a zone.
     KeySlots(ZoneName),
-    /// The identity of a control replica.
-    Replica(MachineName),
 }
 
 /// The kinds of row that operators edit.
@@ -106,7 +104,7 @@
             Self::Budget(_) => Some(TableName::Budget),
             Self::Tenant(_) => Some(TableName::Tenant),
             Self::Policy => Some(TableName::Policy),
-            Self::Account(_) | Self::Issue(_) | Self::KeySlots(_) | Self::Replica(_) => None,
+            Self::Account(_) | Self::Issue(_) | Self::KeySlots(_) => None,
         }
     }
 }
@@ -125,7 +123,6 @@
             Self::Account(account) => write!(formatter, "account/{account}"),
             Self::Issue(name) => write!(formatter, "issue/{name}"),
             Self::KeySlots(name) => write!(formatter, "key_slots/{name}"),
-            Self::Replica(name) => write!(formatter, "replica/{name}"),
         }
     }
 }
--- a/crates/table/src/parse.rs
+++ b/crates/table/src/parse.rs
@@ -26,14 +26,12 @@
         RowKey::Budget(_) => typed(key, value).map(Row::Budget),
         RowKey::Tenant(_) => typed(key, value).map(Row::Tenant),
         RowKey::Policy => typed(key, value).map(Row::Policy),
-        RowKey::Account(_) | RowKey::Issue(_) | RowKey::KeySlots(_) | RowKey::Replica(_) => {
-            Err(FieldError {
-                key: key.to_string(),
-                field: "table".into(),
-                found: "a row of the control plane".into(),
-                allowed: "a row that operators edit".into(),
-            })
-        }
+        RowKey::Account(_) | RowKey::Issue(_) | RowKey::KeySlots(_) => Err(FieldError {
+            key: key.to_string(),
+            field: "table".into(),
+            found: "a row of the control plane".into(),
+            allowed: "a row that operators edit".into(),
+        }),
     }
 }
 
--- a/crates/table/src/row.rs
+++ b/crates/table/src/row.rs
@@ -20,7 +20,6 @@
     Account(AccountRow),
     Issue(IssueRow),
     KeySlots(KeySlotsRow),
-    Replica(ReplicaRow),
 }
 
 /// A zone.
@@ -260,10 +259,3 @@
     /// Slots whose earlier records were lost; a key unknown there may have been used before.
     pub forgotten: Vec<bool>,
 }
-
-/// The identity under which a control replica votes.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ReplicaRow {
-    /// Drawn anew whenever the replica's data folder is created.
-    pub identity: u64,
-}
--- a/crates/table/src/state_machine.rs
+++ b/crates/table/src/state_machine.rs
@@ -66,11 +66,6 @@
             Command::CommitReturn { budget, account, total } => {
                 self.commit_return(index, budget, account, *total)
             }
-            Command::ReplaceReplica { machine, identity } => {
-                let row = Row::Replica(ReplicaRow { identity: *identity });
-                self.table.write(index, RowKey::Replica(machine.clone()), Some(row));
-                CommandOutcome::Done
-            }
         };
         self.table.advance(index);
         outcome
