Store the commit index, so that a replica that restarts alone knows what was committed

The hard state carries the commit index. It is stored with whatever is written anyway, and by itself 250 ms after the last write. Ruled out: showing the newest configuration in the log (it may be replaced by another leader's, and routers would go back to an older one).

Test a_replica_that_restarts_alone_knows_what_was_committed: red before (m0 knows 0), green now.

--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -54,6 +54,9 @@
     pub term: Term,
     /// Who got this replica's vote in that term.
     pub voted_for: Option<MachineName>,
+    /// An entry known to be committed; newer ones may be. Without it a replica that restarts out of
+    /// touch would know no more than its last snapshot.
+    pub commit: LogIndex,
 }
 
 /// A message with its sender.
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -10,6 +10,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use thiserror::Error;
 
+/// A newer commit index is stored after so long if nothing else is written meanwhile.
+const SAVE_COMMIT_AFTER: Millis = Millis(250);
+
 /// Fixed facts about a replica.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -122,6 +125,8 @@
     pub(crate) elections: Vec<ElectionEvent>,
     pub(crate) new_snapshot: Option<Snapshot>,
     hard_state_dirty: bool,
+    /// Since when a newer commit index than the stored one has been known.
+    commit_unsaved_since: Option<Timestamp>,
     /// Last entry known to be durable here; a leader counts itself only up to this one.
     pub(crate) durable: LogIndex,
     applied: LogIndex,
@@ -135,7 +140,7 @@
         }
         let rng = ChaCha8Rng::seed_from_u64(config.seed);
         let log = Log::new(restored.snapshot, restored.entries);
-        let commit = log.snapshot().index;
+        let commit = restored.hard_state.commit.min(log.last_index()).max(log.snapshot().index);
         let durable = log.last_index();
         let mut raft = Self {
             config,
@@ -164,8 +169,9 @@
             elections: Vec::new(),
             new_snapshot: None,
             hard_state_dirty: false,
+            commit_unsaved_since: None,
             durable,
-            applied: commit,
+            applied: log.snapshot().index,
             log,
         };
         raft.retry_campaign_soon();
@@ -221,6 +227,7 @@
     /// Lets time pass.
     pub fn tick(&mut self, now: Timestamp) {
         self.now = self.now.max(now);
+        self.save_commit_when_idle();
         if self.role == Role::Leader {
             self.tick_leader();
         } else if self.now >= self.campaign_at && self.is_voter() {
@@ -297,8 +304,14 @@
         }
         let entries = self.log.slice(self.durable + 1, usize::MAX);
         let committed = self.take_committed();
+        // The commit index is stored along with whatever else is.
+        let writes = std::mem::take(&mut self.hard_state_dirty) || !entries.is_empty();
+        if writes {
+            self.hard_state.commit = self.commit;
+            self.commit_unsaved_since = None;
+        }
         Ready {
-            hard_state: std::mem::take(&mut self.hard_state_dirty).then(|| self.hard_state.clone()),
+            hard_state: writes.then(|| self.hard_state.clone()),
             snapshot,
             entries,
             messages: std::mem::take(&mut self.messages),
@@ -357,6 +370,17 @@
         answers && !known
     }
 
+    /// Without new entries a newer commit index is stored by itself, after a while.
+    fn save_commit_when_idle(&mut self) {
+        if self.commit <= self.hard_state.commit {
+            return;
+        }
+        let since = *self.commit_unsaved_since.get_or_insert(self.now);
+        if self.now.since(since) >= SAVE_COMMIT_AFTER {
+            self.hard_state_dirty = true;
+        }
+    }
+
     fn take_committed(&mut self) -> Vec<Entry> {
         // Committed entries are handed out only once durable here, so that a restart finds them.
         let until = self.commit.min(self.log.last_index());
@@ -429,7 +453,7 @@
     }
 
     pub(crate) fn set_term(&mut self, term: Term, voted_for: Option<MachineName>) {
-        self.hard_state = HardState { term, voted_for };
+        self.hard_state = HardState { term, voted_for, commit: self.hard_state.commit };
         self.hard_state_dirty = true;
     }
 
--- a/crates/coordinator/src/replica_opening.rs
+++ b/crates/coordinator/src/replica_opening.rs
@@ -26,7 +26,7 @@
     // Every founder begins with the same state, so that no entry has to carry it.
     let data = FleetState::default().to_snapshot();
     let snapshot = Snapshot { index: FOUNDING, term: FOUNDING, voters, data };
-    let hard_state = HardState { term: FOUNDING, voted_for: None };
+    let hard_state = HardState { term: FOUNDING, voted_for: None, commit: FOUNDING };
     store.install(&snapshot, &hard_state, &[])?;
     Ok((store, Restored { hard_state, snapshot, entries: Vec::new() }))
 }
--- a/crates/coordinator/tests/replicas.rs
+++ b/crates/coordinator/tests/replicas.rs
@@ -138,3 +138,31 @@
     // The read compares the content, too.
     assert!(world.newest_read());
 }
+
+/// What was committed is known after a restart, without any other replica: routers that are out of
+/// touch for long take what such a replica holds.
+#[test]
+fn a_replica_that_restarts_alone_knows_what_was_committed() {
+    for seed in seeds(20) {
+        let mut world = World::with_machines(seed, FOUNDERS);
+        world.run_for(3_000);
+        for machine in 0..FOUNDERS {
+            world.put(machine);
+        }
+        world.run_for(1_500);
+        assert!(world.acknowledged > 0);
+        for machine in 0..FOUNDERS {
+            world.machines[machine].disk.lose_power(0);
+            world.stop(machine, 600);
+        }
+        for machine in 0..FOUNDERS {
+            world.cut_off(machine);
+        }
+        world.run_for(3_000);
+        for machine in &world.machines {
+            let replica = machine.replica.as_ref().expect("it runs again");
+            let known = replica.state().document_version();
+            assert!(known >= world.acknowledged, "seed {seed}: {} knows {known}", machine.name);
+        }
+    }
+}
--- a/crates/storage/tests/log_store.rs
+++ b/crates/storage/tests/log_store.rs
@@ -18,7 +18,9 @@
 fn a_torn_tail_is_cut_and_acknowledged_entries_stay() {
     let disk = MemoryDisk::default();
     let mut store = LogStore::create(disk.clone(), 9).expect("created");
-    store.append(Some(&HardState { term: 3, voted_for: None }), &[entry(1, 3)]).expect("synced");
+    store
+        .append(Some(&HardState { term: 3, voted_for: None, commit: 0 }), &[entry(1, 3)])
+        .expect("synced");
     // A write that never was synced, of which a few bytes reach the disk.
     disk.clone().append(SEGMENT, &[1; 50]).expect("written");
     disk.lose_power(11);
