Keep both connections of a pair of control replicas alive, and use one that is heard

Both ends dial, each end spoke over its newest connection alone, and gave up the other after 1.5 s of hearing nothing; what was on its way was lost with it. And a connection that falls silent without a reset (which may happen for good) was spoken to until it was given up.

Not shown: that it alone ever cost a leader.

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -1,13 +1,14 @@
 //! What a control process does with its peers, the routers and the engines.
 
-use crate::control_state::{ControlState, Link};
+use crate::control_state::ControlState;
+use crate::links::Links;
 use crate::message::{ControlStatus, FleetMessage, RouterStatus};
 use crate::replica_api::{PutReply, ReadReply, ReplicaEffect, ReplicaEvent};
 use crate::replica_thread::{ReplicaHandle, ReplicaView};
 use crate::router_peers::{RouterSite, peers_of};
 use stackpost_gateway_core::{EngineDirectory, EngineNotice, Merge};
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
-use stackpost_types::{BackEndName, MachineName, NodeId, Timestamp};
+use stackpost_types::{BackEndName, MachineName, Millis, NodeId, Timestamp};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -20,7 +21,7 @@
 /// Time between two statuses.
 const STATUS_INTERVAL: Duration = Duration::from_millis(200);
 /// A configuration that a router has not confirmed is sent again after so long.
-const RESEND_AFTER: Duration = Duration::from_millis(600);
+const RESEND_AFTER: Millis = Millis(600);
 /// Longest wait for the replica's answer.
 const REPLY_LIMIT: Duration = Duration::from_millis(1_500);
 
@@ -57,7 +58,7 @@
             directory: EngineDirectory::default(),
             silent: BTreeSet::new(),
             refreshed: BTreeSet::new(),
-            links: BTreeMap::new(),
+            links: Links::default(),
             control_peers: BTreeSet::new(),
             recent_documents: BTreeMap::new(),
             deltas: BTreeMap::new(),
@@ -121,7 +122,7 @@
             Merge::Changed => {
                 log::info!(engine = name.as_str(), state = notice.state.as_str(); "engine announced");
                 let message = FleetMessage::Engines(vec![notice]);
-                self.mesh.send_all(state.links_to_everyone(), &message);
+                self.mesh.send_all(state.links.one_to_everyone(now), &message);
             }
         }
     }
@@ -133,7 +134,7 @@
         let notice = state.directory.leave(now, engine);
         log::info!(engine = engine.as_str(); "engine left");
         let message = FleetMessage::Engines(vec![notice]);
-        self.mesh.send_all(state.links_to_everyone(), &message);
+        self.mesh.send_all(state.links.one_to_everyone(now), &message);
     }
 
     /// The replica as of its last round.
@@ -180,7 +181,7 @@
         match event {
             LinkEvent::Up { link, peer, .. } => self.on_up(link, peer),
             LinkEvent::Down { link } => {
-                self.state.borrow_mut().links.remove(&link);
+                self.state.borrow_mut().links.down(link);
                 self.tell_control_peers();
             }
             LinkEvent::Message { link, message } => self.on_message(link, message),
@@ -190,8 +191,7 @@
     fn on_up(&self, link: LinkId, peer: PeerInfo) {
         log::info!(peer = peer.node.to_string().as_str(); "connected");
         let role = peer.role;
-        let entry = Link { peer, document_known: 0, document_sent: None };
-        self.state.borrow_mut().links.insert(link, entry);
+        self.state.borrow_mut().links.up(self.now(), link, peer);
         let notices = self.state.borrow().directory.notices(self.now());
         self.mesh.send(link, &FleetMessage::Engines(notices));
         if role == PeerRole::Router {
@@ -206,8 +206,7 @@
     }
 
     fn on_message(&self, link: LinkId, message: FleetMessage) {
-        let Some(peer) = self.state.borrow().links.get(&link).map(|link| link.peer.node.clone())
-        else {
+        let Some(peer) = self.state.borrow_mut().links.heard(self.now(), link) else {
             return;
         };
         match message {
@@ -247,12 +246,15 @@
             .filter(|notice| state.directory.merge(now, notice.clone()) == Merge::Changed)
             .collect();
         if !changed.is_empty() {
-            self.mesh.send_all(state.links_to(PeerRole::Router), &FleetMessage::Engines(changed));
+            self.mesh.send_all(
+                state.links.one_each(now, PeerRole::Router),
+                &FleetMessage::Engines(changed),
+            );
         }
     }
 
     fn on_router_status(&self, link: LinkId, router: NodeId, status: RouterStatus) {
-        if let Some(entry) = self.state.borrow_mut().links.get_mut(&link) {
+        if let Some(entry) = self.state.borrow_mut().links.get_mut(link) {
             entry.document_known = status.document_version;
         }
         let view = self.replica.view();
@@ -267,19 +269,21 @@
         let Some(document) = &view.document else {
             return;
         };
+        let now = self.now();
         let mut state = self.state.borrow_mut();
-        let Some(entry) = state.links.get_mut(&link) else {
+        let Some(entry) = state.links.get_mut(link) else {
             return;
         };
-        let sent_lately = entry.document_sent.is_some_and(|(version, at)| {
-            version >= document.version && at.elapsed() < RESEND_AFTER
-        });
+        let is_overdue = |at: Timestamp| now.since(at) >= RESEND_AFTER;
+        let sent_lately = entry
+            .document_sent
+            .is_some_and(|(version, at)| version >= document.version && !is_overdue(at));
         if entry.document_known >= document.version || sent_lately {
             return;
         }
-        let sent_before = entry.document_sent.replace((document.version, Instant::now()));
+        let sent_before = entry.document_sent.replace((document.version, now));
         // What is on its way arrives first. A router that has not confirmed it in time gets all.
-        let overdue = sent_before.is_some_and(|(_, at)| at.elapsed() >= RESEND_AFTER);
+        let overdue = sent_before.is_some_and(|(_, at)| is_overdue(at));
         let base = sent_before.filter(|_| !overdue).map_or(entry.document_known, |(base, _)| base);
         match state.delta(base, document) {
             Some(delta) => self.mesh.send(link, &FleetMessage::DocumentDelta(delta)),
@@ -311,7 +315,7 @@
                 self.send_to_router(&router, &FleetMessage::Recall(keeps));
             }
             ReplicaEffect::Outlooks(outlooks) => {
-                let routers = self.state.borrow().links_to(PeerRole::Router);
+                let routers = self.state.borrow().links.one_each(self.now(), PeerRole::Router);
                 self.mesh.send_all(routers, &FleetMessage::Outlooks(outlooks));
             }
             ReplicaEffect::FarewellTaken(router) => {
@@ -333,7 +337,7 @@
         if !view.leads() {
             return;
         }
-        let routers = self.state.borrow().links_to(PeerRole::Router);
+        let routers = self.state.borrow().links.one_each(self.now(), PeerRole::Router);
         for link in routers {
             self.send_document(link, &view);
         }
@@ -344,7 +348,7 @@
         let now = self.now();
         let status = FleetMessage::ControlStatus(self.status());
         let state = &mut *self.state.borrow_mut();
-        self.mesh.send_all(state.links_to_everyone(), &status);
+        self.mesh.send_all(state.links.all(), &status);
         let refreshed: Vec<EngineNotice> = std::mem::take(&mut state.refreshed)
             .iter()
             .filter_map(|engine| state.directory.get(engine))
@@ -355,19 +359,19 @@
             .collect();
         if !refreshed.is_empty() {
             let message = FleetMessage::Engines(refreshed);
-            self.mesh.send_all(state.links_to(PeerRole::Control), &message);
+            self.mesh.send_all(state.links.one_each(now, PeerRole::Control), &message);
         }
         let silent = state.directory.silent_engines(now);
         if silent != state.silent {
             state.silent = silent;
             let message = FleetMessage::SilentEngines(state.silent.clone());
-            self.mesh.send_all(state.links_to(PeerRole::Router), &message);
+            self.mesh.send_all(state.links.one_each(now, PeerRole::Router), &message);
         }
         let given_up = state.directory.given_up(now);
         let notices: Vec<EngineNotice> =
             given_up.iter().map(|engine| state.directory.leave(now, engine)).collect();
         if !notices.is_empty() {
-            self.mesh.send_all(state.links_to_everyone(), &FleetMessage::Engines(notices));
+            self.mesh.send_all(state.links.one_to_everyone(now), &FleetMessage::Engines(notices));
         }
         state.directory.forget_old(now);
     }
@@ -375,29 +379,17 @@
     fn status(&self) -> ControlStatus {
         let view = self.replica.view();
         let state = self.state.borrow();
-        let routers: BTreeSet<&MachineName> = state
-            .links
-            .values()
-            .filter(|link| link.peer.role == PeerRole::Router)
-            .map(|link| &link.peer.node.machine)
-            .collect();
         ControlStatus {
             leads: view.leads(),
             document_version: view.document_version(),
             clock: self.replica.now(),
-            routers: routers.len() as u32,
+            routers: state.links.count_machines(PeerRole::Router) as u32,
             control_peers: state.control_peers.iter().copied().chain([self.own_address]).collect(),
         }
     }
 
     fn tell_control_peers(&self) {
-        let state = self.state.borrow();
-        let peers = state
-            .links
-            .values()
-            .filter(|link| link.peer.role == PeerRole::Control)
-            .map(|link| (link.peer.node.machine.clone(), link.peer.zone.clone()))
-            .collect();
+        let peers = self.state.borrow().links.machines(PeerRole::Control);
         self.replica.send(ReplicaEvent::ControlPeers(peers));
     }
 
@@ -416,20 +408,14 @@
     }
 
     fn send_to_control(&self, machine: &MachineName, message: &FleetMessage) {
-        let link = self
-            .state
-            .borrow()
-            .newest_link(|peer| peer.role == PeerRole::Control && peer.node.machine == *machine);
+        let link = self.state.borrow().links.to_control(self.now(), machine);
         if let Some(link) = link {
             self.mesh.send(link, message);
         }
     }
 
     fn send_to_router(&self, router: &NodeId, message: &FleetMessage) {
-        let link = self
-            .state
-            .borrow()
-            .newest_link(|peer| peer.role == PeerRole::Router && peer.node == *router);
+        let link = self.state.borrow().links.to_router(self.now(), router);
         if let Some(link) = link {
             self.mesh.send(link, message);
         }
--- a/crates/coordinator/src/control_state.rs
+++ b/crates/coordinator/src/control_state.rs
@@ -1,6 +1,7 @@
 //! What a control process knows of engines, connections and configurations.
 
 use crate::document_delta::DocumentDelta;
+use crate::links::Links;
 use crate::message::Document;
 use crate::packed_document::PackedDocument;
 use crate::replica_api::{PutReply, ReadReply};
@@ -10,19 +11,11 @@
 use stackpost_types::BackEndName;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::time::Instant;
 use tokio::sync::oneshot;
 
 /// Configurations kept as bases for differences.
 const RECENT_DOCUMENTS: usize = 6;
 
-/// One connection to another process.
-pub(crate) struct Link {
-    pub peer: PeerInfo,
-    pub document_known: u64,
-    pub document_sent: Option<(u64, Instant)>,
-}
-
 /// What a control process knows.
 pub(crate) struct ControlState {
     pub directory: EngineDirectory,
@@ -30,7 +23,7 @@
     pub silent: BTreeSet<BackEndName>,
     /// Engines announced since the last status.
     pub refreshed: BTreeSet<BackEndName>,
-    pub links: BTreeMap<LinkId, Link>,
+    pub links: Links,
     pub control_peers: BTreeSet<SocketAddr>,
     /// The newest configurations, by version, as bases for differences.
     pub recent_documents: BTreeMap<u64, Document>,
@@ -46,11 +39,6 @@
 }
 
 impl ControlState {
-    /// The newest connection to a process that `matches`.
-    pub fn newest_link(&self, matches: impl Fn(&PeerInfo) -> bool) -> Option<LinkId> {
-        self.links.iter().rev().find(|(_, link)| matches(&link.peer)).map(|(link, _)| *link)
-    }
-
     /// Keeps a configuration as a base for differences.
     pub fn remember_document(&mut self, document: &Document) {
         self.deltas.clear();
@@ -82,29 +70,10 @@
         Some(delta)
     }
 
-    /// One connection to each process with `role`.
-    pub fn links_to(&self, role: PeerRole) -> Vec<LinkId> {
-        let mut by_node = BTreeMap::new();
-        for (link, entry) in &self.links {
-            if entry.peer.role == role {
-                by_node.insert(&entry.peer.node, *link);
-            }
-        }
-        by_node.into_values().collect()
-    }
-
     /// The routers and a connection to each, by zone and address.
     pub fn router_sites(&self) -> BTreeMap<RouterSite, LinkId> {
-        let routers = self.links.iter().filter(|(_, link)| link.peer.role == PeerRole::Router);
         let site =
             |peer: &PeerInfo| RouterSite { zone: peer.zone.clone(), address: peer.listens_at };
-        routers.map(|(link, entry)| (site(&entry.peer), *link)).collect()
-    }
-
-    /// One connection to each process.
-    pub fn links_to_everyone(&self) -> Vec<LinkId> {
-        let mut links = self.links_to(PeerRole::Control);
-        links.extend(self.links_to(PeerRole::Router));
-        links
+        self.links.peers(PeerRole::Router).map(|(link, peer)| (site(peer), link)).collect()
     }
 }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -9,6 +9,7 @@
 mod control_node;
 mod control_state;
 mod document_delta;
+mod links;
 mod message;
 mod packed_document;
 mod prepaid_planner;
@@ -23,6 +24,7 @@
 
 pub use control_node::{ControlNode, ControlSettings};
 pub use document_delta::DocumentDelta;
+pub use links::{Link, Links};
 pub use message::{ClockEcho, ControlStatus, Document, FleetMessage, RouterStatus};
 pub use packed_document::PackedDocument;
 pub use replica::Replica;
