Give an address back to the engine that goes on announcing itself

Found by reading, looking for other places where what a process believes of a member can't be taken back: an engine that is announced under a new name at an address takes it over, and the one before was gone for ever. A control replica or router that had restarted does not know the sender: it put the successor out, and handed that on as a farewell to all others, which never take it back. One engine less until its end.

Taken for replaced is a conclusion now, not a farewell: it is not handed on, and the engine is back after two announcements in a row that are later than the other's last one (one for routers, which hear of changes only). Who left by its own word stays gone.

Ruled out: a rule by sequence numbers (each engine counts its own); forgetting the sender later (it was never known). Tests: three new, two red before (the third holds what was right: late announcements of a known engine do not bring it back).

--- a/crates/gateway-core/tests/engines.rs
+++ b/crates/gateway-core/tests/engines.rs
@@ -64,6 +64,76 @@
     assert_eq!(old.notice.state, EngineState::Gone);
 }
 
+fn state_of(directory: &EngineDirectory, engine: &str) -> EngineState {
+    directory.get(&BackEndName::new(engine)).expect("it is known").notice.state
+}
+
+/// The announcement was held up while its sender ended and a successor was announced there. Whoever
+/// has restarted meanwhile does not know the sender and takes it for a new engine at first.
+#[test]
+fn a_late_announcement_does_not_put_out_the_successor_for_good() {
+    let mut directory = EngineDirectory::default();
+    let successor = |sequence| notice("e1", sequence, EngineState::Ready);
+    let late = EngineNotice { engine: "f9".into(), ..notice("e1", 70, EngineState::Ready) };
+    directory.merge(Timestamp(1_000), successor(1));
+    directory.merge(Timestamp(2_200), successor(2));
+    assert_eq!(directory.merge(Timestamp(2_500), late), Merge::Changed);
+    assert_eq!(directory.merge(Timestamp(3_400), successor(3)), Merge::Old);
+    assert_eq!(directory.merge(Timestamp(4_600), successor(4)), Merge::Changed);
+    assert_eq!(state_of(&directory, "e1"), EngineState::Ready);
+    assert_eq!(state_of(&directory, "f9"), EngineState::Gone);
+}
+
+/// The other way round: who goes on announcing itself keeps the address.
+#[test]
+fn late_announcements_of_a_known_engine_do_not_bring_it_back() {
+    let mut directory = EngineDirectory::default();
+    let successor = |sequence| EngineNotice {
+        engine: "f9".into(),
+        ..notice("e1", sequence, EngineState::Ready)
+    };
+    directory.merge(Timestamp(1_000), notice("e1", 1, EngineState::Ready));
+    directory.merge(Timestamp(2_000), successor(1));
+    for round in 1..6 {
+        let now = Timestamp(2_000 + round * 1_200);
+        let late = notice("e1", 1 + round, EngineState::Ready);
+        assert_eq!(directory.merge(now, late), Merge::Old);
+        assert_eq!(directory.merge(now, successor(1 + round)), Merge::Refreshed);
+    }
+    assert_eq!(state_of(&directory, "f9"), EngineState::Ready);
+}
+
+/// That an engine was replaced is concluded from its successor's announcement, not known: others come
+/// to it themselves, or take it back when it is announced on.
+#[test]
+fn a_conclusion_is_not_handed_on_as_a_farewell() {
+    let mut directory = EngineDirectory::default();
+    directory.merge(Timestamp(1_000), notice("e1", 1, EngineState::Ready));
+    let late = EngineNotice { engine: "f9".into(), ..notice("e1", 70, EngineState::Ready) };
+    directory.merge(Timestamp(2_000), late.clone());
+    let told: Vec<String> =
+        directory.notices(Timestamp(2_000)).iter().map(|one| one.engine.to_string()).collect();
+    assert_eq!(told, ["f9"]);
+    // A router hears of changes only, so one newer word is enough for it.
+    let mut follower = EngineDirectory::following();
+    follower.merge(Timestamp(1_000), notice("e1", 1, EngineState::Ready));
+    follower.merge(Timestamp(2_000), late);
+    assert_eq!(
+        follower.merge(Timestamp(4_600), notice("e1", 4, EngineState::Ready)),
+        Merge::Changed
+    );
+    assert_eq!(state_of(&follower, "f9"), EngineState::Gone);
+    // What a replica says that was cut off and has not heard of the successor is older.
+    let stale = EngineNotice { age: Millis(3_000), ..notice("e1", 5, EngineState::Ready) };
+    let successor = EngineNotice { engine: "h7".into(), ..notice("e1", 1, EngineState::Ready) };
+    follower.merge(Timestamp(5_000), successor);
+    assert_eq!(follower.merge(Timestamp(5_500), stale), Merge::Old);
+    assert_eq!(state_of(&follower, "h7"), EngineState::Ready);
+    // What has left by its own word stays gone.
+    follower.leave(Timestamp(5_000), &BackEndName::new("e1"));
+    assert_eq!(follower.merge(Timestamp(6_000), notice("e1", 9, EngineState::Ready)), Merge::Old);
+}
+
 #[test]
 fn draining_and_tried_engines_are_not_picked() {
     let now = Timestamp(1_000);
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -82,7 +82,7 @@
             codec,
             metrics: RouterMetrics::new(meter),
             pool: EnginePool::default(),
-            directory: RefCell::default(),
+            directory: RefCell::new(EngineDirectory::following()),
             picker: RefCell::new(EnginePicker::new(settings.zone)),
             wallet: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(settings.retry_limits, ROUTERS_ASSUMED)),
