--- /dev/null
+++ b/crates/consensus/tests/membership.rs
@@ -0,0 +1,157 @@
+//! Who votes: by the newest entry in the log that names the voters, committed or not.
+
+use stackpost_consensus::*;
+use stackpost_types::{MachineName, Millis, Timestamp};
+use std::collections::BTreeMap;
+
+const ELECTION_TIMEOUT: Millis = Millis(700);
+
+fn name(machine: &str) -> MachineName {
+    MachineName::new(machine)
+}
+
+fn voters(machines: &[&str]) -> Voters {
+    machines.iter().map(|machine| (name(machine), FIRST_IDENTITY)).collect()
+}
+
+fn replica(machine: &str, restored: Restored, now: Timestamp) -> Raft {
+    let config = Config {
+        name: name(machine),
+        identity: FIRST_IDENTITY,
+        first_voters: voters(&["a", "b", "c"]),
+        election_timeout: ELECTION_TIMEOUT,
+        heartbeat_interval: Millis(150),
+        lease_margin: Millis(100),
+        seed: machine.bytes().map(u64::from).sum(),
+    };
+    Raft::new(config, restored, now)
+}
+
+/// Replicas that share a clock; those that are cut off get and send nothing.
+struct Group {
+    now: Timestamp,
+    replicas: BTreeMap<MachineName, Raft>,
+    cut_off: Vec<MachineName>,
+}
+
+impl Group {
+    /// Three voters, of which one leads and has committed an entry of its term.
+    fn elected() -> (Self, MachineName) {
+        let now = Timestamp(1_000);
+        let replicas =
+            ["a", "b", "c"].map(|one| (name(one), replica(one, Restored::default(), now)));
+        let mut group = Self { now, replicas: replicas.into(), cut_off: Vec::new() };
+        let leader = group.run_until_led();
+        (group, leader)
+    }
+
+    fn run_until_led(&mut self) -> MachineName {
+        for _ in 0..400 {
+            self.step();
+            let leads = |raft: &&Raft| raft.lease_until().is_some_and(|until| self.now < until);
+            let reachable =
+                self.replicas.iter().filter(|(machine, _)| !self.cut_off.contains(machine));
+            if let Some((machine, _)) = reachable.into_iter().find(|(_, raft)| leads(raft)) {
+                return machine.clone();
+            }
+        }
+        panic!("nobody leads after ten seconds");
+    }
+
+    /// Lets 25 ms pass and delivers what is sent.
+    fn step(&mut self) {
+        self.now = self.now + Millis(25);
+        self.replicas.values_mut().for_each(|raft| raft.tick(self.now));
+        loop {
+            let sent: Vec<(MachineName, Envelope)> =
+                self.replicas.values_mut().flat_map(drain).collect();
+            if sent.is_empty() {
+                return;
+            }
+            for (to, envelope) in sent {
+                let lost = self.cut_off.contains(&to) || self.cut_off.contains(&envelope.from);
+                if let Some(raft) = self.replicas.get_mut(&to).filter(|_| !lost) {
+                    raft.step(self.now, envelope);
+                }
+            }
+        }
+    }
+
+    fn raft(&mut self, machine: &MachineName) -> &mut Raft {
+        self.replicas.get_mut(machine).expect("one of the group")
+    }
+}
+
+/// What a driver does, with a disk that syncs at once.
+fn drain(raft: &mut Raft) -> Vec<(MachineName, Envelope)> {
+    let mut sent = Vec::new();
+    loop {
+        let ready = raft.ready();
+        if ready.is_empty() {
+            return sent;
+        }
+        if ready.must_sync() {
+            raft.advance();
+        }
+        sent.extend(ready.messages);
+    }
+}
+
+#[test]
+fn one_change_at_a_time_and_one_machine_in_it() {
+    let (mut group, leader) = Group::elected();
+    let raft = group.raft(&leader);
+    let two_more = voters(&["a", "b", "c", "d", "e"]);
+    assert_eq!(raft.propose_voters(two_more.clone()), Err(VoterChangeError::TooManyChanges(2)));
+    let one_more = voters(&["a", "b", "c", "d"]);
+    let (_, index) = raft.propose_voters(one_more.clone()).expect("nothing stands against it");
+    assert_eq!(*raft.voters(), one_more, "it counts at once");
+    assert_eq!(raft.propose_voters(two_more), Err(VoterChangeError::InProgress(index)));
+    group.step();
+    for raft in group.replicas.values() {
+        assert_eq!(*raft.voters(), one_more, "and for everyone who has the entry");
+    }
+    assert_eq!(group.raft(&leader).may_change_voters(), Ok(()), "three of four have it");
+    let follower = group.replicas.keys().find(|one| **one != leader).cloned().expect("two follow");
+    let refused = group.raft(&follower).propose_voters(voters(&["a", "b", "c"]));
+    assert!(matches!(refused, Err(VoterChangeError::NotLeader(_))));
+}
+
+#[test]
+fn voters_of_an_entry_that_is_replaced_count_no_more() {
+    let (mut group, leader) = Group::elected();
+    group.cut_off.push(leader.clone());
+    let one_more = voters(&["a", "b", "c", "d"]);
+    group.raft(&leader).propose_voters(one_more.clone()).expect("nothing stands against it");
+    group.step();
+    assert_eq!(*group.raft(&leader).voters(), one_more);
+    let successor = group.run_until_led();
+    assert_ne!(successor, leader);
+    group.cut_off.clear();
+    for _ in 0..40 {
+        group.step();
+    }
+    assert_eq!(*group.raft(&leader).voters(), voters(&["a", "b", "c"]));
+}
+
+#[test]
+fn a_snapshot_names_the_voters_as_of_its_index() {
+    let (mut group, leader) = Group::elected();
+    let raft = group.raft(&leader);
+    let before = raft.propose(b"before".to_vec()).expect("it leads").1;
+    let one_more = voters(&["a", "b", "c", "d"]);
+    raft.propose_voters(one_more.clone()).expect("nothing stands against it");
+    group.step();
+    group.step();
+    let raft = group.raft(&leader);
+    raft.compact(before, Vec::new());
+    assert_eq!(raft.snapshot_index(), before);
+    assert_eq!(raft.snapshot().voters, voters(&["a", "b", "c"]));
+    let restored = Restored {
+        hard_state: raft.hard_state().clone(),
+        snapshot: raft.snapshot().clone(),
+        entries: raft.entries_after_snapshot(),
+    };
+    let restarted = replica(leader.as_str(), restored, group.now);
+    assert_eq!(*restarted.voters(), one_more, "the entry after the snapshot counts");
+}
--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -345,6 +345,8 @@
 
     fn on_tick(&self) {
         self.tell_router_peers();
+        // Told again and again: a replica that had to open its data folder anew knows of nobody.
+        self.tell_control_peers();
         let now = self.now();
         let status = FleetMessage::ControlStatus(self.status());
         let state = &mut *self.state.borrow_mut();
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -52,7 +52,7 @@
     /// The zones of control machines that are connected or have been.
     zones_seen: BTreeMap<MachineName, ZoneName>,
     was_leading: bool,
-    log: ReplicaLog,
+    replica_log: ReplicaLog,
     effects: Vec<ReplicaEffect>,
 }
 
@@ -74,10 +74,10 @@
         };
         let applied = restored.snapshot.index;
         let raft = Raft::new(raft_config, restored, now);
-        let log = ReplicaLog::opened(&raft, store.identity(), disk_was_empty, now);
+        let replica_log = ReplicaLog::opened(&raft, store.identity(), disk_was_empty, now);
         Ok(Self {
             raft,
-            log,
+            replica_log,
             config,
             store,
             state,
@@ -316,10 +316,10 @@
             if ready.is_empty() {
                 break;
             }
-            ready.elections.iter().for_each(|event| self.log.election(now, event));
+            ready.elections.iter().for_each(|event| self.replica_log.election(now, event));
             self.carry_out(ready)?;
         }
-        self.log.look(now, &self.raft);
+        self.replica_log.look(now, &self.raft);
         let leading = self.raft.role() == Role::Leader;
         if leading != self.was_leading {
             self.was_leading = leading;
