--- a/crates/coordinator/tests/replacement.rs
+++ b/crates/coordinator/tests/replacement.rs
@@ -151,3 +151,28 @@
     let zones: std::collections::BTreeSet<usize> = zones.map(|one| one % ZONES).collect();
     assert_eq!(zones.len(), ZONES, "each zone holds one: {:?}", world.voters());
 }
+
+/// All machines lose power while the lost voter and its successor both count: the three that come
+/// back are a majority of the four.
+#[test]
+fn a_loss_of_power_in_the_middle_of_a_replacement_is_borne() {
+    for seed in seeds(SEEDS) {
+        let mut world = World::with_machines(seed, FOUNDERS);
+        world.run_for(3_000);
+        put_everywhere(&mut world);
+        world.run_for(500);
+        let gone = (seed as usize) % FOUNDERS;
+        let newcomer = world.replace(gone, PAUSE);
+        world.run_until(|world| world.voters().contains(&name(newcomer)));
+        assert_eq!(world.voters().len(), FOUNDERS + 1, "seed {seed}: one added, none removed yet");
+        for machine in (0..world.machines.len()).filter(|machine| *machine != gone) {
+            world.machines[machine].disk.lose_power(0);
+            world.stop(machine, 600);
+        }
+        world.run_for(12_000);
+        assert!(world.acknowledged > 0);
+        assert!(world.newest_read(), "seed {seed}: nobody leads after the loss of power");
+        assert_eq!(world.voters().len(), FOUNDERS, "seed {seed}: the lost voter is removed");
+        assert!(!world.voters().contains(&name(gone)), "seed {seed}");
+    }
+}
