Say which request an engine broke off, at which point, and with how many others

A request stood there by its id alone; a stream that broke before its first event left no line, one that broke in its middle named no engine.

Each attempt that an engine broke off now leaves one line with a fingerprint of what was asked. No decision uses it. Test: break_off_lines, on two routers.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -5,12 +5,14 @@
 //! - [`EnginePicker`]: which engine a request goes to; for generations by the [`Harm`] that follows
 //!   from each engine's [`EngineLoad`].
 //! - [`RetryBudget`]: how many requests may be sent to a further engine.
+//! - [`RequestFingerprint`]: what a request asks, the same for every repeat of it.
 //! - [`EventSplitter`]: whole events of a stream.
 
 mod config;
 mod directory;
 mod engine_load;
 mod event_stream;
+mod fingerprint;
 mod picker;
 mod placement;
 mod retry_budget;
@@ -23,6 +25,7 @@
 pub use directory::{EngineDirectory, EngineNotice, EngineRecord, EngineState, Merge};
 pub use engine_load::{EngineLoad, EngineNews, Estimate, Placement, Work};
 pub use event_stream::{Event, EventSplitter};
+pub use fingerprint::{RequestContent, RequestFingerprint};
 pub use picker::{AttemptEnd, Choice, EnginePicker, PickQuery};
 pub use placement::Harm;
 pub use retry_budget::{RetryBudget, RetryLimits};
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,7 +10,7 @@
 use hyper::http::response;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use stackpost_gateway_core::{AttemptEnd, Choice, EngineRecord, Placement};
-use stackpost_types::Millis;
+use stackpost_types::{BackEndName, Millis};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -95,6 +95,11 @@
         &self.engine
     }
 
+    /// The engine's name.
+    pub fn name(&self) -> &BackEndName {
+        &self.engine.notice.engine
+    }
+
     /// Ends the use. The connection is kept only if `keep` holds the head of an answer that came
     /// in whole and does not say that the connection ends.
     pub fn finish(mut self, end: AttemptEnd, keep: Option<&HeaderMap>) {
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -4,7 +4,7 @@
 use crate::request::RequestContext;
 use crate::router::Router;
 use stackpost_prepaid::{Demand, Outlook};
-use stackpost_types::TenantName;
+use stackpost_types::{BackEndName, TenantName};
 use std::time::Duration;
 
 /// A request is refused because its tenant's budget does not cover it here and now. `step` is what
@@ -41,6 +41,45 @@
     );
 }
 
+/// How far an answer had come when its engine broke it off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BreakPoint {
+    /// Before its head.
+    Head,
+    /// After the head of a stream, before its first event.
+    FirstEvent,
+    /// In the middle of a stream.
+    Stream,
+    /// In the middle of another body.
+    Body,
+}
+
+impl BreakPoint {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Head => "head",
+            Self::FirstEvent => "first_event",
+            Self::Stream => "stream",
+            Self::Body => "body",
+        }
+    }
+}
+
+/// The connection ended while an engine may have been running the request. The fingerprint shows
+/// which of these lines are about the same request; the requests that this router had there tell an
+/// engine that ended from a single connection that did.
+pub(crate) fn engine_broke_off(context: &RequestContext, engine: &BackEndName, at: BreakPoint) {
+    log::info!(
+        request = context.payload.caller.id.as_str(),
+        fingerprint = context.fingerprint().to_string().as_str(),
+        engine = engine.as_str(),
+        step = at.as_str(),
+        since_arrival_ms = context.arrived.elapsed().as_millis() as u64,
+        requests_there = context.router.picker.borrow().in_flight(engine);
+        "the engine broke off"
+    );
+}
+
 /// The first event of a stream has come. Says so only if that was later than wanted: with what had
 /// been expected of the engine when the request was sent there.
 pub(crate) fn first_event(context: &RequestContext, hold: &EngineHold, took: Duration) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,7 +2,7 @@
 
 use crate::attempt::{EngineAnswer, EngineHold};
 use crate::body::{BodyBroken, GatewayBody};
-use crate::decision_log;
+use crate::decision_log::{self, BreakPoint};
 use crate::request::{Progress, RequestContext, response_of};
 use crate::reservation::Reservation;
 use bytes::Bytes;
@@ -45,8 +45,10 @@
     Event(Event),
     /// The stream has ended whole.
     End,
-    /// The stream has broken off.
+    /// The engine has broken the stream off.
     Broken,
+    /// The stream has paused for longer than it is waited for.
+    Paused,
 }
 
 impl StreamSource {
@@ -84,7 +86,12 @@
             Ok(BegunStream { head, source, first: Some(event) })
         }
         Ok(NextEvent::End) => Ok(BegunStream { head, source, first: None }),
-        Ok(NextEvent::Broken) | Err(_) => {
+        Ok(NextEvent::Broken) => {
+            decision_log::engine_broke_off(context, source.hold.name(), BreakPoint::FirstEvent);
+            source.hold.finish(AttemptEnd::Broken, None);
+            Err(NoFirstEvent)
+        }
+        Ok(NextEvent::Paused) | Err(_) => {
             source.hold.finish(AttemptEnd::Broken, None);
             Err(NoFirstEvent)
         }
@@ -141,7 +148,11 @@
                     let StreamSource { headers, hold, .. } = source;
                     return hold.finish(AttemptEnd::Answered, Some(&headers));
                 }
-                Ok(NextEvent::Broken) => {
+                Ok(end @ (NextEvent::Broken | NextEvent::Paused)) => {
+                    if matches!(end, NextEvent::Broken) {
+                        let engine = source.hold.name();
+                        decision_log::engine_broke_off(&self.context, engine, BreakPoint::Stream);
+                    }
                     source.hold.finish(AttemptEnd::Broken, None);
                     match self.resume().await {
                         Some(next) => source = next,
@@ -161,7 +172,7 @@
             next = timeout_at(until, source.next()) => match next {
                 Ok(next) => Ok(next),
                 Err(_) if until >= self.context.deadline => Err(Stopped::TimeOver),
-                Err(_) => Ok(NextEvent::Broken),
+                Err(_) => Ok(NextEvent::Paused),
             },
             () = self.sender.closed() => Err(Stopped::CallerGone),
         }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -2,7 +2,7 @@
 
 use crate::attempt::{self, AttemptResult, EngineAnswer, Payload, strip_connection_headers};
 use crate::body::GatewayBody;
-use crate::decision_log;
+use crate::decision_log::{self, BreakPoint};
 use crate::dialect::{CallerRequest, EngineAddressing, Generation};
 use crate::refusal::Refusal;
 use crate::relay;
@@ -13,9 +13,10 @@
 use hyper::body::{Body, Incoming};
 use hyper::header;
 use hyper::http::request;
-use hyper::{Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use stackpost_gateway_core::{
-    Admission, AttemptEnd, Choice, PickQuery, Route, RouteTable, Tenant, Work,
+    Admission, AttemptEnd, Choice, PickQuery, RequestContent, RequestFingerprint, Route,
+    RouteTable, Tenant, Work,
 };
 use stackpost_prepaid::Demand;
 use stackpost_types::{BackEndName, Digest, Millis, ServiceName, TenantName};
@@ -150,10 +151,7 @@
     head: &request::Parts,
     key: Option<&str>,
 ) -> Result<(&'a Route, Option<&'a Tenant>), Refusal> {
-    let host = match head.uri.host() {
-        Some(host) => host,
-        None => header_text(head, "host"),
-    };
+    let host = host(&head.uri, &head.headers);
     let final_only_in_touch =
         |refusal| if router.in_touch() { refusal } else { Refusal::MayBeBehind };
     match table.admit(host, head.uri.path(), key) {
@@ -163,8 +161,10 @@
     }
 }
 
-fn header_text<'a>(head: &'a request::Parts, name: &str) -> &'a str {
-    head.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+/// The host that a request names.
+fn host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> &'a str {
+    let from_header = || headers.get(header::HOST).and_then(|value| value.to_str().ok());
+    uri.host().or_else(from_header).unwrap_or_default()
 }
 
 async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
@@ -185,6 +185,18 @@
 }
 
 impl RequestContext {
+    /// What the request asks, the same for every repeat of it.
+    pub fn fingerprint(&self) -> RequestFingerprint {
+        let uri = &self.payload.uri;
+        RequestFingerprint::of(&RequestContent {
+            method: self.payload.method.as_str(),
+            host: host(uri, &self.payload.headers),
+            path: uri.path_and_query().map_or("", |path| path.as_str()),
+            tenant: self.tenant.as_ref().map(|tenant| &tenant.name),
+            body: &self.payload.body,
+        })
+    }
+
     /// Sets aside the tokens that the request may cost, if its tenant has a budget.
     async fn reserve(&self) -> Result<Option<Reservation>, Refusal> {
         let Some(generation) = self.payload.caller.generation else {
@@ -299,7 +311,12 @@
             }
             AttemptResult::Unreachable => progress.unreachable.push(name),
             AttemptResult::NotRun => progress.tried.push(name),
-            AttemptResult::Broken | AttemptResult::NoHeadInTime => {
+            AttemptResult::Broken => {
+                decision_log::engine_broke_off(self, &name, BreakPoint::Head);
+                progress.tried.push(name);
+                progress.may_have_run = true;
+            }
+            AttemptResult::NoHeadInTime => {
                 progress.tried.push(name);
                 progress.may_have_run = true;
             }
@@ -411,7 +428,7 @@
                 return Gathered::Final(response_of(head, GatewayBody::Pieces(pieces)));
             }
             Ok(Err(())) => {
-                log::info!(request = self.payload.caller.id.as_str(), engine = hold.engine().notice.engine.as_str(), step = "body"; "attempt failed: the answer broke off");
+                decision_log::engine_broke_off(self, hold.name(), BreakPoint::Body);
                 hold.finish(AttemptEnd::Broken, None);
                 progress.may_have_run = true;
                 return Gathered::Failed;
--- a/crates/gateway/tests/load_exchange.rs
+++ b/crates/gateway/tests/fleet/load_exchange.rs
@@ -1,14 +1,12 @@
 //! Routers tell each other over real sockets what they send to engines.
 
 // The whole support module is shared; this file needs little of it.
+use crate::support::*;
 #[allow(dead_code)]
-mod support;
-
 use stackpost_gateway::load_exchange::LoadExchange;
 use stackpost_gateway_core::*;
 use stackpost_types::*;
 use std::net::UdpSocket;
-use support::*;
 
 /// More than a machine reads while a test looks.
 const LONG_PROMPT: Tokens = Tokens(100_000_000);
--- /dev/null
+++ b/crates/gateway/tests/fleet/main.rs
@@ -0,0 +1,6 @@
+//! A small fleet on loopback sockets: control, routers and stand-ins for engines.
+
+mod break_off_lines;
+mod load_exchange;
+mod requests;
+mod support;
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/fleet/requests.rs
@@ -1,11 +1,9 @@
 //! Requests through a router on real sockets.
 
-mod support;
-
+use crate::support::*;
 use stackpost_coordinator::PutReply;
 use stackpost_gateway_core::EngineState;
 use std::time::Duration;
-use support::*;
 
 #[test]
 fn an_answer_comes_back_unchanged_and_the_key_stays_here() {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -20,6 +20,7 @@
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
 
 pub const PREPAID: u64 = 10_000;
 /// Tokens of the prompt and most generated of every generation in the tests.
@@ -160,6 +161,10 @@
     pub runs: RefCell<Vec<(String, Option<u64>)>>,
     /// Keys that were shown to it.
     pub keys_seen: Cell<usize>,
+    /// Whether its process has ended.
+    pub has_crashed: Cell<bool>,
+    /// Its listener and its connections, which end with it.
+    tasks: RefCell<Vec<AbortHandle>>,
 }
 
 /// Time for the server of a stand-in to write what it has before it breaks off.
@@ -171,7 +176,7 @@
 type EngineBody = http_body_util::combinators::UnsyncBoxBody<Bytes, std::io::Error>;
 
 impl Engine {
-    async fn start(name: &str) -> Rc<Self> {
+    pub async fn start(name: &str) -> Rc<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("bound");
         let engine = Rc::new(Self {
             name: BackEndName::new(name),
@@ -179,23 +184,33 @@
             behaviour: Cell::new(Behaviour::Answer),
             runs: RefCell::default(),
             keys_seen: Cell::new(0),
+            has_crashed: Cell::new(false),
+            tasks: RefCell::default(),
         });
         let serving = engine.clone();
-        tokio::task::spawn_local(async move {
+        let listening = tokio::task::spawn_local(async move {
             loop {
                 let (stream, _) = listener.accept().await.expect("accepted");
                 let engine = serving.clone();
-                tokio::task::spawn_local(async move {
+                let answering = tokio::task::spawn_local(async move {
                     let service = service_fn(move |request| engine.clone().answer(request));
                     let _ = hyper::server::conn::http1::Builder::new()
                         .serve_connection(TokioIo::new(stream), service)
                         .await;
                 });
+                serving.tasks.borrow_mut().push(answering.abort_handle());
             }
         });
+        engine.tasks.borrow_mut().push(listening.abort_handle());
         engine
     }
 
+    /// Ends the engine's process: all its connections break and its address refuses new ones.
+    pub fn crash(&self) {
+        self.tasks.borrow().iter().for_each(AbortHandle::abort);
+        self.has_crashed.set(true);
+    }
+
     async fn answer(
         self: Rc<Self>,
         request: Request<Incoming>,
@@ -216,6 +231,9 @@
         }
         self.runs.borrow_mut().push((id.clone(), after));
         let streams = request.uri().path().contains("stream");
+        if let Some(point) = CrashPoint::of(request.uri().path()) {
+            return self.crash_at(point, id).await;
+        }
         let answered = if behaviour == Behaviour::Cross { "other".to_string() } else { id };
         let head = Response::builder().header("id", answered).header("signature", "s");
         let response = match behaviour {
@@ -235,6 +253,56 @@
     }
 }
 
+/// How far the answer to a request that ends its engine comes before it does. A path that holds the
+/// word for it asks for it, whatever the engine's behaviour.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashPoint {
+    BeforeHead,
+    BeforeFirstEvent,
+    AfterEvents,
+}
+
+impl CrashPoint {
+    pub const ALL: [Self; 3] = [Self::BeforeHead, Self::BeforeFirstEvent, Self::AfterEvents];
+
+    /// The word in the path.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::BeforeHead => "crash-before-head",
+            Self::BeforeFirstEvent => "crash-before-first-event",
+            Self::AfterEvents => "crash-after-events",
+        }
+    }
+
+    fn of(path: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|point| path.contains(point.word()))
+    }
+}
+
+impl Engine {
+    /// Runs a request under which this engine ends.
+    async fn crash_at(
+        self: Rc<Self>,
+        point: CrashPoint,
+        id: String,
+    ) -> Result<Response<EngineBody>, std::io::Error> {
+        let engine = self.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(FLUSH_TIME).await;
+            engine.crash();
+        });
+        let events = match point {
+            CrashPoint::BeforeHead => return std::future::pending().await,
+            CrashPoint::BeforeFirstEvent => Vec::new(),
+            CrashPoint::AfterEvents => first_events(0, EVENTS_BEFORE_BREAK),
+        };
+        let unfinished = futures::stream::iter(events).chain(futures::stream::pending());
+        let head = Response::builder().header("id", id).header("signature", "s");
+        let head = head.header("content-type", "text/event-stream");
+        Ok(head.body(StreamBody::new(unfinished).boxed_unsync()).expect("a response"))
+    }
+}
+
 fn whole(text: &'static str) -> EngineBody {
     Full::new(Bytes::from_static(text.as_bytes())).map_err(|never| match never {}).boxed_unsync()
 }
@@ -250,11 +318,16 @@
     StreamBody::new(paced).boxed_unsync()
 }
 
+/// The events after `after` up to `last`.
+fn first_events(after: u64, last: u64) -> Vec<Result<Frame<Bytes>, std::io::Error>> {
+    (after + 1..=last)
+        .map(|id| Ok(Frame::data(Bytes::from(format!("id: {id}\ndata: piece {id}\n\n")))))
+        .collect()
+}
+
 fn events(after: u64, breaks: bool) -> EngineBody {
     let last = if breaks { after + EVENTS_BEFORE_BREAK } else { EVENTS };
-    let mut frames: Vec<Result<Frame<Bytes>, std::io::Error>> = (after + 1..=last)
-        .map(|id| Ok(Frame::data(Bytes::from(format!("id: {id}\ndata: piece {id}\n\n")))))
-        .collect();
+    let mut frames = first_events(after, last);
     if breaks {
         // A piece of an event that must never be passed on.
         frames.push(Ok(Frame::data(Bytes::from(format!("id: {}\nda", last + 1)))));
@@ -277,6 +350,38 @@
     pub body: Result<String, String>,
 }
 
+/// A router on a machine of its own.
+pub struct EntryMachine {
+    pub router: Rc<Router>,
+    pub link: Rc<FleetLink>,
+    pub server: Rc<Server>,
+    /// Where it takes callers.
+    pub callers: SocketAddr,
+}
+
+impl EntryMachine {
+    /// Starts a router that looks for control at `control`.
+    async fn start(control: SocketAddr) -> Self {
+        let router = router();
+        let own = peer(PeerRole::Router, "router", free_address());
+        let link = FleetLink::start(own, router.clone(), &[control]).await.expect("started");
+        let callers = free_address();
+        let server = serve_callers(router.clone(), callers).await.expect("started");
+        Self { router, link, server, callers }
+    }
+
+    /// Waits until it serves and knows `engines` engines that take work.
+    pub async fn ready(&self, engines: usize) {
+        wait_until(|| self.router.is_ready() && self.router.in_touch()).await;
+        wait_until(|| self.router.known_engines() == engines).await;
+    }
+
+    /// Asks as a caller does, over a connection of its own.
+    pub async fn ask(&self, path: &str, id: &str) -> Got {
+        ask_at(self.callers, path, &[("id", id), ("key", KEY)]).await
+    }
+}
+
 /// The fleet.
 pub struct Fleet {
     pub router: Rc<Router>,
@@ -285,6 +390,7 @@
     pub control: ControlNode,
     pub engines: [Rc<Engine>; 2],
     pub callers: SocketAddr,
+    control_address: SocketAddr,
     _folder: tempfile::TempDir,
 }
 
@@ -358,13 +464,19 @@
         let settings = ControlSettings { mesh_address: mesh, seeds: vec![mesh] };
         let own = peer(PeerRole::Control, name.as_str(), mesh);
         let control = ControlNode::start(own, settings, replica, effects).await.expect("started");
-        let router = router();
-        let own = peer(PeerRole::Router, "router", free_address());
-        let link = FleetLink::start(own, router.clone(), &[mesh]).await.expect("started");
-        let callers = free_address();
-        let server = serve_callers(router.clone(), callers).await.expect("started");
+        let EntryMachine { router, link, server, callers } = EntryMachine::start(mesh).await;
         let engines = [Engine::start("e1").await, Engine::start("e2").await];
-        let fleet = Self { router, link, server, control, engines, callers, _folder: folder };
+        let control_address = mesh;
+        let fleet = Self {
+            router,
+            link,
+            server,
+            control,
+            engines,
+            callers,
+            control_address,
+            _folder: folder,
+        };
         fleet.make_ready().await;
         fleet
     }
@@ -416,24 +528,33 @@
     }
 
     pub async fn ask_with(&self, path: &str, headers: &[(&str, &str)]) -> Got {
-        let stream = TcpStream::connect(self.callers).await.expect("connected");
-        let (mut sender, connection) =
-            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.expect("connected");
-        let driver = tokio::task::spawn_local(connection);
-        let mut request = Request::builder().uri(path).header("host", "ferry.example");
-        for (name, value) in headers {
-            request = request.header(*name, *value);
-        }
-        let request = request.body(Full::new(Bytes::new())).expect("a request");
-        let response = sender.send_request(request).await.expect("an answer");
-        let (head, body) = response.into_parts();
-        let body = match body.collect().await {
-            Ok(body) => Ok(String::from_utf8_lossy(&body.to_bytes()).into_owned()),
-            Err(error) => Err(error.to_string()),
-        };
-        driver.abort();
-        Got { status: head.status, headers: head.headers, body }
+        ask_at(self.callers, path, headers).await
+    }
+
+    /// A further router.
+    pub async fn add_router(&self) -> EntryMachine {
+        EntryMachine::start(self.control_address).await
+    }
+}
+
+async fn ask_at(callers: SocketAddr, path: &str, headers: &[(&str, &str)]) -> Got {
+    let stream = TcpStream::connect(callers).await.expect("connected");
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.expect("connected");
+    let driver = tokio::task::spawn_local(connection);
+    let mut request = Request::builder().uri(path).header("host", "ferry.example");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
     }
+    let request = request.body(Full::new(Bytes::new())).expect("a request");
+    let response = sender.send_request(request).await.expect("an answer");
+    let (head, body) = response.into_parts();
+    let body = match body.collect().await {
+        Ok(body) => Ok(String::from_utf8_lossy(&body.to_bytes()).into_owned()),
+        Err(error) => Err(error.to_string()),
+    };
+    driver.abort();
+    Got { status: head.status, headers: head.headers, body }
 }
 
 /// Runs a test inside a runtime of one thread.
