--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -378,7 +378,7 @@
 
     /// Asks as a caller does, over a connection of its own.
     pub async fn ask(&self, path: &str, id: &str) -> Got {
-        ask_at(self.callers, path, &[("id", id), ("key", KEY)]).await
+        ask_as_caller(self.callers, path, id).await
     }
 }
 
@@ -537,6 +537,11 @@
     }
 }
 
+/// Asks the router that takes callers at `callers`, over a connection of its own.
+pub async fn ask_as_caller(callers: SocketAddr, path: &str, id: &str) -> Got {
+    ask_at(callers, path, &[("id", id), ("key", KEY)]).await
+}
+
 async fn ask_at(callers: SocketAddr, path: &str, headers: &[(&str, &str)]) -> Got {
     let stream = TcpStream::connect(callers).await.expect("connected");
     let (mut sender, connection) =
