Quarantine a request under which three engines have ended, for the whole fleet

Cause: everything that was known of a request was known of one try of it, at one router, until that try was answered. A request that ends the engine which runs it comes again under another id, at any router, and each copy was let in like a first one.

Ruled out: one router sending it on (each copy is one send; where the route may be repeated, as many as the route allows), and the 502 that invites a repeat (the test's caller comes back whatever it is told).

Mend: routers report under which request (method, host, path, tenant, body) a connection to an engine ended; the leader takes that into the replicated state; with the third engine the request is quarantined, and every router refuses it as not run before it takes tokens or a place. It outlives routers, leaders and a loss of power of all machines. An engine that goes on announcing itself takes back what was seen there; a request that ends well anywhere is cleared; a quarantine ends after two minutes and comes back, twice as long, with the next engine. Bounds: 2,048 requests, 512 sightings a router.

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -117,6 +117,7 @@
         match state.directory.merge(now, notice.clone()) {
             Merge::Old => {}
             Merge::Refreshed => {
+                self.on_still_announced(&name);
                 state.refreshed.insert(name);
             }
             Merge::Changed => {
@@ -197,6 +198,9 @@
         if role == PeerRole::Router {
             let silent = self.state.borrow().silent.clone();
             self.mesh.send(link, &FleetMessage::SilentEngines(silent));
+            // Before the status: a router that has heard a leader lets callers in.
+            let notice = self.replica.view().quarantine.notice();
+            self.mesh.send(link, &FleetMessage::Quarantined(notice));
         }
         self.mesh.send(link, &FleetMessage::ControlStatus(self.status()));
         match role {
@@ -216,6 +220,9 @@
             }
             FleetMessage::Engines(notices) => self.on_engines(notices),
             FleetMessage::RouterStatus(status) => self.on_router_status(link, peer, status),
+            FleetMessage::CrashReport(change) => {
+                self.replica.send(ReplicaEvent::CrashReport(change));
+            }
             FleetMessage::Farewell(spent) => {
                 self.replica.send(ReplicaEvent::RouterFarewell { router: peer, spent });
             }
@@ -233,6 +240,7 @@
             | FleetMessage::Outlooks(_)
             | FleetMessage::Allotted(_)
             | FleetMessage::Recall(_)
+            | FleetMessage::Quarantined(_)
             | FleetMessage::FarewellTaken => {}
         }
     }
@@ -241,10 +249,14 @@
     fn on_engines(&self, notices: Vec<EngineNotice>) {
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
-        let changed: Vec<EngineNotice> = notices
-            .into_iter()
-            .filter(|notice| state.directory.merge(now, notice.clone()) == Merge::Changed)
-            .collect();
+        let mut changed = Vec::new();
+        for notice in notices {
+            match state.directory.merge(now, notice.clone()) {
+                Merge::Old => {}
+                Merge::Refreshed => self.on_still_announced(&notice.engine),
+                Merge::Changed => changed.push(notice),
+            }
+        }
         if !changed.is_empty() {
             self.mesh.send_all(
                 state.links.one_each(now, PeerRole::Router),
@@ -253,6 +265,13 @@
         }
     }
 
+    /// An engine that is known goes on announcing itself.
+    fn on_still_announced(&self, engine: &BackEndName) {
+        if self.replica.view().quarantine.concerns(engine) {
+            self.replica.send(ReplicaEvent::EngineAnnounced(engine.clone()));
+        }
+    }
+
     fn on_router_status(&self, link: LinkId, router: NodeId, status: RouterStatus) {
         if let Some(entry) = self.state.borrow_mut().links.get_mut(link) {
             entry.document_known = status.document_version;
@@ -321,8 +340,10 @@
             ReplicaEffect::FarewellTaken(router) => {
                 self.send_to_router(&router, &FleetMessage::FarewellTaken);
             }
+            ReplicaEffect::QuarantineChanged => self.tell_quarantine(),
             ReplicaEffect::RoleChanged(leads) => {
                 log::info!(leads = leads; "role");
+                self.tell_quarantine();
                 self.on_tick();
             }
         }
@@ -343,6 +364,16 @@
         }
     }
 
+    /// Tells all routers which requests are let in no more, if this replica leads.
+    fn tell_quarantine(&self) {
+        let view = self.replica.view();
+        if view.leads() {
+            let routers = self.state.borrow().links.one_each(self.now(), PeerRole::Router);
+            let notice = view.quarantine.notice();
+            self.mesh.send_all(routers, &FleetMessage::Quarantined(notice));
+        }
+    }
+
     fn on_tick(&self) {
         self.tell_router_peers();
         // Told again and again: a replica that had to open its data folder anew knows of nobody.
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod control_node;
 mod control_state;
+mod crash_watch;
 mod document_delta;
 mod links;
 mod message;
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -4,7 +4,7 @@
 use crate::packed_document::PackedDocument;
 use serde::{Deserialize, Serialize};
 use stackpost_consensus::Envelope;
-use stackpost_gateway_core::EngineNotice;
+use stackpost_gateway_core::{EngineNotice, QuarantineChange, QuarantineNotice};
 use stackpost_prepaid::{AccountReport, Allotment, Contact, Outlook};
 use stackpost_types::{BackEndName, NodeId, TenantName, Timestamp, Tokens};
 use std::collections::{BTreeMap, BTreeSet};
@@ -119,4 +119,9 @@
     Alive,
     /// From control to a router: where other routers accept connections of the fleet.
     RouterPeers(Vec<SocketAddr>),
+    /// From a router to the leader: engines that ended under requests, and suspected requests that ended
+    /// well.
+    CrashReport(QuarantineChange),
+    /// From control to a router: requests that are let in no more.
+    Quarantined(QuarantineNotice),
 }
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -3,6 +3,7 @@
 //! `handle` takes one event and returns what is to be done. Everything that must survive is synced
 //! before the effects that promise it are returned.
 
+use crate::crash_watch::CrashWatch;
 use crate::message::Document;
 use crate::prepaid_planner::PrepaidPlanner;
 use crate::replica_api::*;
@@ -11,8 +12,9 @@
 use crate::state::{Command, FleetState, Outcome};
 use crate::voters::{VoterSight, VoterStep, VoterView, next_step};
 use stackpost_consensus::{Config, Entry, Payload, Raft, Ready, Role, Snapshot, Voters};
+use stackpost_gateway_core::QuarantineChange;
 use stackpost_storage::{Disk, LogStore};
-use stackpost_types::{MachineName, Millis, NodeId, Timestamp, ZoneName};
+use stackpost_types::{BackEndName, MachineName, Millis, NodeId, Timestamp, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -47,6 +49,7 @@
     reads: BTreeMap<u64, PendingRead>,
     next_context: u64,
     planner: PrepaidPlanner,
+    crash_watch: CrashWatch,
     /// The control machines that are connected, with their zones.
     control_peers: BTreeMap<MachineName, ZoneName>,
     /// The zones of control machines that are connected or have been.
@@ -86,6 +89,7 @@
             reads: BTreeMap::new(),
             next_context: 1,
             planner: PrepaidPlanner::default(),
+            crash_watch: CrashWatch::default(),
             control_peers: BTreeMap::new(),
             zones_seen: BTreeMap::new(),
             was_leading: false,
@@ -125,6 +129,8 @@
             ReplicaEvent::RouterFarewell { router, spent } => {
                 self.planner.on_farewell(&router, spent);
             }
+            ReplicaEvent::CrashReport(change) => self.on_crash_report(now, change),
+            ReplicaEvent::EngineAnnounced(engine) => self.on_announced(now, engine),
             ReplicaEvent::ControlPeers(machines) => {
                 self.zones_seen.extend(machines.clone());
                 self.control_peers = machines;
@@ -169,6 +175,32 @@
             self.plan_prepaid(now);
             self.plan_voters(now);
         }
+        if self.leads(now) {
+            let changes = self.crash_watch.on_tick(now, &self.state.quarantine);
+            changes.into_iter().for_each(|change| self.propose_quarantine(change));
+        }
+    }
+
+    fn on_crash_report(&mut self, now: Timestamp, change: QuarantineChange) {
+        if self.leads(now)
+            && let Some(change) = self.crash_watch.on_report(&self.state.quarantine, change)
+        {
+            self.propose_quarantine(change);
+        }
+    }
+
+    fn on_announced(&mut self, now: Timestamp, engine: BackEndName) {
+        if self.leads(now)
+            && let Some(change) = self.crash_watch.on_announced(&self.state.quarantine, engine)
+        {
+            self.propose_quarantine(change);
+        }
+    }
+
+    fn propose_quarantine(&mut self, change: QuarantineChange) {
+        if self.propose(&Command::Quarantine(change)).is_none() {
+            log::info!(step = "quarantine"; "not proposed: another replica leads");
+        }
     }
 
     fn put(&mut self, now: Timestamp, token: u64, bytes: Arc<[u8]>) {
@@ -324,6 +356,7 @@
         if leading != self.was_leading {
             self.was_leading = leading;
             self.planner.on_role_change(now);
+            self.crash_watch.on_role_change();
             self.effects.push(ReplicaEffect::RoleChanged(leading));
         }
         Ok(())
@@ -362,6 +395,7 @@
         if let Some(document) = self.state.document.clone() {
             self.effects.push(ReplicaEffect::DocumentChanged(document));
         }
+        self.effects.push(ReplicaEffect::QuarantineChanged);
         Ok(())
     }
 
@@ -382,6 +416,9 @@
         {
             self.effects.push(ReplicaEffect::DocumentChanged(document));
         }
+        if outcome == Outcome::QuarantineChanged {
+            self.effects.push(ReplicaEffect::QuarantineChanged);
+        }
         self.answer_puts(&entry);
         self.tell_routers(touched, closed);
         if entry.index - self.raft.snapshot_index() >= SNAPSHOT_ENTRIES {
--- a/crates/coordinator/src/replica_api.rs
+++ b/crates/coordinator/src/replica_api.rs
@@ -3,9 +3,10 @@
 use crate::DocumentCodec;
 use crate::message::{Document, RouterStatus};
 use stackpost_consensus::Envelope;
+use stackpost_gateway_core::QuarantineChange;
 use stackpost_prepaid::{Allotment, Outlook};
 use stackpost_storage::StoreError;
-use stackpost_types::{MachineName, Millis, NodeId, TenantName, Tokens, ZoneName};
+use stackpost_types::{BackEndName, MachineName, Millis, NodeId, TenantName, Tokens, ZoneName};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use thiserror::Error;
@@ -86,6 +87,10 @@
         /// What it has spent.
         spent: BTreeMap<TenantName, Tokens>,
     },
+    /// A router has seen engines end under requests, or suspected requests end well.
+    CrashReport(QuarantineChange),
+    /// An engine has announced itself that is said to have ended.
+    EngineAnnounced(BackEndName),
     /// The control machines that are connected now, with their zones.
     ControlPeers(BTreeMap<MachineName, ZoneName>),
 }
@@ -133,6 +138,8 @@
     Outlooks(BTreeMap<TenantName, Outlook>),
     /// Tell a router that its life is closed.
     FarewellTaken(NodeId),
+    /// Routers are to be told which requests are let in no more.
+    QuarantineChanged,
     /// The role has changed; true for a leader.
     RoleChanged(bool),
 }
--- a/crates/coordinator/src/replica_thread.rs
+++ b/crates/coordinator/src/replica_thread.rs
@@ -3,9 +3,11 @@
 use crate::message::Document;
 use crate::replica::Replica;
 use crate::replica_api::{ReplicaConfig, ReplicaEffect, ReplicaError, ReplicaEvent};
+use stackpost_gateway_core::Quarantine;
 use stackpost_storage::{DiskError, FileDisk, StoreError};
 use stackpost_types::{MachineName, Timestamp};
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, watch};
@@ -26,6 +28,8 @@
     pub leader: Option<MachineName>,
     /// The configuration in force.
     pub document: Option<Document>,
+    /// Requests under which engines have ended.
+    pub quarantine: Arc<Quarantine>,
 }
 
 impl ReplicaView {
@@ -146,10 +150,15 @@
             if document_is_new {
                 view.document = replica.state().document.clone();
             }
+            let quarantine = &replica.state().quarantine;
+            let quarantine_is_new = view.quarantine.revision() != quarantine.revision();
+            if quarantine_is_new {
+                view.quarantine = Arc::new(quarantine.clone());
+            }
             let role_is_new = view.leader.as_ref() != leader;
             view.leader = leader.cloned();
             view.lease_until = lease_until;
-            document_is_new || role_is_new
+            document_is_new || quarantine_is_new || role_is_new
         });
     }
 
--- a/crates/coordinator/src/state.rs
+++ b/crates/coordinator/src/state.rs
@@ -2,8 +2,9 @@
 
 use crate::message::Document;
 use serde::{Deserialize, Serialize};
+use stackpost_gateway_core::{Quarantine, QuarantineChange, Suspect};
 use stackpost_prepaid::{Charge, Contact, GivenBack, Grant, LifeEnd, PrepaidLedger};
-use stackpost_types::{NodeId, TenantName, Tokens};
+use stackpost_types::{BackEndName, NodeId, TenantName, Tokens};
 
 /// One entry of the replicated log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -35,6 +36,8 @@
         /// What was gone of each of its allotments some time after.
         gone: Vec<(TenantName, Tokens)>,
     },
+    /// Changes what is held against requests under which engines have ended.
+    Quarantine(QuarantineChange),
 }
 
 /// What applying a command did.
@@ -46,6 +49,8 @@
     DocumentTaken,
     /// A configuration with the same or a higher version was in force already.
     DocumentSuperseded,
+    /// Routers are to be told something else about requests that end engines.
+    QuarantineChanged,
 }
 
 /// Everything that the control replicas agree on.
@@ -55,6 +60,16 @@
     pub document: Option<Document>,
     /// The prepaid budgets.
     pub ledger: PrepaidLedger,
+    /// Requests under which engines have ended. Kept with the rest because a request may come again after
+    /// all processes have been killed.
+    pub quarantine: Quarantine,
+}
+
+/// The state as versions before the quarantine wrote it.
+#[derive(Deserialize)]
+struct StateWithoutQuarantine {
+    document: Option<Document>,
+    ledger: PrepaidLedger,
 }
 
 impl FleetState {
@@ -85,6 +100,7 @@
             Command::NoteContact { router, contact, gone } => {
                 self.ledger.note_contact(&router, contact, &gone);
             }
+            Command::Quarantine(change) => return self.change_quarantine(change),
         }
         Outcome::Done
     }
@@ -98,6 +114,22 @@
         Outcome::DocumentTaken
     }
 
+    fn change_quarantine(&mut self, change: QuarantineChange) -> Outcome {
+        let before = self.quarantine.notice();
+        self.quarantine.apply(change);
+        let after = self.quarantine.notice();
+        for request in after.quarantined.difference(&before.quarantined) {
+            let engines = self.quarantine.suspect(request).into_iter().flat_map(Suspect::engines);
+            let engines: Vec<&str> = engines.map(BackEndName::as_str).collect();
+            let (fingerprint, engines) = (request.to_string(), engines.join(","));
+            log::warn!(fingerprint = fingerprint.as_str(), engines = engines.as_str(); "request quarantined");
+        }
+        for request in before.quarantined.difference(&after.quarantined) {
+            log::info!(fingerprint = request.to_string().as_str(); "request let in again");
+        }
+        if after.says_the_same(&before) { Outcome::Done } else { Outcome::QuarantineChanged }
+    }
+
     /// The state as bytes.
     pub fn to_snapshot(&self) -> Vec<u8> {
         postcard::to_stdvec(self).expect("the state can be encoded")
@@ -105,7 +137,11 @@
 
     /// The state from bytes.
     pub fn from_snapshot(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        postcard::from_bytes(bytes)
+        postcard::from_bytes(bytes).or_else(|error| {
+            let before: StateWithoutQuarantine = postcard::from_bytes(bytes).map_err(|_| error)?;
+            let StateWithoutQuarantine { document, ledger } = before;
+            Ok(Self { document, ledger, quarantine: Quarantine::default() })
+        })
     }
 }
 
--- /dev/null
+++ b/crates/gateway-core/src/crash_memory.rs
@@ -0,0 +1,94 @@
+//! What a router knows of requests that end engines: the word of control, and what it saw itself.
+//!
+//! Its own sightings count beside that word because they are there at once, and also while control is out
+//! of reach. They are forgotten soon: a router alone can't tell an engine that ended from a connection
+//! that broke, and nobody takes back what it has not told.
+
+use crate::fingerprint::RequestFingerprint;
+use crate::quarantine::{CrashSighting, ENGINES_LOST, QuarantineChange, QuarantineNotice};
+use stackpost_types::{Millis, Timestamp};
+use std::collections::{BTreeSet, VecDeque};
+
+/// How long own sightings count. Ten times what a copy of a request took to come again where one ended
+/// an engine a second.
+const OWN_MEMORY: Millis = Millis(10_000);
+/// Own sightings kept, the newest ones: several engines full of requests.
+const MOST_SIGHTINGS: usize = 512;
+
+/// One router's knowledge.
+#[derive(Clone, Debug, Default)]
+pub struct CrashMemory {
+    notice: QuarantineNotice,
+    own: VecDeque<(Timestamp, CrashSighting)>,
+    untold: Vec<QuarantineChange>,
+}
+
+impl CrashMemory {
+    /// Whether no request is under any suspicion, so that none needs to be looked up.
+    pub fn is_empty(&self) -> bool {
+        let notice = &self.notice;
+        notice.quarantined.is_empty() && notice.suspected.is_empty() && self.own.is_empty()
+    }
+
+    /// Whether a request is let in no more.
+    pub fn is_quarantined(&mut self, now: Timestamp, request: &RequestFingerprint) -> bool {
+        self.forget_old(now);
+        if self.notice.quarantined.contains(request) {
+            return true;
+        }
+        let seen = self.own.iter().filter(|(_, seen)| seen.request == *request);
+        let engines: BTreeSet<_> = seen.map(|(_, seen)| &seen.engine).collect();
+        engines.len() >= ENGINES_LOST
+    }
+
+    /// A connection ended while an engine ran a request.
+    pub fn on_engine_ended(&mut self, now: Timestamp, sighting: CrashSighting) {
+        self.forget_old(now);
+        if self.own.len() >= MOST_SIGHTINGS {
+            self.own.pop_front();
+        }
+        self.own.push_back((now, sighting.clone()));
+        self.untold.push(QuarantineChange::Seen(vec![sighting]));
+    }
+
+    /// A request has ended well, so it does not end engines.
+    pub fn on_ended_well(&mut self, request: &RequestFingerprint) {
+        let before = self.own.len();
+        self.own.retain(|(_, seen)| seen.request != *request);
+        if before > self.own.len() || self.notice.names(request) {
+            self.untold.push(QuarantineChange::Cleared(vec![*request]));
+        }
+    }
+
+    /// Takes in the word of a control process, unless a newer one is known.
+    pub fn on_notice(&mut self, notice: QuarantineNotice) {
+        if notice.revision >= self.notice.revision {
+            self.notice = notice;
+        }
+    }
+
+    /// Requests that are let in no more, by the word of control.
+    pub fn quarantined(&self) -> usize {
+        self.notice.quarantined.len()
+    }
+
+    /// What control has not been told. Counts as told.
+    pub fn take_untold(&mut self) -> Vec<QuarantineChange> {
+        std::mem::take(&mut self.untold)
+    }
+
+    /// Another control process leads; the one before may not have passed on what it was told.
+    pub fn on_new_leader(&mut self) {
+        let own: Vec<CrashSighting> = self.own.iter().map(|(_, seen)| seen.clone()).collect();
+        self.untold.retain(|change| matches!(change, QuarantineChange::Cleared(_)));
+        if !own.is_empty() {
+            self.untold.push(QuarantineChange::Seen(own));
+        }
+    }
+
+    fn forget_old(&mut self, now: Timestamp) {
+        while self.own.front().is_some_and(|(at, _)| now.since(*at) >= OWN_MEMORY) {
+            self.own.pop_front();
+        }
+    }
+}
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -6,15 +6,19 @@
 //!   from each engine's [`EngineLoad`].
 //! - [`RetryBudget`]: how many requests may be sent to a further engine.
 //! - [`RequestFingerprint`]: what a request asks, the same for every repeat of it.
+//! - [`Quarantine`]: requests under which engines have ended, for the whole fleet; [`CrashMemory`]: what
+//!   one router knows of them.
 //! - [`EventSplitter`]: whole events of a stream.
 
 mod config;
+mod crash_memory;
 mod directory;
 mod engine_load;
 mod event_stream;
 mod fingerprint;
 mod picker;
 mod placement;
+mod quarantine;
 mod retry_budget;
 mod route_table;
 
@@ -22,11 +26,16 @@
     ClientLimits, ConfigError, EngineProfile, Route, RouteKind, RoutingConfig, Service, Split,
     Tenant,
 };
+pub use crash_memory::CrashMemory;
 pub use directory::{EngineDirectory, EngineNotice, EngineRecord, EngineState, Merge};
 pub use engine_load::{EngineLoad, EngineNews, Estimate, Placement, Work};
 pub use event_stream::{Event, EventSplitter};
 pub use fingerprint::{RequestContent, RequestFingerprint};
 pub use picker::{AttemptEnd, Choice, EnginePicker, PickQuery};
 pub use placement::Harm;
+pub use quarantine::{
+    CrashSighting, ENGINES_LOST, MAX_REQUESTS, Quarantine, QuarantineChange, QuarantineNotice,
+    Suspect,
+};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use route_table::{Admission, RouteTable, TenantMatch};
--- /dev/null
+++ b/crates/gateway-core/tests/quarantine.rs
@@ -0,0 +1,191 @@
+//! Which requests are held to end engines, and which are not.
+
+use proptest::prelude::*;
+use stackpost_gateway_core::*;
+use stackpost_types::{BackEndName, Millis, Timestamp};
+
+fn request(number: u64) -> RequestFingerprint {
+    let path = format!("/{number}");
+    RequestFingerprint::of(&RequestContent {
+        method: "POST",
+        host: "ferry.example",
+        path: &path,
+        tenant: None,
+        body: b"",
+    })
+}
+
+fn engine(number: usize) -> BackEndName {
+    BackEndName::new(format!("e{number}"))
+}
+
+fn seen(of_request: u64, at_engine: usize) -> CrashSighting {
+    CrashSighting { request: request(of_request), engine: engine(at_engine) }
+}
+
+fn see(quarantine: &mut Quarantine, of_request: u64, at_engine: usize) {
+    quarantine.apply(QuarantineChange::Seen(vec![seen(of_request, at_engine)]));
+}
+
+#[test]
+fn the_third_engine_quarantines_a_request_and_none_of_its_neighbours() {
+    let mut quarantine = Quarantine::default();
+    for at_engine in 0..ENGINES_LOST {
+        assert!(!quarantine.is_quarantined(&request(1)));
+        see(&mut quarantine, 1, at_engine);
+        // Another neighbour each time, and one that had bad luck twice.
+        see(&mut quarantine, 100 + at_engine as u64, at_engine);
+        if at_engine > 0 {
+            see(&mut quarantine, 2, at_engine);
+        }
+    }
+    let notice = quarantine.notice();
+    assert_eq!(notice.quarantined.into_iter().collect::<Vec<_>>(), [request(1)]);
+    assert_eq!(notice.suspected.into_iter().collect::<Vec<_>>(), [request(2)]);
+}
+
+#[test]
+fn the_same_engine_counts_once() {
+    let mut quarantine = Quarantine::default();
+    for _ in 0..5 {
+        see(&mut quarantine, 1, 0);
+    }
+    assert!(!quarantine.is_quarantined(&request(1)));
+}
+
+#[test]
+fn what_was_seen_at_an_engine_that_still_runs_is_taken_back() {
+    let mut quarantine = Quarantine::default();
+    (0..ENGINES_LOST).for_each(|at_engine| see(&mut quarantine, 1, at_engine));
+    see(&mut quarantine, 2, 0);
+    quarantine.apply(QuarantineChange::StillRuns(engine(0)));
+    assert!(!quarantine.is_quarantined(&request(1)));
+    assert!(!quarantine.concerns(&engine(0)));
+    assert!(quarantine.concerns(&engine(1)));
+    assert!(quarantine.suspect(&request(2)).is_none());
+}
+
+#[test]
+fn a_request_that_has_ended_well_is_cleared() {
+    let mut quarantine = Quarantine::default();
+    (0..ENGINES_LOST).for_each(|at_engine| see(&mut quarantine, 1, at_engine));
+    quarantine.apply(QuarantineChange::Cleared(vec![request(1)]));
+    assert!(quarantine.is_empty());
+}
+
+#[test]
+fn after_a_release_one_engine_is_enough_and_the_quarantine_lasts_twice_as_long() {
+    let mut quarantine = Quarantine::default();
+    (0..ENGINES_LOST).for_each(|at_engine| see(&mut quarantine, 1, at_engine));
+    let time = |quarantine: &Quarantine| {
+        quarantine.suspect(&request(1)).expect("it is known").quarantine_time()
+    };
+    let first = time(&quarantine);
+    quarantine.apply(QuarantineChange::Released(vec![request(1)]));
+    assert!(!quarantine.is_quarantined(&request(1)));
+    see(&mut quarantine, 1, 9);
+    assert!(quarantine.is_quarantined(&request(1)));
+    assert_eq!(time(&quarantine), Millis(2 * first.0));
+}
+
+#[test]
+fn memory_is_bounded_and_a_quarantined_request_is_forgotten_last() {
+    let mut quarantine = Quarantine::default();
+    (0..ENGINES_LOST).for_each(|at_engine| see(&mut quarantine, 0, at_engine));
+    for other in 1..3 * MAX_REQUESTS as u64 {
+        see(&mut quarantine, other, 0);
+    }
+    assert_eq!(quarantine.suspects().count(), MAX_REQUESTS);
+    assert!(quarantine.is_quarantined(&request(0)));
+    assert!(quarantine.suspect(&request(1)).is_none(), "the oldest has gone first");
+}
+
+#[test]
+fn a_router_alone_refuses_after_its_own_third_sighting_and_forgets_it_soon() {
+    let mut memory = CrashMemory::default();
+    let at = |milliseconds| Timestamp(milliseconds);
+    for at_engine in 0..ENGINES_LOST {
+        assert!(!memory.is_quarantined(at(1_000), &request(1)));
+        memory.on_engine_ended(at(1_000), seen(1, at_engine));
+    }
+    assert!(memory.is_quarantined(at(1_000), &request(1)));
+    assert!(!memory.is_quarantined(at(1_000), &request(2)));
+    assert!(!memory.is_quarantined(at(60_000), &request(1)));
+    assert!(memory.is_empty());
+}
+
+#[test]
+fn what_a_leader_may_not_have_passed_on_is_told_to_the_next_one() {
+    let mut memory = CrashMemory::default();
+    memory.on_engine_ended(Timestamp(1_000), seen(1, 0));
+    memory.on_engine_ended(Timestamp(1_000), seen(2, 0));
+    assert_eq!(memory.take_untold().len(), 2);
+    assert!(memory.take_untold().is_empty());
+    memory.on_new_leader();
+    let both = QuarantineChange::Seen(vec![seen(1, 0), seen(2, 0)]);
+    assert_eq!(memory.take_untold(), [both]);
+}
+
+#[test]
+fn an_older_notice_changes_nothing() {
+    let mut memory = CrashMemory::default();
+    let notice = |revision, quarantined: &[u64]| QuarantineNotice {
+        revision,
+        quarantined: quarantined.iter().map(|number| request(*number)).collect(),
+        ..QuarantineNotice::default()
+    };
+    memory.on_notice(notice(7, &[1]));
+    memory.on_notice(notice(6, &[]));
+    assert!(memory.is_quarantined(Timestamp(1_000), &request(1)));
+    memory.on_notice(notice(8, &[]));
+    assert!(!memory.is_quarantined(Timestamp(1_000), &request(1)));
+}
+
+#[test]
+fn a_suspected_request_that_ends_well_is_reported_once_and_others_never() {
+    let mut memory = CrashMemory::default();
+    memory.on_engine_ended(Timestamp(1_000), seen(1, 0));
+    memory.take_untold();
+    memory.on_ended_well(&request(2));
+    assert!(memory.take_untold().is_empty());
+    memory.on_ended_well(&request(1));
+    assert_eq!(memory.take_untold(), [QuarantineChange::Cleared(vec![request(1)])]);
+    memory.on_ended_well(&request(1));
+    assert!(memory.take_untold().is_empty());
+}
+
+proptest! {
+    /// Sightings may come from any router in any order, and more than once.
+    #[test]
+    fn the_order_of_sightings_does_not_matter(
+        sightings in prop::collection::vec((0_u64..4, 0_usize..6), 0..30),
+        again in prop::collection::vec(0_usize..30, 0..10),
+    ) {
+        let mut forwards = Quarantine::default();
+        sightings.iter().for_each(|(of, at)| see(&mut forwards, *of, *at));
+        let mut backwards = Quarantine::default();
+        sightings.iter().rev().for_each(|(of, at)| see(&mut backwards, *of, *at));
+        for index in again {
+            if let Some((of, at)) = sightings.get(index) {
+                see(&mut backwards, *of, *at);
+            }
+        }
+        prop_assert!(forwards.notice().says_the_same(&backwards.notice()));
+    }
+
+    /// What is called no news changes nothing that routers are told.
+    #[test]
+    fn no_news_changes_nothing(
+        sightings in prop::collection::vec((0_u64..4, 0_usize..4), 0..20),
+        next in (0_u64..4, 0_usize..4),
+    ) {
+        let mut quarantine = Quarantine::default();
+        sightings.iter().for_each(|(of, at)| see(&mut quarantine, *of, *at));
+        let change = QuarantineChange::Seen(vec![seen(next.0, next.1)]);
+        let before = quarantine.clone();
+        let is_news = quarantine.is_news(&change);
+        quarantine.apply(change);
+        let same = before.suspects().eq(quarantine.suspects());
+        prop_assert_eq!(is_news, !same);
+    }
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -41,8 +41,10 @@
     Unreachable,
     /// The engine says that it did not run the request.
     NotRun,
-    /// The request may have run, and there will be no answer.
-    Broken,
+    /// The connection ended; the request may have run, and the engine may have ended under it.
+    BrokenOff,
+    /// What came is not the answer to this request, which may have run.
+    Spoiled,
     /// The time for a head is over; the request may have run.
     NoHeadInTime,
     /// The head of the engine's answer.
@@ -178,7 +180,7 @@
                 return AttemptResult::Unreachable;
             }
             hold.finish(AttemptEnd::Broken, None);
-            AttemptResult::Broken
+            AttemptResult::BrokenOff
         }
         Ok(Ok(response)) => judge(router, payload, hold, response),
     }
@@ -210,7 +212,7 @@
         EngineVerdict::OtherRequest | EngineVerdict::Unsigned => {
             log_end(payload, &hold, "answer", "not the answer to this request");
             hold.finish(AttemptEnd::Broken, None);
-            AttemptResult::Broken
+            AttemptResult::Spoiled
         }
         EngineVerdict::Genuine => {
             AttemptResult::Answered(Box::new(EngineAnswer { head, body, hold }))
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -80,6 +80,16 @@
     );
 }
 
+/// A request is refused because engines have ended under it, by the fleet's word or this router's own.
+pub(crate) fn quarantined(context: &RequestContext) {
+    log::info!(
+        request = context.payload.caller.id.as_str(),
+        fingerprint = context.fingerprint().to_string().as_str(),
+        in_touch = context.router.in_touch();
+        "request is quarantined"
+    );
+}
+
 /// The first event of a stream has come. Says so only if that was later than wanted: with what had
 /// been expected of the engine when the request was sent there.
 pub(crate) fn first_event(context: &RequestContext, hold: &EngineHold, took: Duration) {
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -146,6 +146,7 @@
             tokio::select! {
                 Some(event) = events.recv() => self.on_event(event),
                 Some(command) = loan_commands.recv() => self.on_loan_command(command),
+                () = self.router.crash_news.notified() => self.report_crashes(),
                 () = self.router.wallet_short.notified() => self.report(),
                 _ = reports.tick() => {
                     self.report();
@@ -156,6 +157,7 @@
                     let router = &self.router;
                     let engines = router.known_engines();
                     router.metrics.on_look(router.document_version(), router.in_touch(), engines);
+                    router.metrics.on_quarantined(router.crash_memory.borrow().quarantined());
                 }
             }
         }
@@ -225,6 +227,9 @@
             FleetMessage::SilentEngines(engines) => {
                 self.on_silent_engines(link, engines);
             }
+            FleetMessage::Quarantined(notice) => {
+                self.router.crash_memory.borrow_mut().on_notice(notice);
+            }
             FleetMessage::Outlooks(outlooks) => *self.router.outlooks.borrow_mut() = outlooks,
             FleetMessage::RouterPeers(peers) => {
                 self.exchange.set_peers(&peers);
@@ -233,6 +238,7 @@
             FleetMessage::Raft(_)
             | FleetMessage::Alive
             | FleetMessage::RouterStatus(_)
+            | FleetMessage::CrashReport(_)
             | FleetMessage::Farewell(_) => {}
         }
     }
@@ -252,6 +258,8 @@
             if leader_is_new {
                 self.reported.borrow_mut().clear();
                 self.report();
+                self.router.crash_memory.borrow_mut().on_new_leader();
+                self.report_crashes();
             }
         } else if self.leader.get() == Some(link) {
             self.leader.set(None);
@@ -305,6 +313,16 @@
         }
     }
 
+    /// Tells the leader under which requests engines have ended. Kept for the next one if there is none.
+    fn report_crashes(&self) {
+        let Some(leader) = self.leader.get() else {
+            return;
+        };
+        for change in self.router.crash_memory.borrow_mut().take_untold() {
+            self.mesh.send(leader, &FleetMessage::CrashReport(change));
+        }
+    }
+
     fn changed_accounts(&self, complete: bool) -> Vec<(TenantName, AccountReport)> {
         let all = self.router.wallet.borrow_mut().report(self.router.now());
         let mut reported = self.reported.borrow_mut();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -21,6 +21,7 @@
     configuration_version: Gauge<u64>,
     in_touch: Gauge<u64>,
     engines: Gauge<u64>,
+    quarantined: Gauge<u64>,
 }
 
 impl RouterMetrics {
@@ -50,6 +51,10 @@
             configuration_version: gauge("stackpost_configuration_version", "Configuration held"),
             in_touch: gauge("stackpost_in_touch", "1 while a leader is heard"),
             engines: gauge("stackpost_engines_ready", "Engines that take work"),
+            quarantined: gauge(
+                "stackpost_requests_quarantined",
+                "Requests that are let in no more because engines ended under them",
+            ),
         }
     }
 
@@ -84,6 +89,11 @@
         self.tokens.add(tokens, &[]);
     }
 
+    /// Requests that are let in no more, taken now and then.
+    pub fn on_quarantined(&self, requests: usize) {
+        self.quarantined.record(requests as u64, &[]);
+    }
+
     /// What the router believes, now and then.
     pub fn on_look(&self, configuration_version: u64, in_touch: bool, engines: usize) {
         self.configuration_version.record(configuration_version, &[]);
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -12,6 +12,9 @@
 /// balances and be refused again.
 const LEADER_BACK_WITHIN: Millis = Millis(3_000);
 
+/// The first quarantine of a request that ends engines; a try before that would be refused again.
+const QUARANTINE_ENDS_WITHIN: Millis = Millis(120_000);
+
 /// Why a request gets no engine's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -44,6 +47,8 @@
     Unreachable,
     /// The time is over and the request has not run.
     TimeOver,
+    /// Engines have ended under this very request, so it is sent to none.
+    EndsEngines,
     /// The request may have run; its answer is lost.
     AnswerLost,
     /// The time is over and the request may have run.
@@ -68,6 +73,7 @@
             Self::EnginesFull => "engines_full",
             Self::Unreachable => "unreachable",
             Self::TimeOver => "time_over",
+            Self::EndsEngines => "ends_engines",
             Self::AnswerLost => "answer_lost",
             Self::TimeOverUnknown => "time_over_unknown",
         }
@@ -87,6 +93,7 @@
             | Self::NoEngine
             | Self::EnginesFull
             | Self::Unreachable
+            | Self::EndsEngines
             | Self::TimeOver => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::TimeOverUnknown => StatusCode::GATEWAY_TIMEOUT,
@@ -103,6 +110,7 @@
             Self::EnginesFull => Some(Millis(100)),
             Self::BudgetExhausted => Some(Millis(500)),
             Self::BudgetOutOfReach => Some(LEADER_BACK_WITHIN),
+            Self::EndsEngines => Some(QUARANTINE_ENDS_WITHIN),
             _ => None,
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -87,7 +87,7 @@
         }
         Ok(NextEvent::End) => Ok(BegunStream { head, source, first: None }),
         Ok(NextEvent::Broken) => {
-            decision_log::engine_broke_off(context, source.hold.name(), BreakPoint::FirstEvent);
+            context.on_broken_off(source.hold.name(), BreakPoint::FirstEvent);
             source.hold.finish(AttemptEnd::Broken, None);
             Err(NoFirstEvent)
         }
@@ -145,13 +145,13 @@
                 }
                 Ok(NextEvent::End) => {
                     self.context.reservation.iter().for_each(Reservation::on_complete);
+                    self.context.on_ended_well();
                     let StreamSource { headers, hold, .. } = source;
                     return hold.finish(AttemptEnd::Answered, Some(&headers));
                 }
                 Ok(end @ (NextEvent::Broken | NextEvent::Paused)) => {
                     if matches!(end, NextEvent::Broken) {
-                        let engine = source.hold.name();
-                        decision_log::engine_broke_off(&self.context, engine, BreakPoint::Stream);
+                        self.context.on_broken_off(source.hold.name(), BreakPoint::Stream);
                     }
                     source.hold.finish(AttemptEnd::Broken, None);
                     match self.resume().await {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -15,8 +15,8 @@
 use hyper::http::request;
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use stackpost_gateway_core::{
-    Admission, AttemptEnd, Choice, PickQuery, RequestContent, RequestFingerprint, Route,
-    RouteTable, Tenant, Work,
+    Admission, AttemptEnd, Choice, CrashSighting, PickQuery, RequestContent, RequestFingerprint,
+    Route, RouteTable, Tenant, Work,
 };
 use stackpost_prepaid::Demand;
 use stackpost_types::{BackEndName, Digest, Millis, ServiceName, TenantName};
@@ -141,6 +141,7 @@
         deadline,
         arrived,
     };
+    context.refuse_if_quarantined()?;
     context.reservation = context.reserve().await?;
     context.run().await
 }
@@ -197,6 +198,38 @@
         })
     }
 
+    /// A request that has ended engines elsewhere, under another id, would end the next one here. It is
+    /// known not to be servable, so it is refused before it takes up tokens or a place.
+    fn refuse_if_quarantined(&self) -> Result<(), Refusal> {
+        if !self.is_quarantined() {
+            return Ok(());
+        }
+        decision_log::quarantined(self);
+        Err(Refusal::EndsEngines)
+    }
+
+    fn is_quarantined(&self) -> bool {
+        let mut memory = self.router.crash_memory.borrow_mut();
+        !memory.is_empty() && memory.is_quarantined(self.router.now(), &self.fingerprint())
+    }
+
+    /// An engine broke the answer off, so it may have ended under this request.
+    pub fn on_broken_off(&self, engine: &BackEndName, at: BreakPoint) {
+        decision_log::engine_broke_off(self, engine, at);
+        let sighting = CrashSighting { request: self.fingerprint(), engine: engine.clone() };
+        self.router.crash_memory.borrow_mut().on_engine_ended(self.router.now(), sighting);
+        self.router.crash_news.notify_one();
+    }
+
+    /// An engine has answered in whole, so the request is not one that ends engines.
+    pub fn on_ended_well(&self) {
+        let mut memory = self.router.crash_memory.borrow_mut();
+        if !memory.is_empty() {
+            memory.on_ended_well(&self.fingerprint());
+            self.router.crash_news.notify_one();
+        }
+    }
+
     /// Sets aside the tokens that the request may cost, if its tenant has a budget.
     async fn reserve(&self) -> Result<Option<Reservation>, Refusal> {
         let Some(generation) = self.payload.caller.generation else {
@@ -311,12 +344,12 @@
             }
             AttemptResult::Unreachable => progress.unreachable.push(name),
             AttemptResult::NotRun => progress.tried.push(name),
-            AttemptResult::Broken => {
-                decision_log::engine_broke_off(self, &name, BreakPoint::Head);
+            AttemptResult::BrokenOff => {
+                self.on_broken_off(&name, BreakPoint::Head);
                 progress.tried.push(name);
                 progress.may_have_run = true;
             }
-            AttemptResult::NoHeadInTime => {
+            AttemptResult::Spoiled | AttemptResult::NoHeadInTime => {
                 progress.tried.push(name);
                 progress.may_have_run = true;
             }
@@ -379,6 +412,7 @@
             return false;
         }
         if Instant::now() >= self.deadline
+            || self.is_quarantined()
             || progress.unreachable.len() as u32 >= MOST_UNREACHABLE
             || progress.tried.len() as u32 >= self.route.max_attempts
         {
@@ -428,7 +462,7 @@
                 return Gathered::Final(response_of(head, GatewayBody::Pieces(pieces)));
             }
             Ok(Err(())) => {
-                decision_log::engine_broke_off(self, hold.name(), BreakPoint::Body);
+                self.on_broken_off(hold.name(), BreakPoint::Body);
                 hold.finish(AttemptEnd::Broken, None);
                 progress.may_have_run = true;
                 return Gathered::Failed;
@@ -448,6 +482,7 @@
             progress.failure = Some(whole);
             return Gathered::Failed;
         }
+        self.on_ended_well();
         Gathered::Final(whole.into_response())
     }
 }
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -7,7 +7,8 @@
 use crate::metrics::RouterMetrics;
 use stackpost_coordinator::{Document, DocumentCodec, DocumentDelta};
 use stackpost_gateway_core::{
-    EngineDirectory, EnginePicker, EngineState, Placement, RetryBudget, RetryLimits, RouteTable,
+    CrashMemory, EngineDirectory, EnginePicker, EngineState, Placement, RetryBudget, RetryLimits,
+    RouteTable,
 };
 use stackpost_prepaid::{Demand, Outlook, Wallet};
 use stackpost_telemetry::Meter;
@@ -49,6 +50,10 @@
     pub(crate) picker: RefCell<EnginePicker>,
     pub(crate) wallet: RefCell<Wallet>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
+    /// Requests under which engines have ended.
+    pub(crate) crash_memory: RefCell<CrashMemory>,
+    /// Rung when control should hear of such a request.
+    pub(crate) crash_news: Notify,
     /// Budgets that are going to run out, by the leader's word.
     pub(crate) outlooks: RefCell<BTreeMap<TenantName, Outlook>>,
     pub(crate) loan_desk: LoanDesk,
@@ -86,6 +91,8 @@
             picker: RefCell::new(EnginePicker::new(settings.zone)),
             wallet: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(settings.retry_limits, ROUTERS_ASSUMED)),
+            crash_memory: RefCell::default(),
+            crash_news: Notify::new(),
             outlooks: RefCell::default(),
             loan_desk: LoanDesk::default(),
             wallet_grown: Notify::new(),
--- a/crates/gateway/tests/fleet/crashing_requests.rs
+++ b/crates/gateway/tests/fleet/crashing_requests.rs
@@ -38,11 +38,11 @@
 impl RestartingFleet {
     async fn start() -> Self {
         let fleet = Fleet::start().await;
-        let second = RefCell::new(fleet.add_router().await);
+        let second = fleet.add_router().await;
+        second.ready(fleet.engines.len()).await;
         let engines = RefCell::new(fleet.engines.to_vec());
         let started = Cell::new(fleet.engines.len());
-        second.borrow().ready(fleet.engines.len()).await;
-        Self { fleet, second, engines, started }
+        Self { fleet, second: RefCell::new(second), engines, started }
     }
 
     /// Waits until both routers know of all engines that run.
@@ -136,7 +136,8 @@
         let path = format!("/plain-stream/{}", CrashPoint::BeforeFirstEvent.word());
         let before = fleet.send_copies(&path, COPIES).await;
         let newcomer = fleet.fleet.add_router().await;
-        newcomer.ready(fleet.engines.borrow().len()).await;
+        let running = fleet.engines.borrow().len();
+        newcomer.ready(running).await;
         fleet.second.replace(newcomer);
         let got = fleet.ask(1, &path, "at-newcomer").await;
         assert_eq!(got.status, 503);
