Tell the lives of an engine apart that starts again under its id

Cause: an announcement counts as old if its count is not above the one known, and an engine that has left never comes back. An engine that starts again under its id begins its counts anew, so it was not heard until it had passed those of its former life, and never if it had left. Everything learned of the former life (load, kept prompts, connections, failures) would have been believed of the new one.

An engine's name now holds the start of its life, if the platform gives it; the engine itself is shown its id alone. All that is known by name therefore ends with the life. A newer life ends the former ones; announcements of these are old, whatever their count; a leave that does not say which life it is of ends the newest only if a late one of the former life can't be meant. Notices have the same form on the wire as before.

--- a/crates/gateway-core/src/directory.rs
+++ b/crates/gateway-core/src/directory.rs
@@ -2,7 +2,11 @@
 //!
 //! Announcements reach control replicas, which pass them on to every router. Notices of the same
 //! engine may come late, twice and from several replicas; the one with the highest sequence
-//! number wins, and an engine that has left never comes back under the same name.
+//! number wins, and a life of an engine that has left never comes back.
+//!
+//! An engine may start again under its id. Its name then tells its lives apart, and the newest one holds:
+//! its counts have begun anew, so they say nothing about which announcement is newer. A former life ends
+//! when a newer one is heard of and never comes back, and what is heard of it late ends nothing.
 //!
 //! Two engines may claim one address: an engine that has ended and its successor, of which the first
 //! may be heard of last, since announcements can be held up by a cut. A name that was not known yet takes
@@ -20,6 +24,10 @@
 /// An engine that has been silent for so long is taken for gone.
 const GIVE_UP_AFTER: Millis = Millis(180_000);
 
+/// A call of an engine may come this much late: engines give a call up after one second and may be held up
+/// by a cut of some seconds.
+const LEAVE_ON_ITS_WAY: Millis = Millis(5_000);
+
 /// Announcements in a row that give an address back to the engine that had lost it. One may have been
 /// held up; its sender's successor is heard of in between.
 const ANNOUNCEMENTS_TO_RETURN: u32 = 2;
@@ -74,6 +82,10 @@
     pub notice: EngineNotice,
     /// When it was made, by this process's clock.
     pub announced_at: Timestamp,
+    /// When the announcement before that was made; zero if there was none.
+    announced_before: Timestamp,
+    /// When this process first heard of this life, by its own clock.
+    known_since: Timestamp,
     /// Set if it is taken for gone because another engine was announced at its address.
     replaced: Option<Replaced>,
 }
@@ -133,6 +145,9 @@
     /// Takes in a notice.
     pub fn merge(&mut self, now: Timestamp, notice: EngineNotice) -> Merge {
         let announced_at = Timestamp(now.0.saturating_sub(notice.age.0));
+        if notice.state != EngineState::Gone && self.has_newer_life(&notice.engine) {
+            return Merge::Old;
+        }
         let change = match self.engines.get(&notice.engine) {
             None => Merge::Changed,
             Some(known) if known.has_left() => return Merge::Old,
@@ -153,12 +168,46 @@
         };
         if change == Merge::Changed {
             self.replace_at_address(now, &notice);
+            self.end_former_lives(now, &notice.engine);
         }
-        let record = EngineRecord { notice, announced_at, replaced: None };
-        self.engines.insert(record.notice.engine.clone(), record);
+        self.insert(now, notice, announced_at);
         change
     }
 
+    fn insert(&mut self, now: Timestamp, notice: EngineNotice, announced_at: Timestamp) {
+        let known = self.engines.get(&notice.engine);
+        let known_since = known.map_or(now, |known| known.known_since);
+        let announced_before = known.map_or(Timestamp(0), |known| known.announced_at);
+        let record =
+            EngineRecord { notice, announced_at, announced_before, known_since, replaced: None };
+        self.engines.insert(record.notice.engine.clone(), record);
+    }
+
+    /// The lives of an engine, the one that does not say when it began among them. Names sort by id, and
+    /// those of one id by what follows it.
+    fn lives<'a>(&'a self, id: &'a str) -> impl Iterator<Item = &'a EngineRecord> {
+        let from = self.engines.range(BackEndName::new(id)..);
+        let same_beginning = from.take_while(move |(name, _)| name.as_str().starts_with(id));
+        same_beginning.filter(move |(name, _)| name.id() == id).map(|(_, record)| record)
+    }
+
+    fn has_newer_life(&self, engine: &BackEndName) -> bool {
+        let born = engine.born();
+        self.lives(engine.id()).any(|record| record.notice.engine.born() > born)
+    }
+
+    fn end_former_lives(&mut self, now: Timestamp, engine: &BackEndName) {
+        let former: Vec<BackEndName> = self
+            .lives(engine.id())
+            .map(|record| &record.notice.engine)
+            .filter(|life| life.born() < engine.born())
+            .cloned()
+            .collect();
+        for life in former {
+            self.leave(now, &life);
+        }
+    }
+
     /// Counts an announcement of an engine that was taken for replaced. Returns whether it has its
     /// address back. Only announcements later than the last one of the engine in its place count.
     fn returns(&mut self, notice: &EngineNotice, announced_at: Timestamp) -> bool {
@@ -186,6 +235,19 @@
         holder.map_or(Timestamp(0), |holder| holder.announced_at)
     }
 
+    /// Which life of an engine is meant by a leave that does not say so: the newest, unless that is so new
+    /// that a leave of the one before may still be on its way.
+    pub fn life_that_leaves(&self, now: Timestamp, id: &str) -> BackEndName {
+        let mut lives: Vec<&EngineRecord> = self.lives(id).collect();
+        lives.sort_by_key(|record| std::cmp::Reverse(record.notice.engine.born()));
+        let meant = match lives.as_slice() {
+            [newest, former, ..] if now.since(newest.known_since) < LEAVE_ON_ITS_WAY => former,
+            [newest, ..] => newest,
+            [] => return BackEndName::of_life(id, None),
+        };
+        meant.notice.engine.clone()
+    }
+
     /// Notes that an engine has left and returns the notice to pass on. An engine that is not known
     /// here may be known elsewhere, so it is remembered as well.
     pub fn leave(&mut self, now: Timestamp, engine: &BackEndName) -> EngineNotice {
@@ -195,8 +257,7 @@
         };
         notice.state = EngineState::Gone;
         notice.age = Millis(0);
-        let record = EngineRecord { notice: notice.clone(), announced_at: now, replaced: None };
-        self.engines.insert(engine.clone(), record);
+        self.insert(now, notice.clone(), now);
         notice
     }
 
@@ -217,6 +278,14 @@
         }
     }
 
+    /// Whether an engine has certainly run later than `time`: it has announced itself twice since. One
+    /// announcement may have been held up on its way.
+    pub fn has_run_after(&self, engine: &BackEndName, time: Timestamp) -> bool {
+        self.engines.get(engine).is_some_and(|record| {
+            record.notice.state != EngineState::Gone && record.announced_before > time
+        })
+    }
+
     /// One engine.
     pub fn get(&self, engine: &BackEndName) -> Option<&EngineRecord> {
         self.engines.get(engine)
--- a/crates/types/src/names.rs
+++ b/crates/types/src/names.rs
@@ -77,6 +77,31 @@
     OperatorName
 );
 
+/// Stands between an engine's id and its start; no id holds it.
+const LIFE_MARK: char = '@';
+
+impl BackEndName {
+    /// Names one life of an engine that may start again under its id. `born` is the Unix millisecond of its
+    /// start; without it the id itself names the only life.
+    pub fn of_life(id: &str, born: Option<u64>) -> Self {
+        match born {
+            Some(born) => Self::new(format!("{id}{LIFE_MARK}{born}")),
+            None => Self::new(id),
+        }
+    }
+
+    /// The engine's id, the same in all its lives.
+    pub fn id(&self) -> &str {
+        self.as_str().split_once(LIFE_MARK).map_or(self.as_str(), |(id, _)| id)
+    }
+
+    /// When this life began, in Unix milliseconds; zero if the engine does not say.
+    pub fn born(&self) -> u64 {
+        let born = self.as_str().split_once(LIFE_MARK).and_then(|(_, born)| born.parse().ok());
+        born.unwrap_or(0)
+    }
+}
+
 /// Whether `text` may be used as a name: 1 to 64 bytes of letters, digits, `-`, `_` and `.`.
 pub fn is_valid_name(text: &str) -> bool {
     let allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
