Do not hold an engine's end against requests if it has announced itself since

Reports now carry the time since, and the leader passes over engines that have announced themselves twice after that. Twice, because one announcement may have been held up on its way.

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -6,7 +6,9 @@
 use crate::replica_api::{PutReply, ReadReply, ReplicaEffect, ReplicaEvent};
 use crate::replica_thread::{ReplicaHandle, ReplicaView};
 use crate::router_peers::{RouterSite, peers_of};
-use stackpost_gateway_core::{EngineDirectory, EngineNotice, Merge};
+use stackpost_gateway_core::{
+    CrashReport, CrashSighting, EngineDirectory, EngineNotice, Merge, QuarantineChange,
+};
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
 use stackpost_types::{BackEndName, MachineName, Millis, NodeId, Timestamp};
 use std::cell::RefCell;
@@ -220,9 +222,7 @@
             }
             FleetMessage::Engines(notices) => self.on_engines(notices),
             FleetMessage::RouterStatus(status) => self.on_router_status(link, peer, status),
-            FleetMessage::CrashReport(change) => {
-                self.replica.send(ReplicaEvent::CrashReport(change));
-            }
+            FleetMessage::CrashReport(report) => self.on_crash_report(report),
             FleetMessage::Farewell(spent) => {
                 self.replica.send(ReplicaEvent::RouterFarewell { router: peer, spent });
             }
@@ -265,6 +265,24 @@
         }
     }
 
+    /// A report may be old: a router that was cut off tells what it saw meanwhile.
+    fn on_crash_report(&self, report: CrashReport) {
+        let now = self.now();
+        let state = self.state.borrow();
+        let seen: Vec<CrashSighting> = report
+            .seen
+            .into_iter()
+            .filter(|(seen, age)| {
+                let at = Timestamp(now.0.saturating_sub(age.0));
+                !state.directory.has_run_after(&seen.engine, at)
+            })
+            .map(|(seen, _)| seen)
+            .collect();
+        for change in [QuarantineChange::Seen(seen), QuarantineChange::Cleared(report.cleared)] {
+            self.replica.send(ReplicaEvent::CrashReport(change));
+        }
+    }
+
     /// An engine that is known goes on announcing itself.
     fn on_still_announced(&self, engine: &BackEndName) {
         if self.replica.view().quarantine.concerns(engine) {
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -4,7 +4,7 @@
 use crate::packed_document::PackedDocument;
 use serde::{Deserialize, Serialize};
 use stackpost_consensus::Envelope;
-use stackpost_gateway_core::{EngineNotice, QuarantineChange, QuarantineNotice};
+use stackpost_gateway_core::{CrashReport, EngineNotice, QuarantineNotice};
 use stackpost_prepaid::{AccountReport, Allotment, Contact, Outlook};
 use stackpost_types::{BackEndName, NodeId, TenantName, Timestamp, Tokens};
 use std::collections::{BTreeMap, BTreeSet};
@@ -121,7 +121,7 @@
     RouterPeers(Vec<SocketAddr>),
     /// From a router to the leader: engines that ended under requests, and suspected requests that ended
     /// well.
-    CrashReport(QuarantineChange),
+    CrashReport(CrashReport),
     /// From control to a router: requests that are let in no more.
     Quarantined(QuarantineNotice),
 }
--- a/crates/gateway-core/src/crash_memory.rs
+++ b/crates/gateway-core/src/crash_memory.rs
@@ -5,7 +5,8 @@
 //! that broke, and nobody takes back what it has not told.
 
 use crate::fingerprint::RequestFingerprint;
-use crate::quarantine::{CrashSighting, ENGINES_LOST, QuarantineChange, QuarantineNotice};
+use crate::quarantine::{CrashSighting, ENGINES_LOST, QuarantineNotice};
+use serde::{Deserialize, Serialize};
 use stackpost_types::{Millis, Timestamp};
 use std::collections::{BTreeSet, VecDeque};
 
@@ -15,12 +16,28 @@
 /// Own sightings kept, the newest ones: several engines full of requests.
 const MOST_SIGHTINGS: usize = 512;
 
+/// What a router tells the leader.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// Engines that ended under requests, each with the time since.
+    pub seen: Vec<(CrashSighting, Millis)>,
+    /// Suspected requests that have ended well.
+    pub cleared: Vec<RequestFingerprint>,
+}
+
+#[derive(Clone, Debug)]
+struct OwnSighting {
+    at: Timestamp,
+    sighting: CrashSighting,
+    told: bool,
+}
+
 /// One router's knowledge.
 #[derive(Clone, Debug, Default)]
 pub struct CrashMemory {
     notice: QuarantineNotice,
-    own: VecDeque<(Timestamp, CrashSighting)>,
-    untold: Vec<QuarantineChange>,
+    own: VecDeque<OwnSighting>,
+    cleared: BTreeSet<RequestFingerprint>,
 }
 
 impl CrashMemory {
@@ -36,8 +53,9 @@
         if self.notice.quarantined.contains(request) {
             return true;
         }
-        let seen = self.own.iter().filter(|(_, seen)| seen.request == *request);
-        let engines: BTreeSet<_> = seen.map(|(_, seen)| &seen.engine).collect();
+        let seen = self.own.iter().map(|own| &own.sighting);
+        let engines: BTreeSet<_> =
+            seen.filter(|seen| seen.request == *request).map(|seen| &seen.engine).collect();
         engines.len() >= ENGINES_LOST
     }
 
@@ -47,16 +65,16 @@
         if self.own.len() >= MOST_SIGHTINGS {
             self.own.pop_front();
         }
-        self.own.push_back((now, sighting.clone()));
-        self.untold.push(QuarantineChange::Seen(vec![sighting]));
+        self.cleared.remove(&sighting.request);
+        self.own.push_back(OwnSighting { at: now, sighting, told: false });
     }
 
     /// A request has ended well, so it does not end engines.
     pub fn on_ended_well(&mut self, request: &RequestFingerprint) {
         let before = self.own.len();
-        self.own.retain(|(_, seen)| seen.request != *request);
+        self.own.retain(|own| own.sighting.request != *request);
         if before > self.own.len() || self.notice.names(request) {
-            self.untold.push(QuarantineChange::Cleared(vec![*request]));
+            self.cleared.insert(*request);
         }
     }
 
@@ -72,22 +90,24 @@
         self.notice.quarantined.len()
     }
 
-    /// What control has not been told. Counts as told.
-    pub fn take_untold(&mut self) -> Vec<QuarantineChange> {
-        std::mem::take(&mut self.untold)
+    /// What the leader has not been told, if anything. Counts as told.
+    pub fn take_report(&mut self, now: Timestamp) -> Option<CrashReport> {
+        let untold = self.own.iter().filter(|own| !own.told);
+        let seen: Vec<_> = untold.map(|own| (own.sighting.clone(), now.since(own.at))).collect();
+        self.own.iter_mut().for_each(|own| own.told = true);
+        let cleared: Vec<_> = std::mem::take(&mut self.cleared).into_iter().collect();
+        let is_news = !seen.is_empty() || !cleared.is_empty();
+        is_news.then_some(CrashReport { seen, cleared })
     }
 
     /// Another control process leads; the one before may not have passed on what it was told.
-    pub fn on_new_leader(&mut self) {
-        let own: Vec<CrashSighting> = self.own.iter().map(|(_, seen)| seen.clone()).collect();
-        self.untold.retain(|change| matches!(change, QuarantineChange::Cleared(_)));
-        if !own.is_empty() {
-            self.untold.push(QuarantineChange::Seen(own));
-        }
+    pub fn on_new_leader(&mut self, now: Timestamp) {
+        self.forget_old(now);
+        self.own.iter_mut().for_each(|own| own.told = false);
     }
 
     fn forget_old(&mut self, now: Timestamp) {
-        while self.own.front().is_some_and(|(at, _)| now.since(*at) >= OWN_MEMORY) {
+        while self.own.front().is_some_and(|own| now.since(own.at) >= OWN_MEMORY) {
             self.own.pop_front();
         }
     }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -26,7 +26,7 @@
     ClientLimits, ConfigError, EngineProfile, Route, RouteKind, RoutingConfig, Service, Split,
     Tenant,
 };
-pub use crash_memory::CrashMemory;
+pub use crash_memory::{CrashMemory, CrashReport};
 pub use directory::{EngineDirectory, EngineNotice, EngineRecord, EngineState, Merge};
 pub use engine_load::{EngineLoad, EngineNews, Estimate, Placement, Work};
 pub use event_stream::{Event, EventSplitter};
--- a/crates/gateway-core/tests/quarantine.rs
+++ b/crates/gateway-core/tests/quarantine.rs
@@ -118,12 +118,13 @@
 fn what_a_leader_may_not_have_passed_on_is_told_to_the_next_one() {
     let mut memory = CrashMemory::default();
     memory.on_engine_ended(Timestamp(1_000), seen(1, 0));
-    memory.on_engine_ended(Timestamp(1_000), seen(2, 0));
-    assert_eq!(memory.take_untold().len(), 2);
-    assert!(memory.take_untold().is_empty());
-    memory.on_new_leader();
-    let both = QuarantineChange::Seen(vec![seen(1, 0), seen(2, 0)]);
-    assert_eq!(memory.take_untold(), [both]);
+    memory.on_engine_ended(Timestamp(1_200), seen(2, 0));
+    let report = memory.take_report(Timestamp(1_300)).expect("news");
+    assert_eq!(report.seen, [(seen(1, 0), Millis(300)), (seen(2, 0), Millis(100))]);
+    assert_eq!(memory.take_report(Timestamp(1_300)), None);
+    memory.on_new_leader(Timestamp(5_000));
+    let report = memory.take_report(Timestamp(5_000)).expect("told again");
+    assert_eq!(report.seen, [(seen(1, 0), Millis(4_000)), (seen(2, 0), Millis(3_800))]);
 }
 
 #[test]
@@ -143,15 +144,15 @@
 
 #[test]
 fn a_suspected_request_that_ends_well_is_reported_once_and_others_never() {
-    let mut memory = CrashMemory::default();
-    memory.on_engine_ended(Timestamp(1_000), seen(1, 0));
-    memory.take_untold();
+    let (now, mut memory) = (Timestamp(1_000), CrashMemory::default());
+    memory.on_engine_ended(now, seen(1, 0));
+    memory.take_report(now);
     memory.on_ended_well(&request(2));
-    assert!(memory.take_untold().is_empty());
+    assert_eq!(memory.take_report(now), None);
     memory.on_ended_well(&request(1));
-    assert_eq!(memory.take_untold(), [QuarantineChange::Cleared(vec![request(1)])]);
+    assert_eq!(memory.take_report(now).expect("news").cleared, [request(1)]);
     memory.on_ended_well(&request(1));
-    assert!(memory.take_untold().is_empty());
+    assert_eq!(memory.take_report(now), None);
 }
 
 proptest! {
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -258,7 +258,7 @@
             if leader_is_new {
                 self.reported.borrow_mut().clear();
                 self.report();
-                self.router.crash_memory.borrow_mut().on_new_leader();
+                self.router.crash_memory.borrow_mut().on_new_leader(self.router.now());
                 self.report_crashes();
             }
         } else if self.leader.get() == Some(link) {
@@ -318,8 +318,9 @@
         let Some(leader) = self.leader.get() else {
             return;
         };
-        for change in self.router.crash_memory.borrow_mut().take_untold() {
-            self.mesh.send(leader, &FleetMessage::CrashReport(change));
+        let report = self.router.crash_memory.borrow_mut().take_report(self.router.now());
+        if let Some(report) = report {
+            self.mesh.send(leader, &FleetMessage::CrashReport(report));
         }
     }
 
