Take an engine's announcement whole or refuse it, naming the field

Cause: a missing count, missing slots and a missing zone were taken for 0 and empty, any unknown state for draining, any service was kept, and a body that could not be read was answered without a line. An announcement from another writer could so drain an engine, move it to another service, or take its address from it.

Nothing that is known changes by a refusal. One line a second names the field and counts those held back. A leave may say which life it is of.

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -7,7 +7,7 @@
 use crate::replica_thread::{ReplicaHandle, ReplicaView};
 use crate::router_peers::{RouterSite, peers_of};
 use stackpost_gateway_core::{
-    CrashReport, CrashSighting, EngineDirectory, EngineNotice, Merge, QuarantineChange,
+    CrashReport, CrashSighting, EngineDirectory, EngineNotice, EngineState, Merge, QuarantineChange,
 };
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
 use stackpost_types::{BackEndName, MachineName, Millis, NodeId, Timestamp};
@@ -17,6 +17,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
@@ -36,6 +37,17 @@
     pub seeds: Vec<SocketAddr>,
 }
 
+/// Why an announcement is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum NotAnEngine {
+    /// The configuration in force names no such service.
+    #[error("the configuration names no such service")]
+    UnknownService,
+    /// The engine is known to belong to another service.
+    #[error("the engine belongs to another service")]
+    OtherService,
+}
+
 /// A control process. Cheap to clone; must be used inside a Tokio `LocalSet`.
 #[derive(Clone)]
 pub struct ControlNode {
@@ -112,7 +124,12 @@
     }
 
     /// Takes in an engine's announcement. A change is on its way to everyone when this returns.
-    pub fn announce(&self, notice: EngineNotice) {
+    ///
+    /// # Errors
+    ///
+    /// The announcement can't be one of an engine of this fleet. Nothing has changed.
+    pub fn announce(&self, notice: EngineNotice) -> Result<(), NotAnEngine> {
+        self.check(&notice)?;
         let now = self.now();
         let name = notice.engine.clone();
         let state = &mut *self.state.borrow_mut();
@@ -128,13 +145,32 @@
                 self.mesh.send_all(state.links.one_to_everyone(now), &message);
             }
         }
+        Ok(())
     }
 
-    /// Takes in that an engine has left.
-    pub fn engine_left(&self, engine: &BackEndName) {
+    /// An engine keeps its service for life, and there are none of services that nobody has configured.
+    fn check(&self, notice: &EngineNotice) -> Result<(), NotAnEngine> {
+        let services = self.replica.view().services;
+        if services.is_some_and(|services| !services.contains(&notice.service)) {
+            return Err(NotAnEngine::UnknownService);
+        }
+        let state = self.state.borrow();
+        let known = state.directory.get(&notice.engine).map(|record| &record.notice);
+        let same = known.is_none_or(|known| {
+            known.state == EngineState::Gone || known.service == notice.service
+        });
+        if same { Ok(()) } else { Err(NotAnEngine::OtherService) }
+    }
+
+    /// Takes in that the engine `id` has left; `born` names the life, if that is known.
+    pub fn engine_left(&self, id: &str, born: Option<u64>) {
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
-        let notice = state.directory.leave(now, engine);
+        let engine = match born {
+            Some(_) => BackEndName::of_life(id, born),
+            None => state.directory.life_that_leaves(now, id),
+        };
+        let notice = state.directory.leave(now, &engine);
         log::info!(engine = engine.as_str(); "engine left");
         let message = FleetMessage::Engines(vec![notice]);
         self.mesh.send_all(state.links.one_to_everyone(now), &message);
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -23,7 +23,7 @@
 mod state;
 mod voters;
 
-pub use control_node::{ControlNode, ControlSettings};
+pub use control_node::{ControlNode, ControlSettings, NotAnEngine};
 pub use document_delta::DocumentDelta;
 pub use links::{Link, Links};
 pub use message::{ClockEcho, ControlStatus, Document, FleetMessage, RouterStatus};
--- a/crates/coordinator/src/replica_thread.rs
+++ b/crates/coordinator/src/replica_thread.rs
@@ -5,7 +5,8 @@
 use crate::replica_api::{ReplicaConfig, ReplicaEffect, ReplicaError, ReplicaEvent};
 use stackpost_gateway_core::Quarantine;
 use stackpost_storage::{DiskError, FileDisk, StoreError};
-use stackpost_types::{MachineName, Timestamp};
+use stackpost_types::{MachineName, ServiceName, Timestamp};
+use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
@@ -28,6 +29,8 @@
     pub leader: Option<MachineName>,
     /// The configuration in force.
     pub document: Option<Document>,
+    /// The services that it names; `None` if there is none.
+    pub services: Option<Arc<BTreeSet<ServiceName>>>,
     /// Requests under which engines have ended.
     pub quarantine: Arc<Quarantine>,
 }
@@ -149,6 +152,7 @@
             let document_is_new = view.document_version() != version;
             if document_is_new {
                 view.document = replica.state().document.clone();
+                view.services = view.document.as_ref().and_then(|document| self.services(document));
             }
             let quarantine = &replica.state().quarantine;
             let quarantine_is_new = view.quarantine.revision() != quarantine.revision();
@@ -162,6 +166,13 @@
         });
     }
 
+    /// The services that a document names. Every document in force has been read before.
+    fn services(&self, document: &Document) -> Option<Arc<BTreeSet<ServiceName>>> {
+        let config = self.config.codec.decode(&document.bytes);
+        let config = config.inspect_err(|error| log::error!(step = "decode"; "{error}")).ok()?;
+        Some(Arc::new(config.services.into_keys().collect()))
+    }
+
     fn now(&self) -> Timestamp {
         reading(self.started)
     }
--- a/crates/gateway/tests/fleet/crashing_requests.rs
+++ b/crates/gateway/tests/fleet/crashing_requests.rs
@@ -61,7 +61,7 @@
             .into_iter()
             .partition::<Vec<_>, _>(|engine| engine.has_crashed.get());
         self.engines.replace(running);
-        ended.iter().for_each(|engine| self.fleet.control.engine_left(&engine.name));
+        ended.iter().for_each(|engine| self.fleet.control.engine_left(engine.name.id(), None));
         self.all_known().await;
         for _ in ended {
             self.started.set(self.started.get() + 1);
--- a/crates/gateway/tests/fleet/requests.rs
+++ b/crates/gateway/tests/fleet/requests.rs
@@ -1,8 +1,8 @@
 //! Requests through a router on real sockets.
 
 use crate::support::*;
-use stackpost_coordinator::PutReply;
-use stackpost_gateway_core::EngineState;
+use stackpost_coordinator::{NotAnEngine, PutReply};
+use stackpost_gateway_core::{EngineNotice, EngineState};
 use std::time::Duration;
 
 #[test]
@@ -150,6 +150,25 @@
     });
 }
 
+#[test]
+fn an_announcement_that_names_no_engine_of_the_fleet_changes_nothing() {
+    play(async {
+        let fleet = Fleet::start().await;
+        let genuine = fleet.notice(&fleet.engines[0], 2, EngineState::Ready);
+        let other_service = EngineNotice { service: "others".into(), ..genuine.clone() };
+        let other_engine = EngineNotice { engine: "foreign".into(), ..other_service.clone() };
+        for notice in [other_service, other_engine] {
+            let refused = fleet.control.announce(notice);
+            assert_eq!(refused, Err(NotAnEngine::UnknownService));
+        }
+        assert_eq!(fleet.control.announce(genuine), Ok(()));
+        for number in 0..6 {
+            assert_eq!(fleet.ask("/once/1", &format!("f{number}")).await.status, 200);
+        }
+        assert_eq!(fleet.router.known_engines(), 2);
+    });
+}
+
 #[test]
 fn an_engine_that_drains_gets_nothing_new() {
     play(async {
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -495,7 +495,12 @@
     }
 
     pub fn announce(&self, engine: &Engine, sequence: u64, state: EngineState) {
-        self.control.announce(EngineNotice {
+        self.control.announce(self.notice(engine, sequence, state)).expect("an engine");
+    }
+
+    /// What an engine says of itself.
+    pub fn notice(&self, engine: &Engine, sequence: u64, state: EngineState) -> EngineNotice {
+        EngineNotice {
             engine: engine.name.clone(),
             sequence,
             service: "engines".into(),
@@ -504,7 +509,7 @@
             slots: 8,
             state,
             age: Millis(0),
-        });
+        }
     }
 
     pub fn behave(&self, first: Behaviour, second: Behaviour) {
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,10 +1,12 @@
 //! Logs by `log` and `fern`, metrics by `opentelemetry` in Prometheus' text format.
 
 mod json_lines;
+mod line_limit;
 mod logs;
 mod metrics;
 
 pub use json_lines::JsonLines;
+pub use line_limit::LineLimit;
 pub use logs::{start_json_lines, start_logs};
 pub use metrics::MetricsRegistry;
 pub use opentelemetry::KeyValue;
