Rest leases, rights, ages and deadlines on a clock that counts suspension

Cause: Instant and CLOCK_MONOTONIC stand still while a machine is suspended. A leader that wakes would hold its lease for valid while another leads, a router would take its last contact for a moment ago, and a control replica that was suspended would put the end of a router life too early and charge too little.

BootInstant reads CLOCK_BOOTTIME; it is a type of its own, and the only source of the timestamps that decisions take.

Reads were safe before: a round of the quorum confirms them. Not shown: a router under a clock that a test stops.

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -6,6 +6,7 @@
 use crate::replica_api::{PutReply, ReadReply, ReplicaEffect, ReplicaEvent};
 use crate::replica_thread::{ReplicaHandle, ReplicaView};
 use crate::router_peers::{RouterSite, peers_of};
+use stackpost_clock::BootInstant;
 use stackpost_gateway_core::{
     CrashReport, CrashSighting, EngineDirectory, EngineNotice, EngineState, Merge, QuarantineChange,
 };
@@ -16,7 +17,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval, timeout};
@@ -54,7 +55,7 @@
     mesh: Mesh<FleetMessage>,
     replica: ReplicaHandle,
     own_address: SocketAddr,
-    started: Instant,
+    started: BootInstant,
     state: Rc<RefCell<ControlState>>,
 }
 
@@ -86,7 +87,7 @@
             mesh,
             replica,
             own_address: settings.mesh_address,
-            started: Instant::now(),
+            started: BootInstant::now(),
             state: Rc::new(RefCell::new(state)),
         };
         node.add_seeds(&settings.seeds);
--- a/crates/coordinator/src/replica_thread.rs
+++ b/crates/coordinator/src/replica_thread.rs
@@ -3,6 +3,7 @@
 use crate::message::Document;
 use crate::replica::Replica;
 use crate::replica_api::{ReplicaConfig, ReplicaEffect, ReplicaError, ReplicaEvent};
+use stackpost_clock::BootInstant;
 use stackpost_gateway_core::Quarantine;
 use stackpost_storage::{DiskError, FileDisk, StoreError};
 use stackpost_types::{MachineName, ServiceName, Timestamp};
@@ -24,7 +25,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaView {
     /// Until when it certainly leads.
-    pub lease_until: Option<Instant>,
+    pub lease_until: Option<BootInstant>,
     /// The leader, if known.
     pub leader: Option<MachineName>,
     /// The configuration in force.
@@ -38,7 +39,7 @@
 impl ReplicaView {
     /// Whether the replica certainly leads.
     pub fn leads(&self) -> bool {
-        self.lease_until.is_some_and(|until| Instant::now() < until)
+        self.lease_until.is_some_and(|until| BootInstant::now() < until)
     }
 
     /// Version of the configuration in force; zero if there is none.
@@ -52,7 +53,7 @@
 pub struct ReplicaHandle {
     events: Sender<ReplicaEvent>,
     view: watch::Receiver<ReplicaView>,
-    started: Instant,
+    started: BootInstant,
 }
 
 impl ReplicaHandle {
@@ -77,7 +78,7 @@
 pub struct ReplicaThread {
     config: ReplicaConfig,
     folder: PathBuf,
-    started: Instant,
+    started: BootInstant,
     events: Receiver<ReplicaEvent>,
     effects: mpsc::UnboundedSender<ReplicaEffect>,
     view: watch::Sender<ReplicaView>,
@@ -93,7 +94,7 @@
         let (effects, effect_receiver) = mpsc::unbounded_channel();
         let (view, view_receiver) = watch::channel(ReplicaView::default());
         let folder = folder.to_path_buf();
-        let started = Instant::now();
+        let started = BootInstant::now();
         let thread = Self { config, folder, started, events, effects, view };
         std::thread::Builder::new().name("replica".into()).spawn(move || thread.run())?;
         Ok((ReplicaHandle { events: event_sender, view: view_receiver, started }, effect_receiver))
@@ -177,7 +178,7 @@
         reading(self.started)
     }
 
-    fn instant(&self, time: Timestamp) -> Instant {
+    fn instant(&self, time: Timestamp) -> BootInstant {
         self.started + Duration::from_millis(time.0.saturating_sub(CLOCK_START))
     }
 }
@@ -186,7 +187,7 @@
 /// timers.
 const CLOCK_START: u64 = 1_000;
 
-fn reading(started: Instant) -> Timestamp {
+fn reading(started: BootInstant) -> Timestamp {
     Timestamp(started.elapsed().as_millis() as u64 + CLOCK_START)
 }
 
--- a/crates/coordinator/tests/support/mod.rs
+++ b/crates/coordinator/tests/support/mod.rs
@@ -55,13 +55,18 @@
     pub replica: Option<Replica<MemoryDisk>>,
     pub up_at: u64,
     pub zone: ZoneName,
+    /// Until when the machine is suspended: it does nothing, and what is sent to it waits.
+    pub suspended_until: u64,
+    /// What its clock has missed. Zero, unless the clock stands still in suspension.
+    pub clock_behind: u64,
 }
 
 impl Machine {
     fn empty(machine: usize, zone: usize) -> Self {
         let zone = ZoneName::new(format!("zone-{zone}"));
         let disk = MemoryDisk::default();
-        Self { name: name(machine), disk, replica: None, up_at: 0, zone }
+        let name = name(machine);
+        Self { name, disk, replica: None, up_at: 0, zone, suspended_until: 0, clock_behind: 0 }
     }
 }
 
@@ -178,10 +183,34 @@
 
     /// The machine that certainly leads.
     pub fn leader(&self) -> Option<usize> {
-        let now = Timestamp(self.now);
-        let leads =
-            |machine: &Machine| machine.replica.as_ref().is_some_and(|held| held.leads(now));
-        self.machines.iter().position(leads)
+        self.leading().first().copied()
+    }
+
+    /// Suspends a machine. `clock_goes_on` tells whether the clock that its replica reads counts that
+    /// time.
+    pub fn suspend(&mut self, machine: usize, time: u64, clock_goes_on: bool) {
+        self.machines[machine].suspended_until = self.now + time;
+        if !clock_goes_on {
+            self.machines[machine].clock_behind += time;
+        }
+    }
+
+    fn is_suspended(&self, machine: usize) -> bool {
+        self.now < self.machines[machine].suspended_until
+    }
+
+    /// What a machine's clock shows.
+    fn clock(&self, machine: usize) -> Timestamp {
+        Timestamp(self.now - self.machines[machine].clock_behind)
+    }
+
+    /// The machines that hold themselves for the leader, by their own clocks.
+    pub fn leading(&self) -> Vec<usize> {
+        let leads = |machine: &usize| {
+            let replica = self.machines[*machine].replica.as_ref();
+            replica.is_some_and(|replica| replica.leads(self.clock(*machine)))
+        };
+        (0..self.machines.len()).filter(leads).collect()
     }
 
     pub fn stop(&mut self, machine: usize, down: u64) {
@@ -190,7 +219,7 @@
     }
 
     pub fn give(&mut self, machine: usize, event: ReplicaEvent) {
-        let now = Timestamp(self.now);
+        let now = self.clock(machine);
         let Some(replica) = &mut self.machines[machine].replica else {
             return;
         };
@@ -266,12 +295,21 @@
             return false;
         };
         let (to, envelope) = entry.remove();
+        if self.is_suspended(to) {
+            self.sent += 1;
+            let wakes_at = self.machines[to].suspended_until;
+            self.mail.insert((wakes_at, self.sent), (to, envelope));
+            return true;
+        }
         self.give(to, ReplicaEvent::Raft(envelope));
         true
     }
 
     fn tick_all(&mut self) {
         for machine in 0..self.machines.len() {
+            if self.is_suspended(machine) {
+                continue;
+            }
             let down = self.machines[machine].replica.is_none();
             if down && self.now >= self.machines[machine].up_at {
                 self.start(machine);
@@ -284,9 +322,7 @@
     }
 
     pub fn leaders(&self) -> usize {
-        let now = Timestamp(self.now);
-        let replicas = self.machines.iter().filter_map(|machine| machine.replica.as_ref());
-        replicas.filter(|replica| replica.leads(now)).count()
+        self.leading().into_iter().filter(|machine| !self.is_suspended(*machine)).count()
     }
 
     fn reachable(&self, machine: usize) -> BTreeMap<MachineName, ZoneName> {
--- /dev/null
+++ b/crates/gateway/src/deadline.rs
@@ -0,0 +1,36 @@
+//! When the time of a request is over, on both clocks.
+
+use stackpost_clock::BootInstant;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// The end of a request's time. Timers wait for it on the monotonic clock; what an engine is told, and
+/// whether another attempt makes sense, rests on the clock that goes on while the machine is suspended: the
+/// caller's does.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Deadline {
+    timer: Instant,
+    over: BootInstant,
+}
+
+impl Deadline {
+    /// `wait` from now on.
+    pub fn after(wait: Duration) -> Self {
+        Self { timer: Instant::now() + wait, over: BootInstant::now() + wait }
+    }
+
+    /// The moment for timers.
+    pub fn timer(self) -> Instant {
+        self.timer
+    }
+
+    /// What is left of the time.
+    pub fn left(self) -> Duration {
+        self.over.since(BootInstant::now())
+    }
+
+    /// Whether the time is over.
+    pub fn is_over(self) -> bool {
+        self.left().is_zero()
+    }
+}
--- a/crates/gateway/src/engine_pool.rs
+++ b/crates/gateway/src/engine_pool.rs
@@ -5,13 +5,14 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
+use stackpost_clock::BootInstant;
 use stackpost_gateway_core::{EngineDirectory, EngineRecord, EngineState};
 use stackpost_types::BackEndName;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
@@ -46,7 +47,7 @@
 
 struct Resting {
     connection: EngineConnection,
-    since: Instant,
+    since: BootInstant,
     limit: Duration,
 }
 
@@ -84,7 +85,7 @@
             return connection.close();
         }
         connection.reused = true;
-        of_engine.push(Resting { connection, since: Instant::now(), limit });
+        of_engine.push(Resting { connection, since: BootInstant::now(), limit });
     }
 
     /// Closes connections that have rested too long or whose engines have left.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod body;
 pub mod congestion;
+mod deadline;
 mod decision_log;
 mod dialect;
 mod engine_pool;
--- a/crates/gateway/src/machine_clock.rs
+++ b/crates/gateway/src/machine_clock.rs
@@ -1,6 +1,6 @@
-//! The steady clock of the machine, which goes on while processes restart.
+//! The clock of the machine, which goes on while processes restart and while the machine is suspended.
 
-use rustix::time::{ClockId, clock_gettime};
+use stackpost_clock::BootInstant;
 use stackpost_prepaid::{Contact, SteadyTime};
 use stackpost_types::Digest;
 
@@ -9,9 +9,8 @@
 
 /// This moment in the life of the machine.
 pub(crate) fn machine_time() -> Contact {
-    let reading = clock_gettime(ClockId::Monotonic);
-    let millis = reading.tv_sec as u64 * 1_000 + reading.tv_nsec as u64 / 1_000_000;
-    Contact { boot: boot(), at: SteadyTime(millis) }
+    let since_boot = BootInstant::now().since_boot();
+    Contact { boot: boot(), at: SteadyTime(since_boot.as_millis() as u64) }
 }
 
 /// Read once: it can't change while this process lives.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -79,7 +79,7 @@
     let EngineAnswer { head, body, hold } = answer;
     let headers = head.headers.clone();
     let mut source = StreamSource { body, headers, hold, splitter: EventSplitter::default() };
-    match timeout_at(context.deadline, source.next()).await {
+    match timeout_at(context.deadline.timer(), source.next()).await {
         Ok(NextEvent::Event(event)) => {
             let took = source.hold.on_first_event();
             decision_log::first_event(context, &source.hold, took);
@@ -171,7 +171,7 @@
             biased;
             next = timeout_at(until, source.next()) => match next {
                 Ok(next) => Ok(next),
-                Err(_) if until >= self.context.deadline => Err(Stopped::TimeOver),
+                Err(_) if until >= self.context.deadline.timer() => Err(Stopped::TimeOver),
                 Err(_) => Ok(NextEvent::Paused),
             },
             () = self.sender.closed() => Err(Stopped::CallerGone),
@@ -182,11 +182,11 @@
         let route = &self.context.route;
         let attempts_left = (self.progress.tried.len() as u32) < route.max_attempts;
         if !route.kind.may_repeat() || !attempts_left {
-            return self.context.deadline;
+            return self.context.deadline.timer();
         }
         let objective = Duration::from_millis(self.context.gap_objective().0);
         let patience = objective * GAP_PATIENCE_PERCENT as u32 / 100;
-        self.context.deadline.min(Instant::now() + patience)
+        self.context.deadline.timer().min(Instant::now() + patience)
     }
 
     fn note_pause(&mut self, source: &StreamSource) {
@@ -205,7 +205,7 @@
         self.last_event = event.id.or(self.last_event);
         self.context.reservation.iter().for_each(Reservation::on_event);
         let sending = self.sender.send(Ok(event.bytes));
-        match timeout_at(self.context.deadline, sending).await {
+        match timeout_at(self.context.deadline.timer(), sending).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) => Err(Stopped::CallerGone),
             Err(_) => Err(Stopped::TimeOver),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -2,6 +2,7 @@
 
 use crate::attempt::{self, AttemptResult, EngineAnswer, Payload, strip_connection_headers};
 use crate::body::GatewayBody;
+use crate::deadline::Deadline;
 use crate::decision_log::{self, BreakPoint};
 use crate::dialect::{CallerRequest, EngineAddressing, Generation};
 use crate::refusal::Refusal;
@@ -50,7 +51,7 @@
     pub payload: Payload,
     pub reservation: Option<Reservation>,
     /// When the time for the request is over.
-    pub deadline: Instant,
+    pub deadline: Deadline,
     pub arrived: Instant,
 }
 
@@ -119,10 +120,10 @@
     }
     let (route, tenant) = (route.clone(), tenant.cloned());
     let wait = caller.wait.unwrap_or(DEFAULT_WAIT);
-    let deadline = arrived + Duration::from_millis(wait.0.min(route.timeout.0));
+    let deadline = Deadline::after(Duration::from_millis(wait.0.min(route.timeout.0)));
     let limit = table.config().limits.max_body_bytes;
-    let body =
-        timeout_at(deadline, read_body(body, limit)).await.map_err(|_| Refusal::TimeOver)??;
+    let reading = timeout_at(deadline.timer(), read_body(body, limit));
+    let body = reading.await.map_err(|_| Refusal::TimeOver)??;
     let service = route.service_for(&caller.id).clone();
     router.retry_budget.borrow_mut().note_request(router.now(), &service);
     let mut headers = head.headers;
@@ -244,7 +245,7 @@
             return Err(self.out_of_reach(Refusal::BudgetExhausted));
         }
         let wait = Duration::from_millis(self.route.objective.0 * TOKEN_WAIT_PERCENT / 100);
-        let wait_until = self.deadline.min(self.arrived + wait);
+        let wait_until = self.deadline.timer().min(self.arrived + wait);
         let per_event = self.tokens_per_event();
         Reservation::make(&self.router, &tenant.name, generation, per_event, wait_until)
             .await
@@ -310,8 +311,7 @@
         last_event: Option<u64>,
     ) -> Option<EngineAnswer> {
         let name = choice.engine.notice.engine.clone();
-        let remaining = |until: Instant| until.saturating_duration_since(Instant::now());
-        let wait = Millis(remaining(self.deadline).as_millis() as u64);
+        let wait = Millis(self.deadline.left().as_millis() as u64);
         let tenant = self.tenant.as_ref();
         let priority = tenant.and_then(|tenant| tenant.priority).unwrap_or(self.route.priority);
         let addressing = EngineAddressing {
@@ -365,11 +365,11 @@
     fn head_until(&self, progress: &Progress) -> Instant {
         let last = progress.tried.len() as u32 + 1 >= self.route.max_attempts;
         if last || !self.route.kind.may_repeat() {
-            return self.deadline;
+            return self.deadline.timer();
         }
         let now = Instant::now();
         let patience = Duration::from_millis(self.route.objective.0 * PATIENCE_PERCENT / 100);
-        let half = self.deadline.saturating_duration_since(now) / 2;
+        let half = self.deadline.left() / 2;
         now + patience.min(half)
     }
 
@@ -411,7 +411,7 @@
         if progress.may_have_run && !self.route.kind.may_repeat() {
             return false;
         }
-        if Instant::now() >= self.deadline
+        if self.deadline.is_over()
             || self.is_quarantined()
             || progress.unreachable.len() as u32 >= MOST_UNREACHABLE
             || progress.tried.len() as u32 >= self.route.max_attempts
@@ -428,7 +428,7 @@
         if let Some(failure) = progress.failure.take() {
             return Ok(failure.into_response());
         }
-        let time_is_over = Instant::now() >= self.deadline;
+        let time_is_over = self.deadline.is_over();
         Err(match (progress.may_have_run, time_is_over) {
             (true, true) => Refusal::TimeOverUnknown,
             (true, false) => Refusal::AnswerLost,
@@ -454,11 +454,11 @@
             }
             Ok::<bool, ()>(true)
         };
-        match timeout_at(self.deadline, reading).await {
+        match timeout_at(self.deadline.timer(), reading).await {
             Ok(Ok(true)) => {}
             Ok(Ok(false)) => {
                 let start = whole.freeze();
-                let pieces = relay::pass_on(self.deadline, start, body, hold);
+                let pieces = relay::pass_on(self.deadline.timer(), start, body, hold);
                 return Gathered::Final(response_of(head, GatewayBody::Pieces(pieces)));
             }
             Ok(Err(())) => {
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -5,6 +5,7 @@
 use crate::engine_pool::EnginePool;
 use crate::loans::LoanDesk;
 use crate::metrics::RouterMetrics;
+use stackpost_clock::BootInstant;
 use stackpost_coordinator::{Document, DocumentCodec, DocumentDelta};
 use stackpost_gateway_core::{
     CrashMemory, EngineDirectory, EnginePicker, EngineState, Placement, RetryBudget, RetryLimits,
@@ -69,9 +70,9 @@
     table: RefCell<Option<Rc<RouteTable>>>,
     confirmed: Cell<bool>,
     leader_heard_at: Cell<Option<Timestamp>>,
-    draining_since: Cell<Option<Instant>>,
+    draining_since: Cell<Option<BootInstant>>,
     pub(crate) congestion: Congestion,
-    started: Instant,
+    started: BootInstant,
 }
 
 impl Router {
@@ -105,11 +106,11 @@
             leader_heard_at: Cell::new(None),
             draining_since: Cell::new(None),
             congestion: Congestion::default(),
-            started: Instant::now(),
+            started: BootInstant::now(),
         })
     }
 
-    /// The router's clock. Zero stands for "never", so it starts a little later.
+    /// The router's clock, which goes on while the machine is suspended. Zero stands for "never", so it starts a little later.
     pub fn now(&self) -> Timestamp {
         Timestamp(self.started.elapsed().as_millis() as u64 + 1_000)
     }
@@ -166,7 +167,7 @@
 
     /// Begins a planned stop.
     pub fn begin_drain(&self) {
-        self.draining_since.set(Some(Instant::now()));
+        self.draining_since.set(Some(BootInstant::now()));
     }
 
     /// Whether a planned stop has begun.
