--- a/crates/gateway-core/src/picker.rs
+++ b/crates/gateway-core/src/picker.rs
@@ -35,6 +35,10 @@
 /// Load that an engine may always have, in requests of this router.
 const LOAD_SLACK: u64 = 2;
 
+/// Engines whose load is kept: four times the largest fleet. What other routers say may be of an engine that
+/// is not announced here yet, and anyone may send a datagram; what stays unknown is forgotten in seconds.
+const MOST_LOADS: usize = 4_096;
+
 /// How an attempt at an engine ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptEnd {
@@ -187,6 +191,9 @@
 
     /// Takes in what another router says of its requests at an engine.
     pub fn on_news(&mut self, now: Timestamp, router: u64, engine: BackEndName, news: &EngineNews) {
+        if self.loads.len() >= MOST_LOADS && !self.loads.contains_key(&engine) {
+            return;
+        }
         let load = self.loads.entry(engine).or_default();
         load.on_news(now, self.usual_speed, router, news);
     }
--- a/crates/gateway-core/tests/placement.rs
+++ b/crates/gateway-core/tests/placement.rs
@@ -182,3 +182,23 @@
     assert_eq!(load.running(START + Millis(1_000)), 9.0);
     assert_eq!(load.running(START + Millis(4_500)), 0.0);
 }
+
+/// Anyone may send what looks like news from another router.
+#[test]
+fn news_of_engines_that_nobody_knows_is_bounded() {
+    let mut picker = EnginePicker::new("hall".into());
+    let mut teller = EnginePicker::new("hall".into());
+    let choice = pick(&teller, START, &directory(&["e1"]), 1, work(0, 1_000));
+    teller.on_start(START, &choice.engine.notice.engine, choice.placement.as_ref());
+    let (_, news) = teller.take_news(false).pop().expect("something to tell");
+    for number in 0..10_000 {
+        picker.on_news(START, 7, BackEndName::new(format!("x{number}")), &news);
+    }
+    let kept = (0..10_000).filter(|number| {
+        let engine = BackEndName::new(format!("x{number}"));
+        picker.to_read(START, &engine) > Tokens::ZERO
+    });
+    assert!(kept.count() <= 4_096);
+    picker.forget_unknown(START, &EngineDirectory::default());
+    assert_eq!(picker.to_read(START, &"x1".into()), Tokens::ZERO);
+}
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -8,6 +8,7 @@
 use crate::router::Router;
 use serde::{Deserialize, Serialize};
 use stackpost_gateway_core::EngineNews;
+use stackpost_telemetry::LineLimit;
 use stackpost_types::{BackEndName, PeerError, Step, Tokens};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -48,6 +49,7 @@
     router: Rc<Router>,
     socket: UdpSocket,
     peers: RefCell<Vec<SocketAddr>>,
+    refused_lines: LineLimit,
 }
 
 impl LoadExchange {
@@ -61,7 +63,8 @@
         let socket = UdpSocket::bind(address)
             .await
             .map_err(|error| PeerError::new(Step::Listen, address, error))?;
-        let exchange = Rc::new(Self { own, router, socket, peers: RefCell::default() });
+        let (peers, refused_lines) = (RefCell::default(), LineLimit::default());
+        let exchange = Rc::new(Self { own, router, socket, peers, refused_lines });
         tokio::task::spawn_local(exchange.clone().listen());
         tokio::task::spawn_local(exchange.clone().tell());
         Ok(exchange)
@@ -98,7 +101,15 @@
                     picker.on_news(now, news.router, engine, &of_engine);
                 }
             }
-            Err(error) => log::warn!(step = "load", peer = from.to_string(); "{error}"),
+            Err(error) => self.refuse(from, &error),
+        }
+    }
+
+    fn refuse(&self, from: SocketAddr, error: &postcard::Error) {
+        self.router.metrics.on_datagram_refused();
+        if let Some(held_back) = self.refused_lines.pass(Instant::now().into_std()) {
+            let peer = from.to_string();
+            log::warn!(step = "load", peer = peer.as_str(), held_back = held_back; "{error}");
         }
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,7 @@
     in_touch: Gauge<u64>,
     engines: Gauge<u64>,
     quarantined: Gauge<u64>,
+    datagrams_refused: Counter<u64>,
 }
 
 impl RouterMetrics {
@@ -51,6 +52,10 @@
             configuration_version: gauge("stackpost_configuration_version", "Configuration held"),
             in_touch: gauge("stackpost_in_touch", "1 while a leader is heard"),
             engines: gauge("stackpost_engines_ready", "Engines that take work"),
+            datagrams_refused: counter(
+                "stackpost_datagrams_refused",
+                "Datagrams between routers that could not be read",
+            ),
             quarantined: gauge(
                 "stackpost_requests_quarantined",
                 "Requests that are let in no more because engines ended under them",
@@ -84,6 +89,11 @@
         self.broken_off.add(1, &[]);
     }
 
+    /// A datagram could not be read.
+    pub fn on_datagram_refused(&self) {
+        self.datagrams_refused.add(1, &[]);
+    }
+
     /// Tokens are settled.
     pub fn on_settled(&self, tokens: u64) {
         self.tokens.add(tokens, &[]);
--- a/crates/gateway/tests/fleet/load_exchange.rs
+++ b/crates/gateway/tests/fleet/load_exchange.rs
@@ -1,8 +1,6 @@
 //! Routers tell each other over real sockets what they send to engines.
 
-// The whole support module is shared; this file needs little of it.
 use crate::support::*;
-#[allow(dead_code)]
 use stackpost_gateway::load_exchange::LoadExchange;
 use stackpost_gateway_core::*;
 use stackpost_types::*;
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -5,13 +5,14 @@
 use futures::SinkExt;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use stackpost_telemetry::LineLimit;
 use stackpost_types::{NodeId, PeerError, Step, ZoneName};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
@@ -94,6 +95,7 @@
     links: RefCell<BTreeMap<LinkId, mpsc::Sender<Bytes>>>,
     dialed: RefCell<BTreeSet<SocketAddr>>,
     next_link: Cell<u64>,
+    refused_lines: LineLimit,
     message: PhantomData<M>,
 }
 
@@ -113,6 +115,7 @@
             links: RefCell::default(),
             dialed: RefCell::default(),
             next_link: Cell::new(1),
+            refused_lines: LineLimit::default(),
             message: PhantomData,
         };
         (Self { shared: Rc::new(shared) }, receiver)
@@ -194,8 +197,9 @@
         let Ok(frame) = connection::next_frame(&mut stream).await else {
             return;
         };
-        let Ok(peer) = postcard::from_bytes::<PeerInfo>(&frame) else {
-            return;
+        let peer = match postcard::from_bytes::<PeerInfo>(&frame) {
+            Ok(peer) => peer,
+            Err(error) => return self.refused("an introduction", &error),
         };
         let link = LinkId(self.shared.next_link.get());
         self.shared.next_link.set(link.0 + 1);
@@ -205,7 +209,7 @@
         let ended =
             connection::run(stream, &mut outgoing, |frame| match postcard::from_bytes(&frame) {
                 Ok(message) => self.emit(LinkEvent::Message { link, message }),
-                Err(error) => log::warn!(step = "decode"; "a message can't be read: {error}"),
+                Err(error) => self.refused("a message", &error),
             })
             .await;
         log::debug!(step = "mesh"; "connection ended: {ended:?}");
@@ -213,6 +217,13 @@
         self.emit(LinkEvent::Down { link });
     }
 
+    /// What can't be read is passed over. Anyone who reaches the port can send such, so lines are bounded.
+    fn refused(&self, what: &str, error: &postcard::Error) {
+        if let Some(held_back) = self.shared.refused_lines.pass(Instant::now()) {
+            log::warn!(step = "decode", held_back = held_back; "{what} can't be read: {error}");
+        }
+    }
+
     fn emit(&self, event: LinkEvent<M>) {
         // The receiver lives as long as the process.
         let _ = self.shared.events.send(event);
