--- /dev/null
+++ b/crates/coordinator/src/control_metrics.rs
@@ -0,0 +1,133 @@
+//! Figures of a control process, by OpenTelemetry under the usual Prometheus names. Label sets are
+//! bounded: states, calls and replies are enumerations, nothing comes from a caller.
+
+use crate::replica_api::{PutReply, ReadReply};
+use stackpost_gateway_core::EngineState;
+use stackpost_telemetry::{Counter, Gauge, Histogram, KeyValue, Meter};
+use std::time::Duration;
+
+/// Upper bounds of the buckets for rounds of the replica, in seconds: from memory alone to a slow disk.
+const ROUND_BUCKETS: [f64; 9] = [0.0002, 0.001, 0.003, 0.006, 0.012, 0.03, 0.1, 0.5, 2.0];
+
+/// What a control process believes at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct ControlSight {
+    pub leads: bool,
+    pub term: u64,
+    pub applied: u64,
+    pub configuration_version: u64,
+    pub routers: usize,
+    pub control_peers: usize,
+    pub engines_ready: usize,
+    pub engines_draining: usize,
+    pub engines_silent: usize,
+    pub suspected: usize,
+    pub quarantined: usize,
+}
+
+/// The instruments of a control process. Cheap to clone.
+#[derive(Clone)]
+pub struct ControlMetrics {
+    puts: Counter<u64>,
+    reads: Counter<u64>,
+    announcements_refused: Counter<u64>,
+    sightings: Counter<u64>,
+    round_seconds: Histogram<f64>,
+    leads: Gauge<u64>,
+    term: Gauge<u64>,
+    applied: Gauge<u64>,
+    configuration_version: Gauge<u64>,
+    processes: Gauge<u64>,
+    engines: Gauge<u64>,
+    requests: Gauge<u64>,
+}
+
+impl ControlMetrics {
+    /// Makes the instruments.
+    pub fn new(meter: &Meter) -> Self {
+        let counter = |name: &'static str, help: &'static str| {
+            meter.u64_counter(name).with_description(help).build()
+        };
+        let gauge = |name: &'static str, help: &'static str| {
+            meter.u64_gauge(name).with_description(help).build()
+        };
+        Self {
+            puts: counter("stackpost_configuration_puts", "Configurations sent, by reply"),
+            reads: counter("stackpost_configuration_reads", "Configurations read, by reply"),
+            announcements_refused: counter(
+                "stackpost_announcements_refused",
+                "Calls of engines that were not in order",
+            ),
+            sightings: counter(
+                "stackpost_crash_sightings",
+                "Engines said to have ended under requests, by whether they have run since",
+            ),
+            round_seconds: meter
+                .f64_histogram("stackpost_replica_round_seconds")
+                .with_description("Time of one round of the replica, its synced writes included")
+                .with_boundaries(ROUND_BUCKETS.to_vec())
+                .build(),
+            leads: gauge("stackpost_leads", "1 while this replica certainly leads"),
+            term: gauge("stackpost_consensus_term", "Term of the replicated log"),
+            applied: gauge("stackpost_consensus_applied", "Last entry of the log that is applied"),
+            configuration_version: gauge("stackpost_configuration_version", "Configuration held"),
+            processes: gauge("stackpost_connected_machines", "Machines connected, by role"),
+            engines: gauge("stackpost_engines", "Engines known, by state"),
+            requests: gauge(
+                "stackpost_crashing_requests",
+                "Requests under which engines have ended, by what follows",
+            ),
+        }
+    }
+
+    pub(crate) fn on_put(&self, reply: &PutReply) {
+        let reply = match reply {
+            PutReply::Taken => "taken",
+            PutReply::Invalid(_) => "invalid",
+            PutReply::Elsewhere(_) => "elsewhere",
+            PutReply::Unconfirmed => "unconfirmed",
+        };
+        self.puts.add(1, &[KeyValue::new("reply", reply)]);
+    }
+
+    pub(crate) fn on_read(&self, reply: &ReadReply) {
+        let reply = match reply {
+            ReadReply::Newest(_) => "newest",
+            ReadReply::Elsewhere(_) => "elsewhere",
+            ReadReply::Unsure => "unsure",
+        };
+        self.reads.add(1, &[KeyValue::new("reply", reply)]);
+    }
+
+    /// A call of an engine was not in order.
+    pub fn on_announcement_refused(&self) {
+        self.announcements_refused.add(1, &[]);
+    }
+
+    pub(crate) fn on_sightings(&self, taken: usize, passed_over: usize) {
+        self.sightings.add(taken as u64, &[KeyValue::new("engine", "ended")]);
+        self.sightings.add(passed_over as u64, &[KeyValue::new("engine", "has_run_since")]);
+    }
+
+    pub(crate) fn on_round(&self, took: Duration) {
+        self.round_seconds.record(took.as_secs_f64(), &[]);
+    }
+
+    /// What the process believes, now and then.
+    pub(crate) fn on_look(&self, sight: &ControlSight) {
+        self.leads.record(u64::from(sight.leads), &[]);
+        self.term.record(sight.term, &[]);
+        self.applied.record(sight.applied, &[]);
+        self.configuration_version.record(sight.configuration_version, &[]);
+        let count = |gauge: &Gauge<u64>, label: &'static str, value: &'static str, count: usize| {
+            gauge.record(count as u64, &[KeyValue::new(label, value)]);
+        };
+        count(&self.processes, "role", "router", sight.routers);
+        count(&self.processes, "role", "control", sight.control_peers);
+        count(&self.engines, "state", EngineState::Ready.as_str(), sight.engines_ready);
+        count(&self.engines, "state", EngineState::Draining.as_str(), sight.engines_draining);
+        count(&self.engines, "state", "silent", sight.engines_silent);
+        count(&self.requests, "state", "suspected", sight.suspected);
+        count(&self.requests, "state", "quarantined", sight.quarantined);
+    }
+}
--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -1,5 +1,6 @@
 //! What a control process does with its peers, the routers and the engines.
 
+use crate::control_metrics::{ControlMetrics, ControlSight};
 use crate::control_state::ControlState;
 use crate::links::Links;
 use crate::message::{ControlStatus, FleetMessage, RouterStatus};
@@ -24,6 +25,8 @@
 
 /// Time between two statuses.
 const STATUS_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two looks for the figures.
+const LOOK_INTERVAL: Duration = Duration::from_secs(2);
 /// A configuration that a router has not confirmed is sent again after so long.
 const RESEND_AFTER: Millis = Millis(600);
 /// Longest wait for the replica's answer.
@@ -57,6 +60,7 @@
     own_address: SocketAddr,
     started: BootInstant,
     state: Rc<RefCell<ControlState>>,
+    metrics: ControlMetrics,
 }
 
 impl ControlNode {
@@ -66,6 +70,7 @@
         settings: ControlSettings,
         replica: ReplicaHandle,
         effects: mpsc::UnboundedReceiver<ReplicaEffect>,
+        metrics: ControlMetrics,
     ) -> Result<Self, stackpost_types::PeerError> {
         let (mesh, events) = Mesh::new(own);
         mesh.listen(settings.mesh_address).await?;
@@ -89,6 +94,7 @@
             own_address: settings.mesh_address,
             started: BootInstant::now(),
             state: Rc::new(RefCell::new(state)),
+            metrics,
         };
         node.add_seeds(&settings.seeds);
         tokio::task::spawn_local(node.clone().run(events, effects));
@@ -110,7 +116,9 @@
         self.replica.send(ReplicaEvent::Put { token, bytes });
         let reply = timeout(REPLY_LIMIT, reply).await;
         self.state.borrow_mut().puts.remove(&token);
-        reply.ok().and_then(Result::ok).unwrap_or(PutReply::Unconfirmed)
+        let reply = reply.ok().and_then(Result::ok).unwrap_or(PutReply::Unconfirmed);
+        self.metrics.on_put(&reply);
+        reply
     }
 
     /// Reads the newest configuration.
@@ -121,7 +129,9 @@
         self.replica.send(ReplicaEvent::Read { token });
         let reply = timeout(REPLY_LIMIT, reply).await;
         self.state.borrow_mut().reads.remove(&token);
-        reply.ok().and_then(Result::ok).unwrap_or(ReadReply::Unsure)
+        let reply = reply.ok().and_then(Result::ok).unwrap_or(ReadReply::Unsure);
+        self.metrics.on_read(&reply);
+        reply
     }
 
     /// Takes in an engine's announcement. A change is on its way to everyone when this returns.
@@ -208,11 +218,14 @@
     ) {
         let mut ticks = interval(STATUS_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut looks = interval(LOOK_INTERVAL);
+        looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 Some(event) = events.recv() => self.on_link_event(event),
                 Some(effect) = effects.recv() => self.on_effect(effect),
                 _ = ticks.tick() => self.on_tick(),
+                _ = looks.tick() => self.metrics.on_look(&self.sight()),
             }
         }
     }
@@ -306,6 +319,7 @@
     fn on_crash_report(&self, report: CrashReport) {
         let now = self.now();
         let state = self.state.borrow();
+        let reported = report.seen.len();
         let seen: Vec<CrashSighting> = report
             .seen
             .into_iter()
@@ -315,6 +329,7 @@
             })
             .map(|(seen, _)| seen)
             .collect();
+        self.metrics.on_sightings(seen.len(), reported - seen.len());
         for change in [QuarantineChange::Seen(seen), QuarantineChange::Cleared(report.cleared)] {
             self.replica.send(ReplicaEvent::CrashReport(change));
         }
@@ -419,6 +434,28 @@
         }
     }
 
+    fn sight(&self) -> ControlSight {
+        let view = self.replica.view();
+        let state = self.state.borrow();
+        let in_state = |wanted: EngineState| {
+            state.directory.iter().filter(|record| record.notice.state == wanted).count()
+        };
+        let quarantined = view.quarantine.notice().quarantined.len();
+        ControlSight {
+            leads: view.leads(),
+            term: view.term,
+            applied: view.applied,
+            configuration_version: view.document_version(),
+            routers: state.links.count_machines(PeerRole::Router),
+            control_peers: state.links.count_machines(PeerRole::Control),
+            engines_ready: in_state(EngineState::Ready),
+            engines_draining: in_state(EngineState::Draining),
+            engines_silent: state.silent.len(),
+            suspected: view.quarantine.suspects().count() - quarantined,
+            quarantined,
+        }
+    }
+
     /// Tells all routers which requests are let in no more, if this replica leads.
     fn tell_quarantine(&self) {
         let view = self.replica.view();
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`ControlNode`]: what a control process does with its peers, the routers and the engines.
 //! - [`FleetMessage`]: what processes of a fleet tell one another.
 
+mod control_metrics;
 mod control_node;
 mod control_state;
 mod crash_watch;
@@ -23,6 +24,7 @@
 mod state;
 mod voters;
 
+pub use control_metrics::ControlMetrics;
 pub use control_node::{ControlNode, ControlSettings, NotAnEngine};
 pub use document_delta::DocumentDelta;
 pub use links::{Link, Links};
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -153,6 +153,16 @@
         self.raft.lease_until()
     }
 
+    /// Term of the replicated log.
+    pub fn term(&self) -> u64 {
+        self.raft.term()
+    }
+
+    /// Last entry of the log that is applied.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
     /// The leader, if known.
     pub fn leader(&self) -> Option<&MachineName> {
         self.raft.leader()
--- a/crates/coordinator/src/replica_thread.rs
+++ b/crates/coordinator/src/replica_thread.rs
@@ -1,5 +1,6 @@
 //! Runs a replica on a thread of its own, so that a slow disk does not hold up the process.
 
+use crate::control_metrics::ControlMetrics;
 use crate::message::Document;
 use crate::replica::Replica;
 use crate::replica_api::{ReplicaConfig, ReplicaEffect, ReplicaError, ReplicaEvent};
@@ -28,6 +29,10 @@
     pub lease_until: Option<BootInstant>,
     /// The leader, if known.
     pub leader: Option<MachineName>,
+    /// Term of the replicated log.
+    pub term: u64,
+    /// Last entry of the log that is applied.
+    pub applied: u64,
     /// The configuration in force.
     pub document: Option<Document>,
     /// The services that it names; `None` if there is none.
@@ -82,6 +87,7 @@
     events: Receiver<ReplicaEvent>,
     effects: mpsc::UnboundedSender<ReplicaEffect>,
     view: watch::Sender<ReplicaView>,
+    metrics: ControlMetrics,
 }
 
 impl ReplicaThread {
@@ -89,13 +95,14 @@
     pub fn start(
         config: ReplicaConfig,
         folder: &Path,
+        metrics: ControlMetrics,
     ) -> std::io::Result<(ReplicaHandle, mpsc::UnboundedReceiver<ReplicaEffect>)> {
         let (event_sender, events) = channel();
         let (effects, effect_receiver) = mpsc::unbounded_channel();
         let (view, view_receiver) = watch::channel(ReplicaView::default());
         let folder = folder.to_path_buf();
         let started = BootInstant::now();
-        let thread = Self { config, folder, started, events, effects, view };
+        let thread = Self { config, folder, started, events, effects, view, metrics };
         std::thread::Builder::new().name("replica".into()).spawn(move || thread.run())?;
         Ok((ReplicaHandle { events: event_sender, view: view_receiver, started }, effect_receiver))
     }
@@ -136,7 +143,9 @@
                 round.push(ReplicaEvent::Tick);
                 tick_at = Instant::now() + TICK;
             }
+            let began = Instant::now();
             let effects = replica.handle(self.now(), round)?;
+            self.metrics.on_round(began.elapsed());
             self.publish(&replica);
             for effect in effects {
                 // The receiver lives as long as the process.
@@ -163,6 +172,8 @@
             let role_is_new = view.leader.as_ref() != leader;
             view.leader = leader.cloned();
             view.lease_until = lease_until;
+            view.term = replica.term();
+            view.applied = replica.applied();
             document_is_new || quarantine_is_new || role_is_new
         });
     }
--- /dev/null
+++ b/crates/gateway/tests/fleet/control_figures.rs
@@ -0,0 +1,57 @@
+//! What control tells of itself in figures.
+
+use crate::support::*;
+
+/// A figure by its name and labels as they stand in the text.
+fn figure(fleet: &Fleet, name: &str) -> Option<f64> {
+    let text = fleet.control_figures.render().expect("figures can be shown");
+    let line = text
+        .lines()
+        .find(|line| line.strip_prefix(name).is_some_and(|rest| rest.starts_with(' ')))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
+
+#[test]
+fn control_tells_what_it_believes_and_what_it_was_asked() {
+    play(async {
+        let fleet = Fleet::start().await;
+        fleet.control.read_document().await;
+        assert!(
+            fleet.control.put_document(b"none".as_slice().into()).await
+                != stackpost_coordinator::PutReply::Taken
+        );
+        let at_least =
+            |name: &str, least: f64| figure(&fleet, name).is_some_and(|value| value >= least);
+        wait_until(|| at_least("stackpost_engines{state=\"ready\"}", 2.0)).await;
+        wait_until(|| at_least("stackpost_connected_machines{role=\"router\"}", 1.0)).await;
+        for name in [
+            "stackpost_leads",
+            "stackpost_consensus_term",
+            "stackpost_consensus_applied",
+            "stackpost_configuration_version",
+            "stackpost_replica_round_seconds_count",
+            "stackpost_configuration_puts_total{reply=\"taken\"}",
+            "stackpost_configuration_puts_total{reply=\"invalid\"}",
+            "stackpost_configuration_reads_total{reply=\"newest\"}",
+        ] {
+            assert!(at_least(name, 1.0), "{name}: {:?}", figure(&fleet, name));
+        }
+    });
+}
+
+#[test]
+fn engines_that_end_are_counted() {
+    play(async {
+        let fleet = Fleet::start().await;
+        let path = format!("/once/{}", CrashPoint::BeforeHead.word());
+        fleet.ask(&path, "a").await;
+        wait_until(|| {
+            figure(&fleet, "stackpost_crash_sightings_total{engine=\"ended\"}") >= Some(1.0)
+        })
+        .await;
+        wait_until(|| {
+            figure(&fleet, "stackpost_crashing_requests{state=\"suspected\"}") >= Some(1.0)
+        })
+        .await;
+    });
+}
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -11,6 +11,7 @@
 use stackpost_gateway::*;
 use stackpost_gateway_core::*;
 use stackpost_mesh::{PeerInfo, PeerRole};
+use stackpost_telemetry::MetricsRegistry;
 use stackpost_types::*;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -390,6 +391,8 @@
     pub control: ControlNode,
     pub engines: [Rc<Engine>; 2],
     pub callers: SocketAddr,
+    /// What control tells of itself.
+    pub control_figures: MetricsRegistry,
     control_address: SocketAddr,
     _folder: tempfile::TempDir,
 }
@@ -430,7 +433,7 @@
         RouterSettings { zone: "hall".into(), retry_limits },
         Box::new(TestDialect),
         Arc::new(TestDocuments),
-        &stackpost_telemetry::MetricsRegistry::new().expect("a registry").meter(),
+        &MetricsRegistry::new().expect("a registry").meter(),
     )
 }
 
@@ -460,10 +463,14 @@
             seed: 1,
             codec: Arc::new(TestDocuments),
         };
-        let (replica, effects) = ReplicaThread::start(config, folder.path()).expect("started");
+        let control_figures = MetricsRegistry::new().expect("a registry");
+        let metrics = ControlMetrics::new(&control_figures.meter());
+        let (replica, effects) =
+            ReplicaThread::start(config, folder.path(), metrics.clone()).expect("started");
         let settings = ControlSettings { mesh_address: mesh, seeds: vec![mesh] };
         let own = peer(PeerRole::Control, name.as_str(), mesh);
-        let control = ControlNode::start(own, settings, replica, effects).await.expect("started");
+        let control =
+            ControlNode::start(own, settings, replica, effects, metrics).await.expect("started");
         let EntryMachine { router, link, server, callers } = EntryMachine::start(mesh).await;
         let engines = [Engine::start("e1").await, Engine::start("e2").await];
         let control_address = mesh;
@@ -474,6 +481,7 @@
             control,
             engines,
             callers,
+            control_figures,
             control_address,
             _folder: folder,
         };
