Keep sightings of a router that is cut off for a minute; a first quarantine of five minutes

Own refusals still rest on the last 10 s, since nobody takes back what was not told. Five minutes instead of two: each release may cost an engine and a copy beside it another one.

--- a/crates/coordinator/src/crash_watch.rs
+++ b/crates/coordinator/src/crash_watch.rs
@@ -15,6 +15,9 @@
 /// Suspicions of which nothing more was seen for so long are dropped.
 const SUSPICION_TIME: Millis = Millis(600_000);
 
+/// Time between two looks at how long each record has stood.
+const LOOK_INTERVAL: Millis = Millis(1_000);
+
 /// What this leader has seen happen to one request's record.
 #[derive(Clone, Copy, Debug)]
 struct Watched {
@@ -31,6 +34,7 @@
     /// Announcements of engines that are said to have ended.
     announcements: BTreeMap<BackEndName, u32>,
     watched: BTreeMap<RequestFingerprint, Watched>,
+    looked_at: Timestamp,
 }
 
 impl CrashWatch {
@@ -70,6 +74,10 @@
 
     /// What has lasted for as long as it was to.
     pub fn on_tick(&mut self, now: Timestamp, held: &Quarantine) -> Vec<QuarantineChange> {
+        if now.since(self.looked_at) < LOOK_INTERVAL {
+            return Vec::new();
+        }
+        self.looked_at = now;
         self.watched.retain(|request, _| held.suspect(request).is_some());
         let (mut released, mut forgotten) = (Vec::new(), Vec::new());
         for (request, suspect) in held.suspects() {
--- a/crates/coordinator/tests/quarantine.rs
+++ b/crates/coordinator/tests/quarantine.rs
@@ -12,7 +12,7 @@
 /// Time for an election and a commit.
 const SETTLED: u64 = 3_000;
 /// Longer than a first quarantine.
-const QUARANTINE_OVER: u64 = 125_000;
+const QUARANTINE_OVER: u64 = 305_000;
 
 fn request() -> RequestFingerprint {
     RequestFingerprint::of(&RequestContent {
--- a/crates/gateway-core/src/crash_memory.rs
+++ b/crates/gateway-core/src/crash_memory.rs
@@ -13,6 +13,9 @@
 /// How long own sightings count. Ten times what a copy of a request took to come again where one ended
 /// an engine a second.
 const OWN_MEMORY: Millis = Millis(10_000);
+/// How long they are kept for a leader that can't be reached: longer than a router is cut off as a rule. The
+/// leader passes over engines that have announced themselves since, so an old sighting does no harm.
+const REPORT_MEMORY: Millis = Millis(60_000);
 /// Own sightings kept, the newest ones: several engines full of requests.
 const MOST_SIGHTINGS: usize = 512;
 
@@ -41,10 +44,15 @@
 }
 
 impl CrashMemory {
-    /// Whether no request is under any suspicion, so that none needs to be looked up.
-    pub fn is_empty(&self) -> bool {
+    /// Whether any request could be quarantined. If not, none needs its fingerprint taken.
+    pub fn quarantines_any(&self) -> bool {
+        !self.notice.quarantined.is_empty() || self.own.len() >= ENGINES_LOST
+    }
+
+    /// Whether any request is under suspicion. If not, none needs to be cleared.
+    pub fn suspects_any(&self) -> bool {
         let notice = &self.notice;
-        notice.quarantined.is_empty() && notice.suspected.is_empty() && self.own.is_empty()
+        !(notice.quarantined.is_empty() && notice.suspected.is_empty() && self.own.is_empty())
     }
 
     /// Whether a request is let in no more.
@@ -53,7 +61,8 @@
         if self.notice.quarantined.contains(request) {
             return true;
         }
-        let seen = self.own.iter().map(|own| &own.sighting);
+        let lately = self.own.iter().filter(|own| now.since(own.at) < OWN_MEMORY);
+        let seen = lately.map(|own| &own.sighting);
         let engines: BTreeSet<_> =
             seen.filter(|seen| seen.request == *request).map(|seen| &seen.engine).collect();
         engines.len() >= ENGINES_LOST
@@ -107,7 +116,7 @@
     }
 
     fn forget_old(&mut self, now: Timestamp) {
-        while self.own.front().is_some_and(|own| now.since(own.at) >= OWN_MEMORY) {
+        while self.own.front().is_some_and(|own| now.since(own.at) >= REPORT_MEMORY) {
             self.own.pop_front();
         }
     }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -34,8 +34,8 @@
 pub use picker::{AttemptEnd, Choice, EnginePicker, PickQuery};
 pub use placement::Harm;
 pub use quarantine::{
-    CrashSighting, ENGINES_LOST, MAX_REQUESTS, Quarantine, QuarantineChange, QuarantineNotice,
-    Suspect,
+    CrashSighting, ENGINES_LOST, FIRST_QUARANTINE, MAX_REQUESTS, Quarantine, QuarantineChange,
+    QuarantineNotice, Suspect,
 };
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use route_table::{Admission, RouteTable, TenantMatch};
--- a/crates/gateway-core/src/quarantine.rs
+++ b/crates/gateway-core/src/quarantine.rs
@@ -26,9 +26,10 @@
 /// Requests kept. Each engine that ends adds those that ran there, some dozens; with names of engines
 /// this is about 200 KB.
 pub const MAX_REQUESTS: usize = 2_048;
-/// First quarantine of a request.
-const FIRST_QUARANTINE: Millis = Millis(120_000);
-/// Doublings of the quarantine at most: 64 minutes.
+/// First quarantine of a request. Each release may cost an engine, and a copy that is under way beside it
+/// another one; an innocent is cleared sooner by whatever ends well.
+pub const FIRST_QUARANTINE: Millis = Millis(300_000);
+/// Doublings of the quarantine at most: 160 minutes.
 const MAX_DOUBLINGS: u32 = 5;
 
 /// An engine ended while it ran a request.
--- a/crates/gateway-core/tests/quarantine.rs
+++ b/crates/gateway-core/tests/quarantine.rs
@@ -110,8 +110,21 @@
     }
     assert!(memory.is_quarantined(at(1_000), &request(1)));
     assert!(!memory.is_quarantined(at(1_000), &request(2)));
-    assert!(!memory.is_quarantined(at(60_000), &request(1)));
-    assert!(memory.is_empty());
+    assert!(
+        !memory.is_quarantined(at(11_000), &request(1)),
+        "it can't be taken back, so it is short"
+    );
+    assert!(!memory.is_quarantined(at(61_000), &request(1)));
+    assert!(!memory.suspects_any() && !memory.quarantines_any());
+}
+
+#[test]
+fn a_router_that_was_cut_off_still_tells_what_it_saw() {
+    let mut memory = CrashMemory::default();
+    memory.on_engine_ended(Timestamp(1_000), seen(1, 0));
+    memory.on_new_leader(Timestamp(41_000));
+    let report = memory.take_report(Timestamp(41_000)).expect("kept");
+    assert_eq!(report.seen, [(seen(1, 0), Millis(40_000))]);
 }
 
 #[test]
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -3,6 +3,7 @@
 use crate::body::GatewayBody;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
+use stackpost_gateway_core::FIRST_QUARANTINE;
 use stackpost_types::Millis;
 
 /// Time within which a restarted router is usually configured: after a loss of power of all machines
@@ -12,9 +13,6 @@
 /// balances and be refused again.
 const LEADER_BACK_WITHIN: Millis = Millis(3_000);
 
-/// The first quarantine of a request that ends engines; a try before that would be refused again.
-const QUARANTINE_ENDS_WITHIN: Millis = Millis(120_000);
-
 /// Why a request gets no engine's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -110,7 +108,7 @@
             Self::EnginesFull => Some(Millis(100)),
             Self::BudgetExhausted => Some(Millis(500)),
             Self::BudgetOutOfReach => Some(LEADER_BACK_WITHIN),
-            Self::EndsEngines => Some(QUARANTINE_ENDS_WITHIN),
+            Self::EndsEngines => Some(FIRST_QUARANTINE),
             _ => None,
         }
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -211,7 +211,7 @@
 
     fn is_quarantined(&self) -> bool {
         let mut memory = self.router.crash_memory.borrow_mut();
-        !memory.is_empty() && memory.is_quarantined(self.router.now(), &self.fingerprint())
+        memory.quarantines_any() && memory.is_quarantined(self.router.now(), &self.fingerprint())
     }
 
     /// An engine broke the answer off, so it may have ended under this request.
@@ -225,7 +225,7 @@
     /// An engine has answered in whole, so the request is not one that ends engines.
     pub fn on_ended_well(&self) {
         let mut memory = self.router.crash_memory.borrow_mut();
-        if !memory.is_empty() {
+        if memory.suspects_any() {
             memory.on_ended_well(&self.fingerprint());
             self.router.crash_news.notify_one();
         }
