A figure for the log lines that were dropped

The number stood in the log alone, where a reader who lacks lines does not look. The test of a reader that stands still checks it as well.

--- a/crates/telemetry/src/json_lines.rs
+++ b/crates/telemetry/src/json_lines.rs
@@ -7,6 +7,7 @@
 use log::kv::{Error as KvError, Key, Value, VisitSource};
 use log::{Level, LevelFilter, Log, Metadata, Record};
 use std::fmt::Write as _;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 
@@ -30,6 +31,8 @@
 struct Shared {
     buffer: Mutex<Buffer>,
     filled: Condvar,
+    /// All lines that were dropped since the start.
+    dropped: AtomicU64,
 }
 
 impl Shared {
@@ -38,6 +41,17 @@
     }
 }
 
+/// Tells how many lines were dropped. Cheap to clone.
+#[derive(Clone)]
+pub struct DroppedLines(Arc<Shared>);
+
+impl DroppedLines {
+    /// Lines dropped since the start.
+    pub fn count(&self) -> u64 {
+        self.0.dropped.load(Ordering::Relaxed)
+    }
+}
+
 /// Writes records as JSON lines.
 pub struct JsonLines {
     shared: Arc<Shared>,
@@ -65,6 +79,11 @@
         Ok(Self { shared, level, origin })
     }
 
+    /// The number of lines that were dropped, also once the logger has been handed over.
+    pub fn dropped(&self) -> DroppedLines {
+        DroppedLines(self.shared.clone())
+    }
+
     fn line(&self, record: &Record<'_>) -> String {
         let mut line = String::with_capacity(240);
         let now = SystemTime::now();
@@ -100,6 +119,7 @@
         let mut buffer = self.shared.lock();
         if buffer.lines.len() + line.len() > limit {
             buffer.dropped += 1;
+            self.shared.dropped.fetch_add(1, Ordering::Relaxed);
             return;
         }
         let was_empty = buffer.lines.is_empty();
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -5,7 +5,7 @@
 mod logs;
 mod metrics;
 
-pub use json_lines::JsonLines;
+pub use json_lines::{DroppedLines, JsonLines};
 pub use line_limit::LineLimit;
 pub use logs::{start_json_lines, start_logs};
 pub use metrics::MetricsRegistry;
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -1,6 +1,6 @@
 //! Structured log records on the standard error stream.
 
-use crate::json_lines::JsonLines;
+use crate::json_lines::{DroppedLines, JsonLines};
 use log::kv::{Error as KvError, Key, Value, VisitSource};
 use serde_json::{Map, Value as Json, json};
 use stackpost_settings::{LogFormat, LogLevel, LogOptions};
@@ -17,17 +17,19 @@
     }
 }
 
-/// Starts logging as JSON lines to standard output, by a writer that nobody waits for.
+/// Starts logging as JSON lines to standard output, by a writer that nobody waits for. Returns what tells
+/// how many lines were dropped.
 pub fn start_json_lines(
     process: &str,
     machine: &str,
     level: LogLevel,
-) -> Result<(), Box<dyn std::error::Error>> {
+) -> Result<DroppedLines, Box<dyn std::error::Error>> {
     let level = level_filter(level);
-    let lines: Box<dyn log::Log> =
-        Box::new(JsonLines::start(process, machine, level, std::io::stdout())?);
+    let lines = JsonLines::start(process, machine, level, std::io::stdout())?;
+    let dropped = lines.dropped();
+    let lines: Box<dyn log::Log> = Box::new(lines);
     fern::Dispatch::new().level(level).chain(lines).apply()?;
-    Ok(())
+    Ok(dropped)
 }
 
 fn level_filter(level: LogLevel) -> log::LevelFilter {
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -1,5 +1,6 @@
 //! The metrics of one process.
 
+use crate::json_lines::DroppedLines;
 use opentelemetry::metrics::{Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
@@ -28,6 +29,17 @@
         self.provider.meter("stackpost")
     }
 
+    /// Gives out how many log lines were dropped.
+    pub fn watch_log(&self, dropped: DroppedLines) {
+        // Dropping the handle keeps the instrument.
+        let _ = self
+            .meter()
+            .u64_observable_counter("stackpost_log_lines_dropped")
+            .with_description("Log lines dropped because the writer could not keep up")
+            .with_callback(move |observer| observer.observe(dropped.count(), &[]))
+            .build();
+    }
+
     /// All metrics as text.
     pub fn render(&self) -> Result<String, String> {
         let families = self.registry.gather();
--- a/crates/telemetry/tests/json_lines.rs
+++ b/crates/telemetry/tests/json_lines.rs
@@ -2,7 +2,7 @@
 
 use log::{Level, LevelFilter, Log, Record};
 use serde_json::Value;
-use stackpost_telemetry::JsonLines;
+use stackpost_telemetry::{JsonLines, MetricsRegistry};
 use std::io::Write;
 use std::sync::{Arc, Condvar, Mutex};
 
@@ -93,6 +93,15 @@
         log(&lines, Level::Info, &long);
     }
     log(&lines, Level::Error, "grave");
+    let registry = MetricsRegistry::new().expect("a registry");
+    registry.watch_log(lines.dropped());
+    let dropped = lines.dropped().count();
+    assert!(dropped > 0);
+    let figures = registry.render().expect("figures");
+    let mut lines_of_figure =
+        figures.lines().filter(|line| line.starts_with("stackpost_log_lines_dropped_total"));
+    let figure = lines_of_figure.next().and_then(|line| line.rsplit(' ').next());
+    assert_eq!(figure, Some(dropped.to_string().as_str()));
     output.hold(false);
     while !output.lines().iter().any(|line| line["message"] == "log lines dropped") {
         log(&lines, Level::Info, "more");
