--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -18,6 +18,7 @@
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
             .without_target_info()
+            .scope_info_enabled(false)
             .build()
             .map_err(|error| error.to_string())?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
