Tell new sightings and the quarantine again; the evidence of crashes in a module of its own

By reading: a message is dropped when a connection's queue is full, and neither a report nor the word on the quarantine was repeated while leader and connection stayed the same. A router could have gone on letting a request in.

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -25,7 +25,7 @@
 
 /// Time between two statuses.
 const STATUS_INTERVAL: Duration = Duration::from_millis(200);
-/// Time between two looks for the figures.
+/// Time between two looks for the figures, and between two words on the quarantine.
 const LOOK_INTERVAL: Duration = Duration::from_secs(2);
 /// A configuration that a router has not confirmed is sent again after so long.
 const RESEND_AFTER: Millis = Millis(600);
@@ -225,7 +225,11 @@
                 Some(event) = events.recv() => self.on_link_event(event),
                 Some(effect) = effects.recv() => self.on_effect(effect),
                 _ = ticks.tick() => self.on_tick(),
-                _ = looks.tick() => self.metrics.on_look(&self.sight()),
+                _ = looks.tick() => {
+                    self.metrics.on_look(&self.sight());
+                    // Again and again: a message is lost with a queue that is full.
+                    self.tell_quarantine();
+                }
             }
         }
     }
--- a/crates/gateway-core/src/crash_memory.rs
+++ b/crates/gateway-core/src/crash_memory.rs
@@ -16,6 +16,8 @@
 /// How long they are kept for a leader that can't be reached: longer than a router is cut off as a rule. The
 /// leader passes over engines that have announced themselves since, so an old sighting does no harm.
 const REPORT_MEMORY: Millis = Millis(60_000);
+/// How long a sighting is told again: two or three times at the pace of the router's slow round.
+const TOLD_AGAIN_FOR: Millis = Millis(5_000);
 /// Own sightings kept, the newest ones: several engines full of requests.
 const MOST_SIGHTINGS: usize = 512;
 
@@ -115,6 +117,12 @@
         self.own.iter_mut().for_each(|own| own.told = false);
     }
 
+    /// A report may be lost with a queue that was full. What is still new is told once more.
+    pub fn tell_again(&mut self, now: Timestamp) {
+        let is_new = |own: &&mut OwnSighting| now.since(own.at) < TOLD_AGAIN_FOR;
+        self.own.iter_mut().filter(is_new).for_each(|own| own.told = false);
+    }
+
     fn forget_old(&mut self, now: Timestamp) {
         while self.own.front().is_some_and(|own| now.since(own.at) >= REPORT_MEMORY) {
             self.own.pop_front();
--- a/crates/gateway-core/tests/quarantine.rs
+++ b/crates/gateway-core/tests/quarantine.rs
@@ -140,6 +140,17 @@
     assert_eq!(report.seen, [(seen(1, 0), Millis(4_000)), (seen(2, 0), Millis(3_800))]);
 }
 
+#[test]
+fn what_is_new_is_told_again_and_what_is_old_is_not() {
+    let mut memory = CrashMemory::default();
+    memory.on_engine_ended(Timestamp(1_000), seen(1, 0));
+    assert!(memory.take_report(Timestamp(1_000)).is_some());
+    memory.tell_again(Timestamp(3_000));
+    assert!(memory.take_report(Timestamp(3_000)).is_some(), "the first report may be lost");
+    memory.tell_again(Timestamp(9_000));
+    assert_eq!(memory.take_report(Timestamp(9_000)), None);
+}
+
 #[test]
 fn an_older_notice_changes_nothing() {
     let mut memory = CrashMemory::default();
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -154,6 +154,8 @@
                 }
                 _ = forget.tick() => {
                     self.forget_old();
+                    self.router.crash_memory.borrow_mut().tell_again(self.router.now());
+                    self.report_crashes();
                     let router = &self.router;
                     let engines = router.known_engines();
                     router.metrics.on_look(router.document_version(), router.in_touch(), engines);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod body;
 pub mod congestion;
+mod crash_evidence;
 mod deadline;
 mod decision_log;
 mod dialect;
