See the end of an engine in the middle of a large answer as well

By reading each place where an engine's end shows: an answer of more than 256 KB is passed on by a task that knew neither request nor memory. Twelve of twelve copies of a request that ends engines there were let in (test red before, fourth point of crash); now as for the others. Such an answer that ends well clears its request, too.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -259,34 +259,63 @@
     }
 }
 
-/// Passes on the rest of an answer that is too large to be gathered.
-pub(crate) fn pass_on(
-    deadline: Instant,
-    start: Bytes,
-    mut body: Incoming,
-    hold: EngineHold,
-) -> mpsc::Receiver<Result<Bytes, BodyBroken>> {
+/// An answer that is too large to be gathered.
+pub(crate) struct LargeAnswer {
+    pub head: response::Parts,
+    /// What has come in.
+    pub start: Bytes,
+    pub body: Incoming,
+    pub hold: EngineHold,
+}
+
+/// How passing on a large answer has ended.
+enum PassedOn {
+    Whole,
+    /// The engine has broken it off.
+    Broken,
+    CallerGone,
+}
+
+/// Passes on a large answer; its rest follows on a task of its own.
+pub(crate) fn pass_on(context: RequestContext, answer: LargeAnswer) -> Response<GatewayBody> {
     let (sender, pieces) = mpsc::channel(PIECES_AHEAD);
+    let LargeAnswer { head, start, body, hold } = answer;
+    let failed = head.status.is_server_error();
     tokio::task::spawn_local(async move {
-        let passing = async {
-            sender.send(Ok(start)).await.ok()?;
-            while let Some(frame) = body.frame().await {
-                if let Ok(data) = frame.ok()?.into_data() {
-                    sender.send(Ok(data)).await.ok()?;
-                }
-            }
-            Some(())
-        };
-        let whole = tokio::select! {
-            passed = timeout_at(deadline, passing) => passed.ok().flatten().is_some(),
+        let passing = timeout_at(context.deadline.timer(), pass_rest(&sender, start, body));
+        let passed = tokio::select! {
+            passed = passing => passed,
             () = sender.closed() => return,
         };
-        if whole {
-            hold.finish(AttemptEnd::Answered, None);
-        } else {
-            // The caller may have gone meanwhile.
-            let _ = sender.send(Err(BodyBroken)).await;
+        match passed {
+            Ok(PassedOn::Whole) => {
+                if !failed {
+                    context.on_ended_well();
+                }
+                return hold.finish(AttemptEnd::Answered, None);
+            }
+            Ok(PassedOn::CallerGone) => return,
+            Ok(PassedOn::Broken) => context.on_broken_off(hold.name(), BreakPoint::Body),
+            Err(_) => {}
         }
+        // The caller may have gone meanwhile.
+        let _ = sender.send(Err(BodyBroken)).await;
     });
-    pieces
+    response_of(head, GatewayBody::Pieces(pieces))
+}
+
+async fn pass_rest(sender: &PieceSender, start: Bytes, mut body: Incoming) -> PassedOn {
+    let mut piece = Some(start);
+    loop {
+        if let Some(data) = piece.take()
+            && sender.send(Ok(data)).await.is_err()
+        {
+            return PassedOn::CallerGone;
+        }
+        match body.frame().await {
+            Some(Ok(frame)) => piece = frame.into_data().ok(),
+            Some(Err(_)) => return PassedOn::Broken,
+            None => return PassedOn::Whole,
+        }
+    }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,7 +6,7 @@
 use crate::decision_log::{self, BreakPoint};
 use crate::dialect::{CallerRequest, EngineAddressing, Generation};
 use crate::refusal::Refusal;
-use crate::relay;
+use crate::relay::{self, LargeAnswer};
 use crate::reservation::Reservation;
 use crate::router::Router;
 use bytes::{Bytes, BytesMut};
@@ -249,6 +249,7 @@
             } else {
                 match self.gather(answer, &mut progress).await {
                     Gathered::Final(response) => return Ok(response),
+                    Gathered::Large(answer) => return Ok(relay::pass_on(self, *answer)),
                     Gathered::Failed => {}
                 }
             }
@@ -413,8 +414,7 @@
             Ok(Ok(true)) => {}
             Ok(Ok(false)) => {
                 let start = whole.freeze();
-                let pieces = relay::pass_on(self.deadline.timer(), start, body, hold);
-                return Gathered::Final(response_of(head, GatewayBody::Pieces(pieces)));
+                return Gathered::Large(Box::new(LargeAnswer { head, start, body, hold }));
             }
             Ok(Err(())) => {
                 self.on_broken_off(hold.name(), BreakPoint::Body);
@@ -445,6 +445,8 @@
 enum Gathered {
     /// The answer for the caller.
     Final(Response<GatewayBody>),
+    /// The answer for the caller, of which more is to come.
+    Large(Box<LargeAnswer>),
     /// The attempt has failed; the engine's own failure, if any, is kept.
     Failed,
 }
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -171,6 +171,8 @@
 /// Time for the server of a stand-in to write what it has before it breaks off.
 const FLUSH_TIME: Duration = Duration::from_millis(20);
 const EVENTS: u64 = 8;
+/// More than a router gathers.
+const LARGE: &[u8] = &[b'x'; 300 * 1024];
 /// Events before a break.
 const EVENTS_BEFORE_BREAK: u64 = 3;
 
@@ -261,10 +263,13 @@
     BeforeHead,
     BeforeFirstEvent,
     AfterEvents,
+    /// In the middle of an answer that is too large to be gathered.
+    InLargeAnswer,
 }
 
 impl CrashPoint {
-    pub const ALL: [Self; 3] = [Self::BeforeHead, Self::BeforeFirstEvent, Self::AfterEvents];
+    pub const ALL: [Self; 4] =
+        [Self::BeforeHead, Self::BeforeFirstEvent, Self::AfterEvents, Self::InLargeAnswer];
 
     /// The word in the path.
     pub fn word(self) -> &'static str {
@@ -272,6 +277,7 @@
             Self::BeforeHead => "crash-before-head",
             Self::BeforeFirstEvent => "crash-before-first-event",
             Self::AfterEvents => "crash-after-events",
+            Self::InLargeAnswer => "crash-in-large-answer",
         }
     }
 
@@ -296,10 +302,14 @@
             CrashPoint::BeforeHead => return std::future::pending().await,
             CrashPoint::BeforeFirstEvent => Vec::new(),
             CrashPoint::AfterEvents => first_events(0, EVENTS_BEFORE_BREAK),
+            CrashPoint::InLargeAnswer => vec![Ok(Frame::data(LARGE.into()))],
         };
         let unfinished = futures::stream::iter(events).chain(futures::stream::pending());
         let head = Response::builder().header("id", id).header("signature", "s");
-        let head = head.header("content-type", "text/event-stream");
+        let head = match point {
+            CrashPoint::InLargeAnswer => head,
+            _ => head.header("content-type", "text/event-stream"),
+        };
         Ok(head.body(StreamBody::new(unfinished).boxed_unsync()).expect("a response"))
     }
 }
