--- a/crates/prepaid/tests/escrow.rs
+++ b/crates/prepaid/tests/escrow.rs
@@ -470,3 +470,52 @@
     assert!(wallet.reserve(Timestamp(1), &tenant(), Tokens(10)).is_ok());
     assert_eq!(ledger.issued(&tenant()), Tokens(10));
 }
+
+/// A control replica was suspended while a router out of touch drew on its reserve, and bounds the end of
+/// that life by its own clock: the router's echo plus the time since, as far as that clock has counted it.
+/// Returns what the life has used and what it is charged.
+fn life_bounded_by_a_suspended_replica(clock_goes_on: bool) -> (u64, u64) {
+    let mut world = settled_world();
+    world.round(&all(true), &all(false), true);
+    let heard = world.now;
+    let suspended = RESERVE_LOCK.0 + 3_000;
+    world.now += suspended;
+    while world.lives[0].wallet.reserve(Timestamp(world.now), &tenant(), Tokens(10)).is_ok() {
+        world.lives[0].used += 10;
+    }
+    let counted = if clock_goes_on { suspended } else { 0 };
+    let end = Contact { boot: 1, at: SteadyTime(heard + counted) };
+    let node = world.lives[0].node.clone();
+    let charges = world.ledger.close(&node, &LifeEnd::Before(end));
+    (world.lives[0].used, charges.iter().map(|charge| charge.charge.0).sum())
+}
+
+#[test]
+fn a_replica_that_was_suspended_charges_a_life_all_that_it_used() {
+    let (used, charged) = life_bounded_by_a_suspended_replica(true);
+    assert!(used <= charged, "used {used}, charged {charged}");
+}
+
+/// Shows that the test above would see the wrong clock.
+#[test]
+fn a_clock_that_stands_still_in_suspension_would_charge_too_little() {
+    let (used, charged) = life_bounded_by_a_suspended_replica(false);
+    assert!(used > charged, "used {used}, charged {charged}");
+}
+
+/// A router that was suspended itself has drawn nothing meanwhile; its clock has gone on, so the reserve is
+/// open by then and its pace is that of the ledger.
+#[test]
+fn a_router_that_wakes_draws_no_more_than_the_ledger_has_counted() {
+    let mut world = settled_world();
+    world.round(&all(true), &all(false), true);
+    for pause in [RESERVE_LOCK.0 + 3_000, 40, 40, 2_000] {
+        world.now += pause;
+        while world.lives[0].wallet.reserve(Timestamp(world.now), &tenant(), Tokens(10)).is_ok() {
+            world.lives[0].used += 10;
+        }
+        world.check();
+    }
+    world.step(&Step::Kill { router: 0, down: 0 });
+    world.check();
+}
