--- a/crates/gateway/tests/fleet/requests.rs
+++ b/crates/gateway/tests/fleet/requests.rs
@@ -3,6 +3,7 @@
 use crate::support::*;
 use stackpost_coordinator::{NotAnEngine, PutReply};
 use stackpost_gateway_core::{EngineNotice, EngineState};
+use stackpost_types::BackEndName;
 use std::time::Duration;
 
 #[test]
@@ -93,6 +94,39 @@
     });
 }
 
+/// What a request believes of an engine belongs to one life of it: the next one under the same id may take
+/// the stream up, though the request was sent to that id before.
+#[test]
+fn a_stream_goes_on_at_the_next_life_of_its_engine() {
+    play(async {
+        let fleet = Fleet::start().await;
+        let engine = fleet.engines[0].clone();
+        fleet.control.engine_left(fleet.engines[1].name.id(), None);
+        wait_until(|| fleet.router.known_engines() == 1).await;
+        engine.behaviour.set(Behaviour::Pause);
+        let restart = async {
+            wait_until(|| fleet.runs() == 1).await;
+            engine.behaviour.set(Behaviour::Answer);
+            let next = BackEndName::of_life(engine.name.id(), Some(7));
+            let notice = fleet.notice(&engine, 1, EngineState::Ready);
+            fleet.control.announce(EngineNotice { engine: next, ..notice }).expect("an engine");
+            // What control says later has come once the router knows this one and has forgotten it again.
+            let other = fleet.notice(&fleet.engines[1], 1, EngineState::Ready);
+            fleet
+                .control
+                .announce(EngineNotice { engine: "e3".into(), ..other })
+                .expect("an engine");
+            wait_until(|| fleet.router.known_engines() == 2).await;
+            fleet.control.engine_left("e3", None);
+            wait_until(|| fleet.router.known_engines() == 1).await;
+            engine.restart();
+        };
+        let (got, ()) = tokio::join!(fleet.ask("/stream/1", "s"), restart);
+        assert_eq!(got.body, Ok(all_events()));
+        assert_eq!(engine.runs.borrow().len(), 2, "once in each life");
+    });
+}
+
 #[test]
 fn a_stream_that_breaks_off_does_not_look_complete() {
     play(async {
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -151,6 +151,8 @@
     Break,
     /// Runs it and says nothing.
     Hang,
+    /// Begins a stream and says nothing more.
+    Pause,
 }
 
 /// A stand-in for an engine.
@@ -208,6 +210,12 @@
         engine
     }
 
+    /// Breaks all its connections, as the end of its process does; it listens on as its next life.
+    pub fn restart(&self) {
+        let listener_first = self.tasks.borrow();
+        listener_first.iter().skip(1).for_each(AbortHandle::abort);
+    }
+
     /// Ends the engine's process: all its connections break and its address refuses new ones.
     pub fn crash(&self) {
         self.tasks.borrow().iter().for_each(AbortHandle::abort);
@@ -242,6 +250,11 @@
         let response = match behaviour {
             Behaviour::Lose => return Err(std::io::ErrorKind::ConnectionReset.into()),
             Behaviour::Hang => std::future::pending().await,
+            Behaviour::Pause => {
+                let begun = futures::stream::iter(first_events(0, EVENTS_BEFORE_BREAK));
+                let body = StreamBody::new(begun.chain(futures::stream::pending()));
+                head.header("content-type", "text/event-stream").body(body.boxed_unsync())
+            }
             Behaviour::Fail => head.status(500).body(whole("own error")),
             Behaviour::Break if !streams => head.header("content-length", "9").body(broken(vec![
                 Ok(Frame::data(Bytes::from_static(b"half"))),
