--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -8,18 +8,15 @@
 use crate::replica_thread::{ReplicaHandle, ReplicaView};
 use crate::router_peers::{RouterSite, peers_of};
 use stackpost_clock::BootInstant;
-use stackpost_gateway_core::{
-    CrashReport, CrashSighting, EngineDirectory, EngineNotice, EngineState, Merge, QuarantineChange,
-};
+use stackpost_gateway_core::{EngineDirectory, EngineNotice, EngineState};
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
-use stackpost_types::{BackEndName, MachineName, Millis, NodeId, Timestamp};
+use stackpost_types::{MachineName, Millis, NodeId, Timestamp};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
@@ -41,26 +38,15 @@
     pub seeds: Vec<SocketAddr>,
 }
 
-/// Why an announcement is not taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-pub enum NotAnEngine {
-    /// The configuration in force names no such service.
-    #[error("the configuration names no such service")]
-    UnknownService,
-    /// The engine is known to belong to another service.
-    #[error("the engine belongs to another service")]
-    OtherService,
-}
-
 /// A control process. Cheap to clone; must be used inside a Tokio `LocalSet`.
 #[derive(Clone)]
 pub struct ControlNode {
-    mesh: Mesh<FleetMessage>,
-    replica: ReplicaHandle,
+    pub(crate) mesh: Mesh<FleetMessage>,
+    pub(crate) replica: ReplicaHandle,
     own_address: SocketAddr,
     started: BootInstant,
-    state: Rc<RefCell<ControlState>>,
-    metrics: ControlMetrics,
+    pub(crate) state: Rc<RefCell<ControlState>>,
+    pub(crate) metrics: ControlMetrics,
 }
 
 impl ControlNode {
@@ -134,59 +120,6 @@
         reply
     }
 
-    /// Takes in an engine's announcement. A change is on its way to everyone when this returns.
-    ///
-    /// # Errors
-    ///
-    /// The announcement can't be one of an engine of this fleet. Nothing has changed.
-    pub fn announce(&self, notice: EngineNotice) -> Result<(), NotAnEngine> {
-        self.check(&notice)?;
-        let now = self.now();
-        let name = notice.engine.clone();
-        let state = &mut *self.state.borrow_mut();
-        match state.directory.merge(now, notice.clone()) {
-            Merge::Old => {}
-            Merge::Refreshed => {
-                self.on_still_announced(&name);
-                state.refreshed.insert(name);
-            }
-            Merge::Changed => {
-                log::info!(engine = name.as_str(), state = notice.state.as_str(); "engine announced");
-                let message = FleetMessage::Engines(vec![notice]);
-                self.mesh.send_all(state.links.one_to_everyone(now), &message);
-            }
-        }
-        Ok(())
-    }
-
-    /// An engine keeps its service for life, and there are none of services that nobody has configured.
-    fn check(&self, notice: &EngineNotice) -> Result<(), NotAnEngine> {
-        let services = self.replica.view().services;
-        if services.is_some_and(|services| !services.contains(&notice.service)) {
-            return Err(NotAnEngine::UnknownService);
-        }
-        let state = self.state.borrow();
-        let known = state.directory.get(&notice.engine).map(|record| &record.notice);
-        let same = known.is_none_or(|known| {
-            known.state == EngineState::Gone || known.service == notice.service
-        });
-        if same { Ok(()) } else { Err(NotAnEngine::OtherService) }
-    }
-
-    /// Takes in that the engine `id` has left; `born` names the life, if that is known.
-    pub fn engine_left(&self, id: &str, born: Option<u64>) {
-        let now = self.now();
-        let state = &mut *self.state.borrow_mut();
-        let engine = match born {
-            Some(_) => BackEndName::of_life(id, born),
-            None => state.directory.life_that_leaves(now, id),
-        };
-        let notice = state.directory.leave(now, &engine);
-        log::info!(engine = engine.as_str(); "engine left");
-        let message = FleetMessage::Engines(vec![notice]);
-        self.mesh.send_all(state.links.one_to_everyone(now), &message);
-    }
-
     /// The replica as of its last round.
     pub fn replica_view(&self) -> ReplicaView {
         self.replica.view()
@@ -198,7 +131,7 @@
         state.next_token
     }
 
-    fn now(&self) -> Timestamp {
+    pub(crate) fn now(&self) -> Timestamp {
         Timestamp(self.started.elapsed().as_millis() as u64 + 1_000)
     }
 
@@ -299,53 +232,6 @@
         }
     }
 
-    /// Passes on to the routers what another control process says and they may not have heard.
-    fn on_engines(&self, notices: Vec<EngineNotice>) {
-        let now = self.now();
-        let state = &mut *self.state.borrow_mut();
-        let mut changed = Vec::new();
-        for notice in notices {
-            match state.directory.merge(now, notice.clone()) {
-                Merge::Old => {}
-                Merge::Refreshed => self.on_still_announced(&notice.engine),
-                Merge::Changed => changed.push(notice),
-            }
-        }
-        if !changed.is_empty() {
-            self.mesh.send_all(
-                state.links.one_each(now, PeerRole::Router),
-                &FleetMessage::Engines(changed),
-            );
-        }
-    }
-
-    /// A report may be old: a router that was cut off tells what it saw meanwhile.
-    fn on_crash_report(&self, report: CrashReport) {
-        let now = self.now();
-        let state = self.state.borrow();
-        let reported = report.seen.len();
-        let seen: Vec<CrashSighting> = report
-            .seen
-            .into_iter()
-            .filter(|(seen, age)| {
-                let at = Timestamp(now.0.saturating_sub(age.0));
-                !state.directory.has_run_after(&seen.engine, at)
-            })
-            .map(|(seen, _)| seen)
-            .collect();
-        self.metrics.on_sightings(seen.len(), reported - seen.len());
-        for change in [QuarantineChange::Seen(seen), QuarantineChange::Cleared(report.cleared)] {
-            self.replica.send(ReplicaEvent::CrashReport(change));
-        }
-    }
-
-    /// An engine that is known goes on announcing itself.
-    fn on_still_announced(&self, engine: &BackEndName) {
-        if self.replica.view().quarantine.concerns(engine) {
-            self.replica.send(ReplicaEvent::EngineAnnounced(engine.clone()));
-        }
-    }
-
     fn on_router_status(&self, link: LinkId, router: NodeId, status: RouterStatus) {
         if let Some(entry) = self.state.borrow_mut().links.get_mut(link) {
             entry.document_known = status.document_version;
--- /dev/null
+++ b/crates/coordinator/src/engine_news.rs
@@ -0,0 +1,125 @@
+//! What a control process hears of engines: their own calls, what other control processes say, and routers'
+//! reports of engines that ended.
+
+use crate::control_node::ControlNode;
+use crate::message::FleetMessage;
+use crate::replica_api::ReplicaEvent;
+use stackpost_gateway_core::{
+    CrashReport, CrashSighting, EngineNotice, EngineState, Merge, QuarantineChange,
+};
+use stackpost_mesh::PeerRole;
+use stackpost_types::{BackEndName, Timestamp};
+use thiserror::Error;
+
+/// Why an announcement is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum NotAnEngine {
+    /// The configuration in force names no such service.
+    #[error("the configuration names no such service")]
+    UnknownService,
+    /// The engine is known to belong to another service.
+    #[error("the engine belongs to another service")]
+    OtherService,
+}
+
+impl ControlNode {
+    /// Takes in an engine's announcement. A change is on its way to everyone when this returns.
+    ///
+    /// # Errors
+    ///
+    /// The announcement can't be one of an engine of this fleet. Nothing has changed.
+    pub fn announce(&self, notice: EngineNotice) -> Result<(), NotAnEngine> {
+        self.check(&notice)?;
+        let now = self.now();
+        let name = notice.engine.clone();
+        let state = &mut *self.state.borrow_mut();
+        match state.directory.merge(now, notice.clone()) {
+            Merge::Old => {}
+            Merge::Refreshed => {
+                self.on_still_announced(&name);
+                state.refreshed.insert(name);
+            }
+            Merge::Changed => {
+                log::info!(engine = name.as_str(), state = notice.state.as_str(); "engine announced");
+                let message = FleetMessage::Engines(vec![notice]);
+                self.mesh.send_all(state.links.one_to_everyone(now), &message);
+            }
+        }
+        Ok(())
+    }
+
+    /// An engine keeps its service for life, and there are none of services that nobody has configured.
+    fn check(&self, notice: &EngineNotice) -> Result<(), NotAnEngine> {
+        let services = self.replica.view().services;
+        if services.is_some_and(|services| !services.contains(&notice.service)) {
+            return Err(NotAnEngine::UnknownService);
+        }
+        let state = self.state.borrow();
+        let known = state.directory.get(&notice.engine).map(|record| &record.notice);
+        let same = known.is_none_or(|known| {
+            known.state == EngineState::Gone || known.service == notice.service
+        });
+        if same { Ok(()) } else { Err(NotAnEngine::OtherService) }
+    }
+
+    /// Takes in that the engine `id` has left; `born` names the life, if that is known.
+    pub fn engine_left(&self, id: &str, born: Option<u64>) {
+        let now = self.now();
+        let state = &mut *self.state.borrow_mut();
+        let engine = match born {
+            Some(_) => BackEndName::of_life(id, born),
+            None => state.directory.life_that_leaves(now, id),
+        };
+        let notice = state.directory.leave(now, &engine);
+        log::info!(engine = engine.as_str(); "engine left");
+        let message = FleetMessage::Engines(vec![notice]);
+        self.mesh.send_all(state.links.one_to_everyone(now), &message);
+    }
+
+    /// Passes on to the routers what another control process says and they may not have heard.
+    pub(crate) fn on_engines(&self, notices: Vec<EngineNotice>) {
+        let now = self.now();
+        let state = &mut *self.state.borrow_mut();
+        let mut changed = Vec::new();
+        for notice in notices {
+            match state.directory.merge(now, notice.clone()) {
+                Merge::Old => {}
+                Merge::Refreshed => self.on_still_announced(&notice.engine),
+                Merge::Changed => changed.push(notice),
+            }
+        }
+        if !changed.is_empty() {
+            self.mesh.send_all(
+                state.links.one_each(now, PeerRole::Router),
+                &FleetMessage::Engines(changed),
+            );
+        }
+    }
+
+    /// A report may be old: a router that was cut off tells what it saw meanwhile.
+    pub(crate) fn on_crash_report(&self, report: CrashReport) {
+        let now = self.now();
+        let state = self.state.borrow();
+        let reported = report.seen.len();
+        let seen: Vec<CrashSighting> = report
+            .seen
+            .into_iter()
+            .filter(|(seen, age)| {
+                let at = Timestamp(now.0.saturating_sub(age.0));
+                !state.directory.has_run_after(&seen.engine, at)
+            })
+            .map(|(seen, _)| seen)
+            .collect();
+        self.metrics.on_sightings(seen.len(), reported - seen.len());
+        for change in [QuarantineChange::Seen(seen), QuarantineChange::Cleared(report.cleared)] {
+            self.replica.send(ReplicaEvent::CrashReport(change));
+        }
+    }
+
+    /// An engine that is known goes on announcing itself.
+    fn on_still_announced(&self, engine: &BackEndName) {
+        if self.replica.view().quarantine.concerns(engine) {
+            self.replica.send(ReplicaEvent::EngineAnnounced(engine.clone()));
+        }
+    }
+}
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -11,6 +11,7 @@
 mod control_state;
 mod crash_watch;
 mod document_delta;
+mod engine_news;
 mod links;
 mod message;
 mod packed_document;
@@ -25,8 +26,9 @@
 mod voters;
 
 pub use control_metrics::ControlMetrics;
-pub use control_node::{ControlNode, ControlSettings, NotAnEngine};
+pub use control_node::{ControlNode, ControlSettings};
 pub use document_delta::DocumentDelta;
+pub use engine_news::NotAnEngine;
 pub use links::{Link, Links};
 pub use message::{ClockEcho, ControlStatus, Document, FleetMessage, RouterStatus};
 pub use packed_document::PackedDocument;
