--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -31,7 +31,7 @@
 pub use engine_load::{EngineLoad, EngineNews, Estimate, Placement, Work};
 pub use event_stream::{Event, EventSplitter};
 pub use fingerprint::{RequestContent, RequestFingerprint};
-pub use picker::{AttemptEnd, Choice, EnginePicker, PickQuery};
+pub use picker::{AttemptEnd, Choice, EnginePicker, PickQuery, Standing};
 pub use placement::Harm;
 pub use quarantine::{
     CrashSighting, ENGINES_LOST, FIRST_QUARANTINE, MAX_REQUESTS, Quarantine, QuarantineChange,
--- a/crates/gateway-core/src/picker.rs
+++ b/crates/gateway-core/src/picker.rs
@@ -63,6 +63,8 @@
     pub engine: EngineRecord,
     /// What a generation is expected to meet there; `None` for other requests.
     pub placement: Option<Placement>,
+    /// How the engine stood when it was chosen. Unless it is good, no good one was left.
+    pub standing: Standing,
 }
 
 /// What a request needs.
@@ -97,6 +99,7 @@
 #[derive(Clone, Debug, Default)]
 struct Health {
     in_flight: u64,
+    turned_away_at: Option<Timestamp>,
     failure_permille: u32,
     ejections: u32,
     ejected_until: Option<Timestamp>,
@@ -109,14 +112,28 @@
     avoided_until: Option<Timestamp>,
 }
 
-/// How much an engine is wanted; lower is better.
+/// How an engine stands with this router; lower is better.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Tier {
+pub enum Standing {
+    /// Nothing speaks against it.
     Good,
+    /// It has not been announced of late.
     Silent,
+    /// It has failed of late, or its zone can't be reached.
     Failing,
 }
 
+impl Standing {
+    /// The standing as it stands in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Good => "good",
+            Self::Silent => "silent",
+            Self::Failing => "failing",
+        }
+    }
+}
+
 /// What this router knows of the engines by its own requests.
 #[derive(Clone, Debug)]
 pub struct EnginePicker {
@@ -130,7 +147,7 @@
 
 struct Candidate<'a> {
     record: &'a EngineRecord,
-    tier: Tier,
+    standing: Standing,
     in_flight: u64,
 }
 
@@ -154,8 +171,8 @@
         query: &PickQuery<'_>,
     ) -> Option<Choice> {
         let mut candidates = self.candidates(now, directory, query);
-        let best = candidates.iter().map(|candidate| candidate.tier).min()?;
-        candidates.retain(|candidate| candidate.tier == best);
+        let best = candidates.iter().map(|candidate| candidate.standing).min()?;
+        candidates.retain(|candidate| candidate.standing == best);
         if let Some(work) = query.work {
             return self.pick_by_harm(now, &candidates, &work, query);
         }
@@ -163,7 +180,7 @@
             Some(subject) => self.pick_by_subject(&candidates, subject),
             None => self.pick_by_load(&candidates, query.tie_breaker),
         };
-        engine.map(|engine| Choice { engine: engine.clone(), placement: None })
+        engine.map(|engine| Choice { engine: engine.clone(), placement: None, standing: best })
     }
 
     /// Notes that a request is sent to an engine.
@@ -231,6 +248,9 @@
         let zone = engine.notice.zone.clone();
         let health = self.engines.entry(engine.notice.engine.clone()).or_default();
         health.in_flight = health.in_flight.saturating_sub(1);
+        if end == AttemptEnd::Full {
+            health.turned_away_at = Some(now);
+        }
         match end {
             AttemptEnd::Answered => health.note(now, false),
             AttemptEnd::EngineError | AttemptEnd::Full | AttemptEnd::Broken => {
@@ -249,6 +269,11 @@
         }
     }
 
+    /// When an engine last turned a request of this router away.
+    pub fn turned_away_at(&self, engine: &BackEndName) -> Option<Timestamp> {
+        self.engines.get(engine)?.turned_away_at
+    }
+
     /// Requests that this router has at an engine.
     pub fn in_flight(&self, engine: &BackEndName) -> u64 {
         self.engines.get(engine).map_or(0, |health| health.in_flight)
@@ -275,23 +300,23 @@
             .filter(|record| !query.tried.contains(&record.notice.engine))
             .map(|record| Candidate {
                 record,
-                tier: self.tier(now, record, directory.is_silent(&record.notice.engine)),
+                standing: self.standing(now, record, directory.is_silent(&record.notice.engine)),
                 in_flight: self.in_flight(&record.notice.engine),
             })
             .collect()
     }
 
-    fn tier(&self, now: Timestamp, record: &EngineRecord, silent: bool) -> Tier {
+    fn standing(&self, now: Timestamp, record: &EngineRecord, silent: bool) -> Standing {
         let health = self.engines.get(&record.notice.engine);
         let zone = self.zones.get(&record.notice.zone);
         let avoided = |until: Option<Timestamp>| until.is_some_and(|until| now < until);
         let failing = health.is_some_and(|health| avoided(health.ejected_until));
         if failing || zone.is_some_and(|zone| avoided(zone.avoided_until)) {
-            return Tier::Failing;
+            return Standing::Failing;
         }
         let answered_at = health.and_then(|health| health.answered_at);
         let trusted = answered_at.is_some_and(|at| now.since(at) < ANSWER_TRUST);
-        if silent && !trusted { Tier::Silent } else { Tier::Good }
+        if silent && !trusted { Standing::Silent } else { Standing::Good }
     }
 
     /// The engine where the request does least harm; among equals the first of its subject.
@@ -319,7 +344,8 @@
             by_harm.then_with(|| rank(right.0, key).cmp(&rank(left.0, key)))
         })?;
         let placement = Placement { work: *work, subject: query.subject, estimate, harm };
-        Some(Choice { engine: candidate.record.clone(), placement: Some(placement) })
+        let standing = candidate.standing;
+        Some(Choice { engine: candidate.record.clone(), placement: Some(placement), standing })
     }
 
     fn pick_by_subject<'a>(
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: one request sent to one engine, up to the head of its answer.
 
+use crate::decision_log;
 use crate::dialect::{CallerRequest, EngineAddressing, EngineVerdict};
 use crate::engine_pool::EngineConnection;
 use crate::router::Router;
@@ -9,7 +10,7 @@
 use hyper::header::{self, HeaderName};
 use hyper::http::response;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
-use stackpost_gateway_core::{AttemptEnd, Choice, EngineRecord, Placement};
+use stackpost_gateway_core::{AttemptEnd, Choice, EngineRecord, Placement, Standing};
 use stackpost_types::{BackEndName, Millis};
 use std::rc::Rc;
 use std::time::Duration;
@@ -64,6 +65,7 @@
     router: Rc<Router>,
     engine: EngineRecord,
     placement: Option<Placement>,
+    standing: Standing,
     since: Instant,
     connection: Option<EngineConnection>,
     ended: bool,
@@ -71,9 +73,10 @@
 
 impl EngineHold {
     fn new(router: Rc<Router>, choice: Choice) -> Self {
-        let Choice { engine, placement } = choice;
+        let Choice { engine, placement, standing } = choice;
         router.on_placed(&engine.notice.engine, placement.as_ref());
-        Self { router, engine, placement, since: Instant::now(), connection: None, ended: false }
+        let (since, connection) = (Instant::now(), None);
+        Self { router, engine, placement, standing, since, connection, ended: false }
     }
 
     /// What was expected of a generation when it was sent.
@@ -92,6 +95,11 @@
         took
     }
 
+    /// How the engine stood when it was chosen.
+    pub fn standing(&self) -> Standing {
+        self.standing
+    }
+
     /// The engine.
     pub fn engine(&self) -> &EngineRecord {
         &self.engine
@@ -195,7 +203,8 @@
     let (head, body) = response.into_parts();
     match router.dialect.judge_answer(&payload.caller, head.status, &head.headers) {
         EngineVerdict::NotRun => {
-            log_end(payload, &hold, "answer", "not run");
+            let wishes = router.dialect.read_wishes(&payload.caller, head.status, &head.headers);
+            decision_log::turned_away(router, payload, &hold, head.status, &wishes);
             let end = if head.status == StatusCode::SERVICE_UNAVAILABLE {
                 AttemptEnd::Full
             } else {
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -1,8 +1,10 @@
 //! Log lines that say what a decision about a request rested on.
 
-use crate::attempt::EngineHold;
+use crate::attempt::{EngineHold, Payload};
+use crate::dialect::EngineWishes;
 use crate::request::RequestContext;
 use crate::router::Router;
+use hyper::StatusCode;
 use stackpost_prepaid::{Demand, Outlook};
 use stackpost_types::{BackEndName, TenantName};
 use std::time::Duration;
@@ -41,6 +43,30 @@
     );
 }
 
+/// An engine turned a request away. Says what it asked for, how it stood when it was chosen and when it had
+/// last turned this router away: whether a wish of it was known, and whether it was kept.
+pub(crate) fn turned_away(
+    router: &Router,
+    payload: &Payload,
+    hold: &EngineHold,
+    status: StatusCode,
+    wishes: &EngineWishes,
+) {
+    let picker = router.picker.borrow();
+    let before = picker.turned_away_at(hold.name());
+    log::info!(
+        request = payload.caller.id.as_str(),
+        engine = hold.name().as_str(),
+        step = "answer",
+        status = status.as_u16(),
+        rest_ms = wishes.rest.map(|rest| rest.0),
+        standing = hold.standing().as_str(),
+        requests_there = picker.in_flight(hold.name()),
+        turned_away_before_ms = before.map(|at| router.now().since(at).0);
+        "attempt failed: not run"
+    );
+}
+
 /// How far an answer had come when its engine broke it off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum BreakPoint {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -79,6 +79,15 @@
     Unsigned,
 }
 
+/// What an engine asks of this router in the head of an answer, whatever becomes of the request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EngineWishes {
+    /// It wants no request for so long.
+    pub rest: Option<Millis>,
+    /// Headers whose value is none that the platform knows; they ask for nothing.
+    pub unreadable: Vec<&'static str>,
+}
+
 /// Reads and writes headers the way a platform has fixed it.
 pub trait Dialect {
     /// Called once for each request, before anything is decided about it.
@@ -94,4 +103,13 @@
         status: StatusCode,
         headers: &HeaderMap,
     ) -> EngineVerdict;
+
+    /// Called after [`Self::judge_answer`], with the same head. Asks for nothing unless the head says
+    /// that the engine made it for this request.
+    fn read_wishes(
+        &self,
+        request: &CallerRequest,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> EngineWishes;
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,7 +27,8 @@
 
 pub use body::{BodyBroken, GatewayBody};
 pub use dialect::{
-    CallerRequest, Dialect, EngineAddressing, EngineVerdict, Generation, UnreadableRequest,
+    CallerRequest, Dialect, EngineAddressing, EngineVerdict, EngineWishes, Generation,
+    UnreadableRequest,
 };
 pub use fleet_link::FleetLink;
 pub use refusal::Refusal;
--- a/crates/gateway/tests/fleet/main.rs
+++ b/crates/gateway/tests/fleet/main.rs
@@ -6,3 +6,4 @@
 mod load_exchange;
 mod requests;
 mod support;
+mod turned_away_lines;
--- /dev/null
+++ b/crates/gateway/tests/fleet/support/lines.rs
@@ -0,0 +1,55 @@
+//! Keeps the log lines of all tests of this program, which share one logger.
+
+use log::kv::{Error, Key, Value, VisitSource};
+use std::collections::BTreeMap;
+use std::sync::{Mutex, Once, PoisonError};
+
+/// A line by its fields.
+pub type Fields = BTreeMap<String, String>;
+
+struct Lines(Mutex<Vec<(String, Fields)>>);
+
+static LINES: Lines = Lines(Mutex::new(Vec::new()));
+static STARTED: Once = Once::new();
+
+struct Collect(Fields);
+
+impl<'kvs> VisitSource<'kvs> for Collect {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        self.0.insert(key.to_string(), value.to_string());
+        Ok(())
+    }
+}
+
+impl log::Log for Lines {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        let mut fields = Collect(Fields::new());
+        record.key_values().visit(&mut fields).expect("fields can be shown");
+        let line = (record.args().to_string(), fields.0);
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+    }
+
+    fn flush(&self) {}
+}
+
+/// Keeps lines from now on.
+pub fn keep_lines() {
+    STARTED.call_once(|| {
+        log::set_logger(&LINES).expect("no other logger");
+        log::set_max_level(log::LevelFilter::Info);
+    });
+}
+
+/// The lines with a message about these requests, in their order.
+pub fn lines_about(message: &str, requests: &[&str]) -> Vec<Fields> {
+    let lines = LINES.0.lock().unwrap_or_else(PoisonError::into_inner);
+    let about = |fields: &Fields| {
+        fields.get("request").is_some_and(|request| requests.contains(&request.as_str()))
+    };
+    let wanted = lines.iter().filter(|(said, fields)| said == message && about(fields));
+    wanted.map(|(_, fields)| fields.clone()).collect()
+}
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -1,5 +1,7 @@
 //! A small fleet on loopback sockets: one control process, one router, two engines.
 
+pub mod lines;
+
 use bytes::Bytes;
 use futures::StreamExt;
 use http_body_util::{BodyExt, Full, StreamBody};
@@ -19,7 +21,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU16, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 
@@ -80,6 +82,12 @@
             None => EngineVerdict::Unsigned,
         }
     }
+
+    fn read_wishes(&self, _: &CallerRequest, _: StatusCode, headers: &HeaderMap) -> EngineWishes {
+        let rest = headers.get("rest").map(|rest| rest.to_str().expect("text"));
+        let rest = rest.map(|rest| Millis(rest.parse().expect("milliseconds")));
+        EngineWishes { rest, unreadable: Vec::new() }
+    }
 }
 
 /// The one configuration of the tests, whatever the document says but its version.
@@ -162,6 +170,10 @@
     pub behaviour: Cell<Behaviour>,
     /// Ids of the requests that it has run, with the event they were to go on after.
     pub runs: RefCell<Vec<(String, Option<u64>)>>,
+    /// When requests came that it turned away.
+    pub turned_away: RefCell<Vec<Instant>>,
+    /// Rest that it asks for as it turns a request away.
+    pub rest: Cell<Option<Duration>>,
     /// Keys that were shown to it.
     pub keys_seen: Cell<usize>,
     /// Whether its process has ended.
@@ -188,6 +200,8 @@
             address: listener.local_addr().expect("an address"),
             behaviour: Cell::new(Behaviour::Answer),
             runs: RefCell::default(),
+            turned_away: RefCell::default(),
+            rest: Cell::new(None),
             keys_seen: Cell::new(0),
             has_crashed: Cell::new(false),
             tasks: RefCell::default(),
@@ -237,8 +251,7 @@
         }
         let behaviour = self.behaviour.get();
         if behaviour == Behaviour::Full {
-            let refusal = Response::builder().status(503).header("not-run", "1").header("id", id);
-            return Ok(refusal.body(whole("")).expect("a response"));
+            return Ok(self.turn_away(id));
         }
         self.runs.borrow_mut().push((id.clone(), after));
         let streams = request.uri().path().contains("stream");
@@ -327,6 +340,18 @@
     }
 }
 
+impl Engine {
+    fn turn_away(&self, id: String) -> Response<EngineBody> {
+        self.turned_away.borrow_mut().push(Instant::now());
+        let refusal = Response::builder().status(503).header("not-run", "1").header("id", id);
+        let refusal = match self.rest.get() {
+            Some(rest) => refusal.header("rest", rest.as_millis().to_string()),
+            None => refusal,
+        };
+        refusal.body(whole("")).expect("a response")
+    }
+}
+
 fn whole(text: &'static str) -> EngineBody {
     Full::new(Bytes::from_static(text.as_bytes())).map_err(|never| match never {}).boxed_unsync()
 }
