--- a/crates/gateway/tests/fleet/main.rs
+++ b/crates/gateway/tests/fleet/main.rs
@@ -5,5 +5,6 @@
 mod crashing_requests;
 mod load_exchange;
 mod requests;
+mod rests;
 mod support;
 mod turned_away_lines;
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -174,6 +174,8 @@
     pub turned_away: RefCell<Vec<Instant>>,
     /// Rest that it asks for as it turns a request away.
     pub rest: Cell<Option<Duration>>,
+    /// Whether it says in its answers that it leaves.
+    pub leaves: Cell<bool>,
     /// Keys that were shown to it.
     pub keys_seen: Cell<usize>,
     /// Whether its process has ended.
@@ -202,6 +204,7 @@
             runs: RefCell::default(),
             turned_away: RefCell::default(),
             rest: Cell::new(None),
+            leaves: Cell::new(false),
             keys_seen: Cell::new(0),
             has_crashed: Cell::new(false),
             tasks: RefCell::default(),
@@ -260,6 +263,7 @@
         }
         let answered = if behaviour == Behaviour::Cross { "other".to_string() } else { id };
         let head = Response::builder().header("id", answered).header("signature", "s");
+        let head = if self.leaves.get() { head.header("leaving", "1") } else { head };
         let response = match behaviour {
             Behaviour::Lose => return Err(std::io::ErrorKind::ConnectionReset.into()),
             Behaviour::Hang => std::future::pending().await,
