Keep what engines ask for in their answers: rests to their end, nothing to those that leave

A wish to rest counted as one failure in a rate, avoidance began with the third in a row and lasted for a time of the router's own; an engine that was avoided was used all the same for want of another. A wish is no guess: it holds for one life of the engine and all ways on which requests reach it (first attempt, repeat, resumption), and such an engine is no candidate. A request that no engine may be asked to serve is refused at once, before tokens are set aside, with the soonest end of a rest for Retry-After, spread over 400 ms. After a rest an engine is tried with one request each 100 ms until it takes one.

That leaving an engine out costs callers is the next thing to mend.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`EngineDirectory`]: which engines are said to exist, merged from late and crossed notices.
 //! - [`EnginePicker`]: which engine a request goes to; for generations by the [`Harm`] that follows
 //!   from each engine's [`EngineLoad`].
+//! - [`HoldOff`]: engines that have asked to be left alone for a while, or that leave.
 //! - [`RetryBudget`]: how many requests may be sent to a further engine.
 //! - [`RequestFingerprint`]: what a request asks, the same for every repeat of it.
 //! - [`Quarantine`]: requests under which engines have ended, for the whole fleet; [`CrashMemory`]: what
@@ -16,6 +17,7 @@
 mod engine_load;
 mod event_stream;
 mod fingerprint;
+mod hold_off;
 mod picker;
 mod placement;
 mod quarantine;
@@ -31,7 +33,8 @@
 pub use engine_load::{EngineLoad, EngineNews, Estimate, Placement, Work};
 pub use event_stream::{Event, EventSplitter};
 pub use fingerprint::{RequestContent, RequestFingerprint};
-pub use picker::{AttemptEnd, Choice, EnginePicker, PickQuery, Standing};
+pub use hold_off::{HoldOff, RestChange};
+pub use picker::{AttemptEnd, Choice, EnginePicker, PickQuery, ServiceOutlook, Standing};
 pub use placement::Harm;
 pub use quarantine::{
     CrashSighting, ENGINES_LOST, FIRST_QUARANTINE, MAX_REQUESTS, Quarantine, QuarantineChange,
--- a/crates/gateway-core/src/picker.rs
+++ b/crates/gateway-core/src/picker.rs
@@ -6,10 +6,12 @@
 //! with the fewest requests.
 //!
 //! An engine is avoided while it fails, while its zone can't be reached, and while it has not been
-//! announced for some time; it is used all the same if there is no better one.
+//! announced for some time; it is used all the same if there is no better one. These are guesses. What an
+//! engine has asked for itself is none ([`HoldOff`]): such an engine is no candidate, whatever else there is.
 
 use crate::directory::{EngineDirectory, EngineRecord, EngineState};
 use crate::engine_load::{EngineLoad, EngineNews, Placement, Work, follow};
+use crate::hold_off::{HoldOff, RestChange};
 use crate::placement::Harm;
 use stackpost_types::{BackEndName, Digest, Millis, ServiceName, Timestamp, Tokens, ZoneName};
 use std::collections::HashMap;
@@ -48,6 +50,8 @@
     EngineError,
     /// It said that it has no room.
     Full,
+    /// It said that it wants no request for a while. That is its wish and no failure of it.
+    AskedForRest,
     /// No connection came up.
     Unreachable,
     /// The connection broke or the answer was not one.
@@ -89,6 +93,7 @@
             Self::Answered => "answered",
             Self::EngineError => "engine_error",
             Self::Full => "full",
+            Self::AskedForRest => "asked_for_rest",
             Self::Unreachable => "unreachable",
             Self::Broken => "broken",
             Self::Abandoned => "abandoned",
@@ -134,6 +139,22 @@
     }
 }
 
+/// What requests for a service can expect of its engines.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ServiceOutlook {
+    /// An engine may be asked.
+    Open,
+    /// Every engine that takes work has asked for rest.
+    AllRest {
+        /// Time until the first of them may be asked.
+        soonest: Millis,
+        /// That engine.
+        engine: BackEndName,
+    },
+    /// No engine takes work.
+    NoEngine,
+}
+
 /// What this router knows of the engines by its own requests.
 #[derive(Clone, Debug)]
 pub struct EnginePicker {
@@ -141,6 +162,7 @@
     engines: HashMap<BackEndName, Health>,
     zones: HashMap<ZoneName, ZoneHealth>,
     loads: HashMap<BackEndName, EngineLoad>,
+    hold_off: HoldOff,
     /// Mean reading speed of all engines, in tokens per millisecond.
     usual_speed: Option<f64>,
 }
@@ -159,6 +181,7 @@
             engines: HashMap::new(),
             zones: HashMap::new(),
             loads: HashMap::new(),
+            hold_off: HoldOff::default(),
             usual_speed: None,
         }
     }
@@ -183,8 +206,56 @@
         engine.map(|engine| Choice { engine: engine.clone(), placement: None, standing: best })
     }
 
+    /// What a request for `service` can expect, whatever it is.
+    pub fn outlook(
+        &self,
+        now: Timestamp,
+        directory: &EngineDirectory,
+        service: &ServiceName,
+    ) -> ServiceOutlook {
+        let mut soonest: Option<(Timestamp, &BackEndName)> = None;
+        for record in ready_engines(directory, service) {
+            let engine = &record.notice.engine;
+            match self.hold_off.open_from(engine) {
+                Some(from) if from <= now => return ServiceOutlook::Open,
+                Some(from) => soonest = soonest.into_iter().chain([(from, engine)]).min(),
+                None => {}
+            }
+        }
+        soonest.map_or(ServiceOutlook::NoEngine, |(from, engine)| ServiceOutlook::AllRest {
+            soonest: from.since(now),
+            engine: engine.clone(),
+        })
+    }
+
+    /// An engine wants no request for a while.
+    pub fn on_rest(&mut self, now: Timestamp, engine: &BackEndName, rest: Millis) -> RestChange {
+        self.hold_off.on_rest(now, engine, rest)
+    }
+
+    /// An engine says that it leaves. Returns whether that is news.
+    pub fn on_leaving(&mut self, engine: &BackEndName) -> bool {
+        self.hold_off.on_leaving(engine)
+    }
+
+    /// An engine has taken a request that was sent to it at `sent_at`.
+    pub fn on_taken(&mut self, engine: &BackEndName, sent_at: Timestamp) {
+        self.hold_off.on_taken(engine, sent_at);
+    }
+
+    /// Whether an engine has asked for nothing that speaks against a request that was chosen for it.
+    pub fn may_send(&self, now: Timestamp, engine: &BackEndName) -> bool {
+        !self.hold_off.is_resting(now, engine) && !self.hold_off.is_leaving(engine)
+    }
+
+    /// Engines that rest.
+    pub fn resting(&self, now: Timestamp) -> usize {
+        self.hold_off.resting(now)
+    }
+
     /// Notes that a request is sent to an engine.
     pub fn on_start(&mut self, now: Timestamp, engine: &BackEndName, sent: Option<&Placement>) {
+        self.hold_off.on_sent(now, engine);
         self.engines.entry(engine.clone()).or_default().in_flight += 1;
         if let Some(sent) = sent {
             let load = self.loads.entry(engine.clone()).or_default();
@@ -248,7 +319,7 @@
         let zone = engine.notice.zone.clone();
         let health = self.engines.entry(engine.notice.engine.clone()).or_default();
         health.in_flight = health.in_flight.saturating_sub(1);
-        if end == AttemptEnd::Full {
+        if matches!(end, AttemptEnd::Full | AttemptEnd::AskedForRest) {
             health.turned_away_at = Some(now);
         }
         match end {
@@ -257,11 +328,14 @@
                 health.note(now, true);
             }
             AttemptEnd::Unreachable => health.eject(now),
-            AttemptEnd::Abandoned => {}
+            AttemptEnd::AskedForRest | AttemptEnd::Abandoned => {}
         }
         match end {
             AttemptEnd::Unreachable => self.on_zone_failure(now, zone),
-            AttemptEnd::Answered | AttemptEnd::EngineError | AttemptEnd::Full => {
+            AttemptEnd::Answered
+            | AttemptEnd::EngineError
+            | AttemptEnd::Full
+            | AttemptEnd::AskedForRest => {
                 health.answered_at = Some(now);
                 self.zones.remove(&zone);
             }
@@ -285,6 +359,7 @@
             .retain(|engine, health| health.in_flight > 0 || directory.get(engine).is_some());
         self.loads.retain(|engine, _| directory.get(engine).is_some());
         self.loads.values_mut().for_each(|load| load.forget_old(now));
+        self.hold_off.forget_unknown(directory);
     }
 
     fn candidates<'a>(
@@ -293,10 +368,8 @@
         directory: &'a EngineDirectory,
         query: &PickQuery<'_>,
     ) -> Vec<Candidate<'a>> {
-        directory
-            .iter()
-            .filter(|record| record.notice.state == EngineState::Ready)
-            .filter(|record| record.notice.service == *query.service)
+        ready_engines(directory, query.service)
+            .filter(|record| self.hold_off.is_open(now, &record.notice.engine))
             .filter(|record| !query.tried.contains(&record.notice.engine))
             .map(|record| Candidate {
                 record,
@@ -412,6 +485,16 @@
     }
 }
 
+/// The engines of a service that say that they take work.
+fn ready_engines<'a>(
+    directory: &'a EngineDirectory,
+    service: &ServiceName,
+) -> impl Iterator<Item = &'a EngineRecord> {
+    let of_service = move |record: &&EngineRecord| record.notice.service == *service;
+    let ready = directory.iter().filter(|record| record.notice.state == EngineState::Ready);
+    ready.filter(of_service)
+}
+
 /// Rank of an engine for a subject (rendezvous hashing); the highest comes first.
 fn rank(candidate: &Candidate<'_>, subject: u64) -> u64 {
     let engine = candidate.record.notice.engine.as_str();
--- /dev/null
+++ b/crates/gateway-core/tests/hold_off.rs
@@ -0,0 +1,141 @@
+//! Engines that ask to be left alone: what they asked for holds, and callers come back one by one.
+
+use proptest::prelude::*;
+use stackpost_gateway_core::*;
+use stackpost_types::*;
+
+const ENGINES: [&str; 3] = ["e1", "e2", "e3"];
+
+fn directory(now: Timestamp) -> EngineDirectory {
+    let mut directory = EngineDirectory::default();
+    ENGINES.iter().for_each(|engine| announce(&mut directory, now, engine, 1));
+    directory
+}
+
+fn announce(directory: &mut EngineDirectory, now: Timestamp, engine: &str, sequence: u64) {
+    directory.merge(
+        now,
+        EngineNotice {
+            engine: BackEndName::new(engine),
+            sequence,
+            service: "plain".into(),
+            address: ([10, 0, 0, engine.as_bytes()[1]], 80).into(),
+            zone: "hall".into(),
+            slots: 1,
+            state: EngineState::Ready,
+            age: Millis(0),
+        },
+    );
+}
+
+fn pick(picker: &EnginePicker, now: Timestamp, directory: &EngineDirectory) -> Option<BackEndName> {
+    let service = ServiceName::new("plain");
+    let query =
+        PickQuery { service: &service, subject: None, work: None, tried: &[], tie_breaker: 3 };
+    picker.pick(now, directory, &query).map(|choice| choice.engine.notice.engine)
+}
+
+#[test]
+fn the_first_end_of_a_rest_is_told_if_every_engine_rests() {
+    let (now, service) = (Timestamp(1_000), ServiceName::new("plain"));
+    let directory = directory(now);
+    let mut picker = EnginePicker::new("hall".into());
+    picker.on_rest(now, &"e1".into(), Millis(3_000));
+    picker.on_rest(now, &"e2".into(), Millis(2_000));
+    assert_eq!(picker.outlook(now, &directory, &service), ServiceOutlook::Open);
+    picker.on_leaving(&"e3".into());
+    let soonest = ServiceOutlook::AllRest { soonest: Millis(2_000), engine: "e2".into() };
+    assert_eq!(picker.outlook(now, &directory, &service), soonest);
+    assert_eq!(pick(&picker, Timestamp(2_999), &directory), None);
+    assert_eq!(pick(&picker, Timestamp(3_000), &directory), Some("e2".into()));
+    picker.on_leaving(&"e1".into());
+    picker.on_leaving(&"e2".into());
+    assert_eq!(picker.outlook(now, &directory, &service), ServiceOutlook::NoEngine);
+}
+
+#[test]
+fn an_engine_whose_rest_is_over_is_tried_with_one_request_first() {
+    let now = Timestamp(1_000);
+    let directory = directory(now);
+    let mut picker = EnginePicker::new("hall".into());
+    ENGINES.iter().for_each(|engine| {
+        picker.on_rest(now, &BackEndName::new(*engine), Millis(500));
+    });
+    let after = Timestamp(1_500);
+    for _ in ENGINES {
+        let engine = pick(&picker, after, &directory).expect("one that was not tried yet");
+        picker.on_start(after, &engine, None);
+    }
+    assert_eq!(pick(&picker, after, &directory), None, "each has one request");
+    // An answer to what was sent before the rest shows nothing; one to a request after it does.
+    picker.on_taken(&"e1".into(), now);
+    assert_eq!(pick(&picker, after, &directory), None);
+    picker.on_taken(&"e1".into(), after);
+    assert_eq!(pick(&picker, after, &directory), Some("e1".into()));
+    assert!(pick(&picker, Timestamp(1_600), &directory).is_some(), "the next try of the others");
+}
+
+#[test]
+fn the_next_life_of_an_engine_owes_nothing_to_the_one_before() {
+    let now = Timestamp(1_000);
+    let mut directory = EngineDirectory::default();
+    let (first, second) =
+        (BackEndName::of_life("e1", Some(5)), BackEndName::of_life("e1", Some(9)));
+    announce(&mut directory, now, first.as_str(), 7);
+    let mut picker = EnginePicker::new("hall".into());
+    picker.on_rest(now, &first, Millis(3_000));
+    picker.on_leaving(&first);
+    announce(&mut directory, now, first.as_str(), 8);
+    assert_eq!(pick(&picker, now, &directory), None, "whatever it announces meanwhile");
+    announce(&mut directory, now, second.as_str(), 1);
+    assert_eq!(pick(&picker, now, &directory), Some(second));
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Rest(usize, u64),
+    Sent(usize),
+    Taken(usize),
+    Pass(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let engine = 0..ENGINES.len();
+    prop_oneof![
+        (engine.clone(), 0_u64..5_000).prop_map(|(engine, rest)| Event::Rest(engine, rest)),
+        engine.clone().prop_map(Event::Sent),
+        engine.prop_map(Event::Taken),
+        (0_u64..900).prop_map(Event::Pass),
+    ]
+}
+
+proptest! {
+    /// Whatever happens in whichever order: nothing is chosen within any of the rests that were asked for, and an
+    /// engine may be asked again a tenth of a second after the last of them at the latest.
+    #[test]
+    fn every_rest_is_kept_and_ends(events in prop::collection::vec(event(), 1..60)) {
+        let mut now = Timestamp(1_000);
+        let directory = directory(now);
+        let mut picker = EnginePicker::new("hall".into());
+        let mut ends = [Timestamp(0); ENGINES.len()];
+        for event in events {
+            match event {
+                Event::Rest(engine, rest) => {
+                    picker.on_rest(now, &ENGINES[engine].into(), Millis(rest));
+                    ends[engine] = ends[engine].max(now + Millis(rest));
+                }
+                Event::Sent(engine) => picker.on_start(now, &ENGINES[engine].into(), None),
+                Event::Taken(engine) => picker.on_taken(&ENGINES[engine].into(), now),
+                Event::Pass(time) => now = now + Millis(time),
+            }
+            let resting = |engine: usize| ends[engine] > now;
+            if let Some(chosen) = pick(&picker, now, &directory) {
+                let chosen = ENGINES.iter().position(|engine| chosen.as_str() == *engine);
+                prop_assert!(!resting(chosen.expect("one of them")));
+            } else {
+                let soonest = ends.iter().min().expect("there are some").max(&now);
+                prop_assert!(pick(&picker, *soonest + Millis(100), &directory).is_some());
+            }
+        }
+    }
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt: one request sent to one engine, up to the head of its answer.
 
 use crate::decision_log;
-use crate::dialect::{CallerRequest, EngineAddressing, EngineVerdict};
+use crate::dialect::{CallerRequest, EngineAddressing, EngineVerdict, EngineWishes};
 use crate::engine_pool::EngineConnection;
 use crate::router::Router;
 use bytes::Bytes;
@@ -11,7 +11,7 @@
 use hyper::http::response;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use stackpost_gateway_core::{AttemptEnd, Choice, EngineRecord, Placement, Standing};
-use stackpost_types::{BackEndName, Millis};
+use stackpost_types::{BackEndName, Millis, Timestamp};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -67,6 +67,8 @@
     placement: Option<Placement>,
     standing: Standing,
     since: Instant,
+    /// The same by the router's clock.
+    sent_at: Timestamp,
     connection: Option<EngineConnection>,
     ended: bool,
 }
@@ -75,8 +77,9 @@
     fn new(router: Rc<Router>, choice: Choice) -> Self {
         let Choice { engine, placement, standing } = choice;
         router.on_placed(&engine.notice.engine, placement.as_ref());
-        let (since, connection) = (Instant::now(), None);
-        Self { router, engine, placement, standing, since, connection, ended: false }
+        let (since, sent_at) = (Instant::now(), router.now());
+        let connection = None;
+        Self { router, engine, placement, standing, since, sent_at, connection, ended: false }
     }
 
     /// What was expected of a generation when it was sent.
@@ -170,6 +173,12 @@
     if !connection.reused {
         router.congestion.on_connected(Instant::now().into_std(), begun.elapsed());
     }
+    // While the connection came up, the engine may have asked another request's answer for rest.
+    if !router.may_send(hold.name()) {
+        log_end(payload, &hold, "connect", "the engine has asked for rest meanwhile");
+        hold.finish(AttemptEnd::Abandoned, None);
+        return AttemptResult::Unreachable;
+    }
     let request = engine_request(router, payload, addressing);
     on_sent();
     let answer = connection.sender.try_send_request(request);
@@ -205,12 +214,8 @@
         EngineVerdict::NotRun => {
             let wishes = router.dialect.read_wishes(&payload.caller, head.status, &head.headers);
             decision_log::turned_away(router, payload, &hold, head.status, &wishes);
-            let end = if head.status == StatusCode::SERVICE_UNAVAILABLE {
-                AttemptEnd::Full
-            } else {
-                AttemptEnd::Answered
-            };
-            hold.finish(end, None);
+            router.on_wishes(&payload.caller.id, hold.name(), &wishes);
+            hold.finish(turned_away_end(head.status, &wishes), None);
             AttemptResult::NotRun
         }
         EngineVerdict::WrongEngine => {
@@ -224,11 +229,23 @@
             AttemptResult::Spoiled
         }
         EngineVerdict::Genuine => {
+            let wishes = router.dialect.read_wishes(&payload.caller, head.status, &head.headers);
+            router.picker.borrow_mut().on_taken(hold.name(), hold.sent_at);
+            router.on_wishes(&payload.caller.id, hold.name(), &wishes);
             AttemptResult::Answered(Box::new(EngineAnswer { head, body, hold }))
         }
     }
 }
 
+/// What a request that was turned away says of the engine: with a wish for rest only what the engine wants.
+fn turned_away_end(status: StatusCode, wishes: &EngineWishes) -> AttemptEnd {
+    match status {
+        _ if wishes.rest.is_some() => AttemptEnd::AskedForRest,
+        StatusCode::SERVICE_UNAVAILABLE => AttemptEnd::Full,
+        _ => AttemptEnd::Answered,
+    }
+}
+
 fn engine_request(
     router: &Router,
     payload: &Payload,
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -6,7 +6,7 @@
 use crate::router::Router;
 use hyper::StatusCode;
 use stackpost_prepaid::{Demand, Outlook};
-use stackpost_types::{BackEndName, TenantName};
+use stackpost_types::{BackEndName, Millis, TenantName};
 use std::time::Duration;
 
 /// A request is refused because its tenant's budget does not cover it here and now. `step` is what
@@ -67,6 +67,30 @@
     );
 }
 
+/// An engine wants no request for a while. Says what was under way there: a wish while little is tells of other
+/// routers' requests, or of an engine that turns away whatever comes.
+pub(crate) fn rest_begins(router: &Router, request: &str, engine: &BackEndName, rest: Millis) {
+    log::info!(
+        request = request,
+        engine = engine.as_str(),
+        rest_ms = rest.0,
+        requests_there = router.picker.borrow().in_flight(engine);
+        "engine rests"
+    );
+}
+
+/// A request is refused because every engine that could serve it rests. Names the one whose rest ends first.
+pub(crate) fn all_rest(context: &RequestContext, engine: &BackEndName, soonest: Millis) {
+    log::info!(
+        request = context.payload.caller.id.as_str(),
+        service = context.service.as_str(),
+        engine = engine.as_str(),
+        rest_left_ms = soonest.0,
+        resting = context.router.picker.borrow().resting(context.router.now());
+        "every engine rests"
+    );
+}
+
 /// How far an answer had come when its engine broke it off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum BreakPoint {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -84,6 +84,8 @@
 pub struct EngineWishes {
     /// It wants no request for so long.
     pub rest: Option<Millis>,
+    /// It leaves: it wants no new request at all.
+    pub leaves: bool,
     /// Headers whose value is none that the platform knows; they ask for nothing.
     pub unreadable: Vec<&'static str>,
 }
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -159,6 +159,7 @@
                     let router = &self.router;
                     let engines = router.known_engines();
                     router.metrics.on_look(router.document_version(), router.in_touch(), engines);
+                    router.metrics.on_resting(router.picker.borrow().resting(router.now()));
                     router.metrics.on_quarantined(router.crash_memory.borrow().quarantined());
                 }
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,6 @@
     UnreadableRequest,
 };
 pub use fleet_link::FleetLink;
-pub use refusal::Refusal;
+pub use refusal::{Refusal, after_rest};
 pub use router::{Router, RouterSettings};
 pub use server::{Server, serve_callers};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,7 +2,7 @@
 //! reasons and ends are enumerations, nothing comes from a request.
 
 use crate::refusal::Refusal;
-use stackpost_gateway_core::AttemptEnd;
+use stackpost_gateway_core::{AttemptEnd, RestChange};
 use stackpost_telemetry::{Counter, Gauge, Histogram, KeyValue, Meter};
 use std::time::Duration;
 
@@ -23,6 +23,10 @@
     engines: Gauge<u64>,
     quarantined: Gauge<u64>,
     datagrams_refused: Counter<u64>,
+    rests: Counter<u64>,
+    rest_seconds: Counter<f64>,
+    engines_resting: Gauge<u64>,
+    wishes_refused: Counter<u64>,
 }
 
 impl RouterMetrics {
@@ -56,6 +60,16 @@
                 "stackpost_datagrams_refused",
                 "Datagrams between routers that could not be read",
             ),
+            rests: counter("stackpost_engine_rests", "Rests that engines asked this router for"),
+            rest_seconds: meter
+                .f64_counter("stackpost_engine_rest_seconds")
+                .with_description("Time for which engines asked for rest, overlaps counted once")
+                .build(),
+            engines_resting: gauge("stackpost_engines_resting", "Engines that rest"),
+            wishes_refused: counter(
+                "stackpost_wishes_refused",
+                "Headers of engines' answers whose value is none that is known, by header",
+            ),
             quarantined: gauge(
                 "stackpost_requests_quarantined",
                 "Requests that are let in no more because engines ended under them",
@@ -94,6 +108,22 @@
         self.datagrams_refused.add(1, &[]);
     }
 
+    /// An engine has asked for rest.
+    pub fn on_rest(&self, change: RestChange) {
+        self.rests.add(u64::from(change.begins), &[]);
+        self.rest_seconds.add(change.added.0 as f64 / 1_000.0, &[]);
+    }
+
+    /// A header with which an engine asks for something has no value that is known.
+    pub fn on_wish_refused(&self, header: &'static str) {
+        self.wishes_refused.add(1, &[KeyValue::new("header", header)]);
+    }
+
+    /// Engines that rest, now and then.
+    pub fn on_resting(&self, engines: usize) {
+        self.engines_resting.record(engines as u64, &[]);
+    }
+
     /// Tokens are settled.
     pub fn on_settled(&self, tokens: u64) {
         self.tokens.add(tokens, &[]);
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -13,6 +13,12 @@
 /// balances and be refused again.
 const LEADER_BACK_WITHIN: Millis = Millis(3_000);
 
+/// Time over which callers return whose engines all rest: engines are to serve again within half a second.
+const RETURN_SPREAD: Millis = Millis(400);
+/// Nobody is told to stay away for longer: by then engines may have come that rest from nothing (a replacement takes
+/// three to four seconds, a day of new engines some more).
+const LONGEST_RETRY_AFTER: Millis = Millis(30_000);
+
 /// Why a request gets no engine's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -41,6 +47,11 @@
     NoEngine,
     /// The engines have no room.
     EnginesFull,
+    /// Every engine of the service has asked for rest.
+    EnginesRest {
+        /// When to come again: the soonest end of a rest, spread ([`after_rest`]).
+        retry_after: Millis,
+    },
     /// The engines can't be reached.
     Unreachable,
     /// The time is over and the request has not run.
@@ -53,6 +64,14 @@
     TimeOverUnknown,
 }
 
+/// When a caller should come again whose engines all rest: once the first rest is over (`soonest`), at a moment of
+/// its own (`lot`, any number) within [`RETURN_SPREAD`], so that callers who were refused together do not return
+/// together.
+pub fn after_rest(soonest: Millis, lot: u64) -> Millis {
+    let spread = Millis(lot % RETURN_SPREAD.0);
+    Millis((soonest.0 + spread.0).min(LONGEST_RETRY_AFTER.0))
+}
+
 impl Refusal {
     /// The reason as a code.
     pub fn code(self) -> &'static str {
@@ -69,6 +88,7 @@
             Self::BudgetOutOfReach => "budget_out_of_reach",
             Self::NoEngine => "no_engine",
             Self::EnginesFull => "engines_full",
+            Self::EnginesRest { .. } => "engines_rest",
             Self::Unreachable => "unreachable",
             Self::TimeOver => "time_over",
             Self::EndsEngines => "ends_engines",
@@ -90,6 +110,7 @@
             | Self::MayBeBehind
             | Self::NoEngine
             | Self::EnginesFull
+            | Self::EnginesRest { .. }
             | Self::Unreachable
             | Self::EndsEngines
             | Self::TimeOver => StatusCode::SERVICE_UNAVAILABLE,
@@ -106,6 +127,7 @@
             Self::NoEngine | Self::Unreachable | Self::TimeOver => Some(Millis(200)),
             Self::Stopping => Some(Millis(50)),
             Self::EnginesFull => Some(Millis(100)),
+            Self::EnginesRest { retry_after } => Some(retry_after),
             Self::BudgetExhausted => Some(Millis(500)),
             Self::BudgetOutOfReach => Some(LEADER_BACK_WITHIN),
             Self::EndsEngines => Some(FIRST_QUARANTINE),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -5,7 +5,7 @@
 use crate::deadline::Deadline;
 use crate::decision_log::{self, BreakPoint};
 use crate::dialect::{CallerRequest, EngineAddressing, Generation};
-use crate::refusal::Refusal;
+use crate::refusal::{Refusal, after_rest};
 use crate::relay::{self, LargeAnswer};
 use crate::reservation::Reservation;
 use crate::router::Router;
@@ -16,7 +16,7 @@
 use hyper::http::request;
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use stackpost_gateway_core::{
-    Admission, AttemptEnd, Choice, PickQuery, Route, RouteTable, Tenant, Work,
+    Admission, AttemptEnd, Choice, PickQuery, Route, RouteTable, ServiceOutlook, Tenant, Work,
 };
 use stackpost_prepaid::Demand;
 use stackpost_types::{BackEndName, Digest, Millis, ServiceName, TenantName};
@@ -142,6 +142,7 @@
         arrived,
     };
     context.refuse_if_quarantined()?;
+    context.refuse_if_nobody_may_serve()?;
     context.reservation = context.reserve().await?;
     context.run().await
 }
@@ -186,6 +187,23 @@
 }
 
 impl RequestContext {
+    /// Refuses a request that no engine may be asked to serve, before tokens are set aside for it.
+    fn refuse_if_nobody_may_serve(&self) -> Result<(), Refusal> {
+        match self.router.outlook(&self.service) {
+            ServiceOutlook::Open => Ok(()),
+            ServiceOutlook::NoEngine => Err(Refusal::NoEngine),
+            ServiceOutlook::AllRest { soonest, engine } => {
+                decision_log::all_rest(self, &engine, soonest);
+                Err(Refusal::EnginesRest { retry_after: after_rest(soonest, self.lot()) })
+            }
+        }
+    }
+
+    /// A number that differs from request to request.
+    fn lot(&self) -> u64 {
+        Digest::of(&[self.payload.caller.id.as_bytes()]).to_u64()
+    }
+
     /// Sets aside the tokens that the request may cost, if its tenant has a budget.
     async fn reserve(&self) -> Result<Option<Reservation>, Refusal> {
         let Some(generation) = self.payload.caller.generation else {
@@ -335,13 +353,12 @@
             progress.tried.iter().chain(&progress.unreachable).cloned().collect();
         let generation = self.payload.caller.generation;
         let subject = generation.and_then(|generation| generation.subject);
-        let tie_breaker = Digest::of(&[self.payload.caller.id.as_bytes()]).to_u64();
         let query = PickQuery {
             service: &self.service,
             subject: subject.filter(|_| self.route.sticky),
             work: generation.map(|generation| self.work(generation)),
             tried: &tried,
-            tie_breaker,
+            tie_breaker: self.lot(),
         };
         let directory = self.router.directory.borrow();
         let picker = self.router.picker.borrow();
@@ -385,6 +402,10 @@
             return Ok(failure.into_response());
         }
         let time_is_over = self.deadline.is_over();
+        if !progress.may_have_run && !time_is_over {
+            // The engines that were asked may have been the last ones that did not rest.
+            self.refuse_if_nobody_may_serve()?;
+        }
         Err(match (progress.may_have_run, time_is_over) {
             (true, true) => Refusal::TimeOverUnknown,
             (true, false) => Refusal::AnswerLost,
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -1,7 +1,8 @@
 //! What a router knows, shared by all its requests.
 
 use crate::congestion::Congestion;
-use crate::dialect::Dialect;
+use crate::decision_log;
+use crate::dialect::{Dialect, EngineWishes};
 use crate::engine_pool::EnginePool;
 use crate::loans::LoanDesk;
 use crate::metrics::RouterMetrics;
@@ -9,11 +10,11 @@
 use stackpost_coordinator::{Document, DocumentCodec, DocumentDelta};
 use stackpost_gateway_core::{
     CrashMemory, EngineDirectory, EnginePicker, EngineState, Placement, RetryBudget, RetryLimits,
-    RouteTable,
+    RouteTable, ServiceOutlook,
 };
 use stackpost_prepaid::{Demand, Outlook, Wallet};
-use stackpost_telemetry::Meter;
-use stackpost_types::{BackEndName, Millis, TenantName, Timestamp, Tokens, ZoneName};
+use stackpost_telemetry::{LineLimit, Meter};
+use stackpost_types::{BackEndName, Millis, ServiceName, TenantName, Timestamp, Tokens, ZoneName};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -66,6 +67,7 @@
     pub(crate) load_changed: Notify,
     /// Tokens to be read at one engine from which on that is so.
     pub(crate) told_at_once: Cell<Tokens>,
+    refused_wishes: LineLimit,
     document: RefCell<Option<Document>>,
     table: RefCell<Option<Rc<RouteTable>>>,
     confirmed: Cell<bool>,
@@ -100,6 +102,7 @@
             wallet_short: Notify::new(),
             load_changed: Notify::new(),
             told_at_once: Cell::new(Tokens(u64::MAX)),
+            refused_wishes: LineLimit::default(),
             document: RefCell::default(),
             table: RefCell::default(),
             confirmed: Cell::new(false),
@@ -160,6 +163,39 @@
         }
     }
 
+    /// Takes in what an engine asked for in its answer to a request. A wish holds for all requests of this router
+    /// and every way on which they reach the engine: known of one attempt only, it was broken by the next one.
+    pub(crate) fn on_wishes(&self, request: &str, engine: &BackEndName, wishes: &EngineWishes) {
+        let now = self.now();
+        if let Some(rest) = wishes.rest {
+            let change = self.picker.borrow_mut().on_rest(now, engine, rest);
+            self.metrics.on_rest(change);
+            if change.begins {
+                decision_log::rest_begins(self, request, engine, rest);
+            }
+        }
+        if wishes.leaves && self.picker.borrow_mut().on_leaving(engine) {
+            log::info!(request = request, engine = engine.as_str(); "engine leaves by its own answer");
+        }
+        for header in &wishes.unreadable {
+            self.metrics.on_wish_refused(header);
+            if let Some(held_back) = self.refused_wishes.pass(Instant::now()) {
+                let engine = engine.as_str();
+                log::warn!(engine = engine, header = header, held_back = held_back; "wish refused");
+            }
+        }
+    }
+
+    /// Whether an engine has asked for nothing that speaks against sending it a request now.
+    pub(crate) fn may_send(&self, engine: &BackEndName) -> bool {
+        self.picker.borrow().may_send(self.now(), engine)
+    }
+
+    /// What a request for a service can expect.
+    pub(crate) fn outlook(&self, service: &ServiceName) -> ServiceOutlook {
+        self.picker.borrow().outlook(self.now(), &self.directory.borrow(), service)
+    }
+
     /// Tokens that an engine has to read, as far as this router knows.
     pub fn to_read(&self, engine: &BackEndName) -> Tokens {
         self.picker.borrow().to_read(self.now(), engine)
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -86,7 +86,8 @@
     fn read_wishes(&self, _: &CallerRequest, _: StatusCode, headers: &HeaderMap) -> EngineWishes {
         let rest = headers.get("rest").map(|rest| rest.to_str().expect("text"));
         let rest = rest.map(|rest| Millis(rest.parse().expect("milliseconds")));
-        EngineWishes { rest, unreadable: Vec::new() }
+        let leaves = headers.contains_key("leaving");
+        EngineWishes { rest, leaves, unreadable: Vec::new() }
     }
 }
 
