Hold requests to engines' announced slots while a service's engines ask for rest, and lend free ones

Cause: keeping a rest by leaving the engine out costs callers more than breaking it did: each 503 takes an engine from a router for three seconds that has room again after 50 ms. What routers send must fit what the engines have room for. Every announced slot belongs to one router (rendezvous over the routers that are there); a router fills its own, borrows a free one by datagram if it has none (four routers asked at most, 12 ms each), and lets a request wait for an eighth of its objective at most. Only while an engine of the service asked for rest within a minute; other services send as before. Generations are not held: engines queue them and routers tell of them.

--- a/crates/gateway-core/src/hold_off.rs
+++ b/crates/gateway-core/src/hold_off.rs
@@ -73,6 +73,11 @@
         self.rests.get(engine).is_some_and(|rest| rest.until > now)
     }
 
+    /// Whether an engine has asked for rest and taken no request since.
+    pub fn is_on_trial(&self, engine: &BackEndName) -> bool {
+        self.rests.contains_key(engine)
+    }
+
     /// Whether an engine has said that it leaves.
     pub fn is_leaving(&self, engine: &BackEndName) -> bool {
         self.leaving.contains(engine)
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`EnginePicker`]: which engine a request goes to; for generations by the [`Harm`] that follows
 //!   from each engine's [`EngineLoad`].
 //! - [`HoldOff`]: engines that have asked to be left alone for a while, or that leave.
+//! - [`SlotShares`]: which of the engines' slots belong to which router.
 //! - [`RetryBudget`]: how many requests may be sent to a further engine.
 //! - [`RequestFingerprint`]: what a request asks, the same for every repeat of it.
 //! - [`Quarantine`]: requests under which engines have ended, for the whole fleet; [`CrashMemory`]: what
@@ -17,12 +18,14 @@
 mod engine_load;
 mod event_stream;
 mod fingerprint;
+mod hashing;
 mod hold_off;
 mod picker;
 mod placement;
 mod quarantine;
 mod retry_budget;
 mod route_table;
+mod slot_shares;
 
 pub use config::{
     ClientLimits, ConfigError, EngineProfile, Route, RouteKind, RoutingConfig, Service, Split,
@@ -42,3 +45,4 @@
 };
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use route_table::{Admission, RouteTable, TenantMatch};
+pub use slot_shares::SlotShares;
--- a/crates/gateway-core/src/picker.rs
+++ b/crates/gateway-core/src/picker.rs
@@ -11,6 +11,7 @@
 
 use crate::directory::{EngineDirectory, EngineRecord, EngineState};
 use crate::engine_load::{EngineLoad, EngineNews, Placement, Work, follow};
+use crate::hashing::mix;
 use crate::hold_off::{HoldOff, RestChange};
 use crate::placement::Harm;
 use stackpost_types::{BackEndName, Digest, Millis, ServiceName, Timestamp, Tokens, ZoneName};
@@ -80,8 +81,10 @@
     pub subject: Option<u64>,
     /// What it asks of a model engine; `None` for requests to other services.
     pub work: Option<Work>,
-    /// Engines that it has been sent to.
+    /// Engines that it is not to be sent to: it was, or has no slot there.
     pub tried: &'a [BackEndName],
+    /// Whether an engine has turned it away before. It is no request to try an engine with whose rest is over.
+    pub is_repeat: bool,
     /// Breaks ties.
     pub tie_breaker: u64,
 }
@@ -194,6 +197,11 @@
         query: &PickQuery<'_>,
     ) -> Option<Choice> {
         let mut candidates = self.candidates(now, directory, query);
+        let is_tried =
+            |candidate: &Candidate<'_>| !self.hold_off.is_on_trial(&candidate.record.notice.engine);
+        if query.is_repeat && candidates.iter().any(is_tried) {
+            candidates.retain(is_tried);
+        }
         let best = candidates.iter().map(|candidate| candidate.standing).min()?;
         candidates.retain(|candidate| candidate.standing == best);
         if let Some(work) = query.work {
@@ -248,6 +256,11 @@
         !self.hold_off.is_resting(now, engine) && !self.hold_off.is_leaving(engine)
     }
 
+    /// Whether an engine may be asked now, as far as it has said itself.
+    pub fn is_open(&self, now: Timestamp, engine: &BackEndName) -> bool {
+        self.hold_off.is_open(now, engine)
+    }
+
     /// Engines that rest.
     pub fn resting(&self, now: Timestamp) -> usize {
         self.hold_off.resting(now)
@@ -500,11 +513,3 @@
     let engine = candidate.record.notice.engine.as_str();
     mix(subject ^ Digest::of(&[engine.as_bytes()]).to_u64())
 }
-
-/// Spreads the bits of a number (the finalizer of SplitMix64; Steele, Lea and Flood, 2014).
-fn mix(value: u64) -> u64 {
-    let mut mixed = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    mixed ^ (mixed >> 31)
-}
--- /dev/null
+++ b/crates/gateway-core/src/slot_shares.rs
@@ -0,0 +1,148 @@
+//! Which of the engines' slots belong to which router.
+//!
+//! An engine that has no room turns a request away, and with a wish for rest it is lost to that router for seconds,
+//! though it has room again after one request. So where engines ask for rest, what a fleet sends must fit what they
+//! have room for, without a message for each request: every announced slot belongs to one router, by rendezvous
+//! hashing over the routers that are there. A router fills its own slots and borrows a free one of another router when
+//! it has none.
+//!
+//! Routers may differ for a moment in whom they take for present. A slot that two of them take for theirs costs a
+//! request that is turned away, one that nobody takes for its own rests for that moment; nothing depends on it.
+
+use crate::directory::EngineRecord;
+use crate::hashing::mix;
+use stackpost_types::{BackEndName, Digest, Millis, ServiceName, Timestamp};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// A service is held to its slots for so long after one of its engines has asked for rest. Longer than the rests that
+/// engines ask for (seconds), so that the fleet does not run into the next one as soon as the last is over.
+const HELD_TO_SLOTS: Millis = Millis(60_000);
+/// A router that does not answer is taken for absent for so long; its slots belong to the others meanwhile.
+const ABSENT_FOR: Millis = Millis(1_000);
+
+/// An engine's part that belongs to this router.
+#[derive(Clone, Copy, Debug, Default)]
+struct Share {
+    /// Slots that the engine announced when this was worked out.
+    announced: u32,
+    own: u32,
+}
+
+/// One router's view of the slots.
+#[derive(Clone, Debug)]
+pub struct SlotShares {
+    own: SocketAddr,
+    others: Vec<SocketAddr>,
+    absent: HashMap<SocketAddr, Timestamp>,
+    shares: HashMap<BackEndName, Share>,
+    used: HashMap<BackEndName, u32>,
+    held_until: HashMap<ServiceName, Timestamp>,
+}
+
+impl SlotShares {
+    /// For the router that others know by `own`.
+    pub fn new(own: SocketAddr) -> Self {
+        Self {
+            own,
+            others: Vec::new(),
+            absent: HashMap::new(),
+            shares: HashMap::new(),
+            used: HashMap::new(),
+            held_until: HashMap::new(),
+        }
+    }
+
+    /// Takes over which other routers there are.
+    pub fn set_others(&mut self, others: &[SocketAddr]) {
+        if self.others != others {
+            self.others = others.to_vec();
+            self.shares.clear();
+        }
+    }
+
+    /// A router does not answer.
+    pub fn on_no_answer(&mut self, now: Timestamp, router: SocketAddr) {
+        self.absent.insert(router, now + ABSENT_FOR);
+        self.shares.clear();
+    }
+
+    /// An engine of a service has asked for rest.
+    pub fn on_rest(&mut self, now: Timestamp, service: &ServiceName) {
+        self.held_until.insert(service.clone(), now + HELD_TO_SLOTS);
+    }
+
+    /// Whether what is sent to a service is held to its engines' slots.
+    pub fn is_held(&self, now: Timestamp, service: &ServiceName) -> bool {
+        self.held_until.get(service).is_some_and(|until| now < *until)
+    }
+
+    /// Own slots of an engine that are free.
+    pub fn free(&mut self, now: Timestamp, engine: &EngineRecord) -> u32 {
+        let used = self.used.get(&engine.notice.engine).copied().unwrap_or_default();
+        self.own_slots(now, engine).saturating_sub(used)
+    }
+
+    /// A request takes a slot of an engine, free or not: what is sent while nothing is held back counts, too.
+    pub fn take(&mut self, engine: &BackEndName) {
+        *self.used.entry(engine.clone()).or_default() += 1;
+    }
+
+    /// A request no longer needs its slot.
+    pub fn give_back(&mut self, engine: &BackEndName) {
+        if let Some(used) = self.used.get_mut(engine) {
+            *used -= 1;
+            if *used == 0 {
+                self.used.remove(engine);
+            }
+        }
+    }
+
+    /// Up to `most` routers to borrow from, for a request whose `lot` is any number: each request begins with
+    /// another one.
+    pub fn lenders(&self, now: Timestamp, lot: u64, most: usize) -> Vec<SocketAddr> {
+        let mut present: Vec<SocketAddr> =
+            self.others.iter().filter(|router| self.is_present(now, **router)).copied().collect();
+        present.sort_by_key(|router| mix(lot ^ hash_of(*router)));
+        present.truncate(most);
+        present
+    }
+
+    fn is_present(&self, now: Timestamp, router: SocketAddr) -> bool {
+        self.absent.get(&router).is_none_or(|until| *until <= now)
+    }
+
+    fn own_slots(&mut self, now: Timestamp, engine: &EngineRecord) -> u32 {
+        self.forget_absent(now);
+        let (name, announced) = (&engine.notice.engine, engine.notice.slots);
+        match self.shares.get(name) {
+            Some(share) if share.announced == announced => share.own,
+            _ => {
+                let own =
+                    (0..announced).filter(|slot| self.is_own(now, name, *slot)).count() as u32;
+                self.shares.insert(name.clone(), Share { announced, own });
+                own
+            }
+        }
+    }
+
+    fn is_own(&self, now: Timestamp, engine: &BackEndName, slot: u32) -> bool {
+        let slot = Digest::of(&[engine.as_str().as_bytes(), &slot.to_le_bytes()]).to_u64();
+        let rank = |router: SocketAddr| (mix(slot ^ hash_of(router)), router);
+        let own = rank(self.own);
+        let present = self.others.iter().filter(|router| self.is_present(now, **router));
+        present.map(|router| rank(*router)).all(|other| other < own)
+    }
+
+    fn forget_absent(&mut self, now: Timestamp) {
+        let before = self.absent.len();
+        self.absent.retain(|_, until| now < *until);
+        if self.absent.len() < before {
+            self.shares.clear();
+        }
+    }
+}
+
+fn hash_of(router: SocketAddr) -> u64 {
+    Digest::of(&[router.to_string().as_bytes()]).to_u64()
+}
--- a/crates/gateway-core/tests/engines.rs
+++ b/crates/gateway-core/tests/engines.rs
@@ -32,7 +32,14 @@
     tried: &[BackEndName],
 ) -> Option<String> {
     let service = ServiceName::new("models");
-    let query = PickQuery { service: &service, subject, work: None, tried, tie_breaker: 3 };
+    let query = PickQuery {
+        service: &service,
+        subject,
+        work: None,
+        tried,
+        is_repeat: false,
+        tie_breaker: 3,
+    };
     picker.pick(now, directory, &query).map(|choice| choice.engine.notice.engine.to_string())
 }
 
--- a/crates/gateway-core/tests/hold_off.rs
+++ b/crates/gateway-core/tests/hold_off.rs
@@ -30,8 +30,14 @@
 
 fn pick(picker: &EnginePicker, now: Timestamp, directory: &EngineDirectory) -> Option<BackEndName> {
     let service = ServiceName::new("plain");
-    let query =
-        PickQuery { service: &service, subject: None, work: None, tried: &[], tie_breaker: 3 };
+    let query = PickQuery {
+        service: &service,
+        subject: None,
+        work: None,
+        tried: &[],
+        is_repeat: false,
+        tie_breaker: 3,
+    };
     picker.pick(now, directory, &query).map(|choice| choice.engine.notice.engine)
 }
 
--- a/crates/gateway-core/tests/placement.rs
+++ b/crates/gateway-core/tests/placement.rs
@@ -45,6 +45,7 @@
         subject: Some(subject),
         work: Some(work),
         tried: &[],
+        is_repeat: false,
         tie_breaker: subject,
     };
     picker.pick(now, directory, &query).expect("there are engines")
--- /dev/null
+++ b/crates/gateway-core/tests/slot_shares.rs
@@ -0,0 +1,107 @@
+//! Slots of engines belong to one router each, whoever works it out.
+
+use proptest::prelude::*;
+use stackpost_gateway_core::*;
+use stackpost_types::*;
+use std::net::SocketAddr;
+
+fn address(router: usize) -> SocketAddr {
+    ([10, 0, 1, router as u8], 80).into()
+}
+
+fn engine(number: u8, slots: u32) -> EngineRecord {
+    let mut directory = EngineDirectory::default();
+    let name = BackEndName::new(format!("e{number}"));
+    directory.merge(
+        Timestamp(1),
+        EngineNotice {
+            engine: name.clone(),
+            sequence: 1,
+            service: "plain".into(),
+            address: ([10, 0, 0, number], 80).into(),
+            zone: "hall".into(),
+            slots,
+            state: EngineState::Ready,
+            age: Millis(0),
+        },
+    );
+    directory.get(&name).expect("it is known").clone()
+}
+
+/// What each of the routers takes for its own, if all know all of them.
+fn views(routers: usize) -> Vec<SlotShares> {
+    let all: Vec<SocketAddr> = (0..routers).map(address).collect();
+    let view = |own: &SocketAddr| {
+        let mut shares = SlotShares::new(*own);
+        let others: Vec<SocketAddr> = all.iter().filter(|one| *one != own).copied().collect();
+        shares.set_others(&others);
+        shares
+    };
+    all.iter().map(view).collect()
+}
+
+proptest! {
+    #[test]
+    fn every_slot_belongs_to_one_router(routers in 1_usize..9, slots in 1_u32..40, number in 0_u8..20) {
+        let engine = engine(number, slots);
+        let now = Timestamp(1_000);
+        let owned: u32 = views(routers).iter_mut().map(|view| view.free(now, &engine)).sum();
+        prop_assert_eq!(owned, slots);
+    }
+
+    /// A router that is gone leaves its slots to the others and moves no other one.
+    #[test]
+    fn only_the_slots_of_a_router_that_is_gone_move(routers in 2_usize..9, number in 0_u8..20) {
+        let engine = engine(number, 24);
+        let now = Timestamp(1_000);
+        let mut views = views(routers);
+        let gone = views.remove(0).free(now, &engine);
+        let before: Vec<u32> = views.iter_mut().map(|view| view.free(now, &engine)).collect();
+        views.iter_mut().for_each(|view| view.on_no_answer(now, address(0)));
+        let after: Vec<u32> = views.iter_mut().map(|view| view.free(now, &engine)).collect();
+        prop_assert!(before.iter().zip(&after).all(|(before, after)| before <= after));
+        prop_assert_eq!(after.iter().sum::<u32>(), 24);
+        prop_assert_eq!(before.iter().sum::<u32>() + gone, 24);
+        let back = now + Millis(1_000);
+        let again: Vec<u32> = views.iter_mut().map(|view| view.free(back, &engine)).collect();
+        prop_assert_eq!(again, before, "it is asked again after a second");
+    }
+}
+
+#[test]
+fn a_slot_in_use_is_not_free_until_it_is_given_back() {
+    let (engine, now) = (engine(1, 2), Timestamp(1_000));
+    let mut shares = SlotShares::new(address(0));
+    assert_eq!(shares.free(now, &engine), 2);
+    shares.take(&engine.notice.engine);
+    assert_eq!(shares.free(now, &engine), 1);
+    shares.take(&engine.notice.engine);
+    shares.take(&engine.notice.engine);
+    assert_eq!(shares.free(now, &engine), 0, "more than it has");
+    shares.give_back(&engine.notice.engine);
+    shares.give_back(&engine.notice.engine);
+    assert_eq!(shares.free(now, &engine), 1);
+}
+
+#[test]
+fn a_service_is_held_to_its_slots_for_a_minute_after_a_wish_for_rest() {
+    let mut shares = SlotShares::new(address(0));
+    let service = ServiceName::new("plain");
+    assert!(!shares.is_held(Timestamp(1_000), &service));
+    shares.on_rest(Timestamp(1_000), &service);
+    assert!(shares.is_held(Timestamp(60_999), &service));
+    assert!(!shares.is_held(Timestamp(61_000), &service));
+    assert!(!shares.is_held(Timestamp(1_000), &ServiceName::new("other")));
+}
+
+#[test]
+fn requests_begin_with_different_lenders_and_pass_over_who_does_not_answer() {
+    let mut shares = views(6).remove(0);
+    let now = Timestamp(1_000);
+    let first = |lot: u64, shares: &SlotShares| shares.lenders(now, lot, 4)[0];
+    let begun: std::collections::BTreeSet<SocketAddr> =
+        (0..64).map(|lot| first(lot, &shares)).collect();
+    assert_eq!(begun.len(), 5, "each of the others is asked first by some");
+    shares.on_no_answer(now, address(3));
+    assert!((0..64).all(|lot| !shares.lenders(now, lot, 5).contains(&address(3))));
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,6 +4,7 @@
 use crate::dialect::{CallerRequest, EngineAddressing, EngineVerdict, EngineWishes};
 use crate::engine_pool::EngineConnection;
 use crate::router::Router;
+use crate::slots::Slot;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -36,6 +37,12 @@
     pub caller: CallerRequest,
 }
 
+/// An engine for an attempt, and the slot that the request takes there if its slots are counted.
+pub(crate) struct Chosen {
+    pub choice: Choice,
+    pub slot: Option<Slot>,
+}
+
 /// How an attempt went.
 pub(crate) enum AttemptResult {
     /// Nothing was sent.
@@ -70,16 +77,27 @@
     /// The same by the router's clock.
     sent_at: Timestamp,
     connection: Option<EngineConnection>,
+    /// Kept for as long as the engine works on the request.
+    _slot: Option<Slot>,
     ended: bool,
 }
 
 impl EngineHold {
-    fn new(router: Rc<Router>, choice: Choice) -> Self {
+    fn new(router: Rc<Router>, choice: Choice, slot: Option<Slot>) -> Self {
         let Choice { engine, placement, standing } = choice;
         router.on_placed(&engine.notice.engine, placement.as_ref());
         let (since, sent_at) = (Instant::now(), router.now());
-        let connection = None;
-        Self { router, engine, placement, standing, since, sent_at, connection, ended: false }
+        Self {
+            router,
+            engine,
+            placement,
+            standing,
+            since,
+            sent_at,
+            connection: None,
+            _slot: slot,
+            ended: false,
+        }
     }
 
     /// What was expected of a generation when it was sent.
@@ -151,14 +169,14 @@
 /// Sends a request to an engine and waits for the head of the answer until `head_until`.
 pub(crate) async fn send(
     router: &Rc<Router>,
-    choice: Choice,
+    chosen: Chosen,
     payload: &Payload,
     addressing: &EngineAddressing<'_>,
     fresh: bool,
     head_until: Instant,
     on_sent: impl FnOnce(),
 ) -> AttemptResult {
-    let mut hold = EngineHold::new(router.clone(), choice);
+    let mut hold = EngineHold::new(router.clone(), chosen.choice, chosen.slot);
     let begun = Instant::now();
     let connecting = router.pool.acquire(&hold.engine, fresh);
     let mut connection = match timeout_at(head_until, connecting).await {
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -361,5 +361,6 @@
         directory.forget_old(self.router.now());
         self.router.picker.borrow_mut().forget_unknown(self.router.now(), &directory);
         self.router.pool.forget_idle(&directory);
+        self.router.slots.forget_old(self.router.now());
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod attempt;
 mod body;
+mod choose;
 pub mod congestion;
 mod crash_evidence;
 mod deadline;
@@ -18,12 +19,14 @@
 pub mod loans;
 mod machine_clock;
 mod metrics;
+mod peer_socket;
 mod refusal;
 mod relay;
 mod request;
 mod reservation;
 mod router;
 mod server;
+mod slots;
 
 pub use body::{BodyBroken, GatewayBody};
 pub use dialect::{
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -5,16 +5,15 @@
 //! then. A datagram says what is new to be read and how much runs; one that is lost makes the
 //! picture of the others a little older and nothing else. Nobody waits for an answer.
 
+use crate::peer_socket::{PeerDatagram, PeerSocket};
 use crate::router::Router;
 use serde::{Deserialize, Serialize};
 use stackpost_gateway_core::EngineNews;
-use stackpost_telemetry::LineLimit;
-use stackpost_types::{BackEndName, PeerError, Step, Tokens};
+use stackpost_types::{BackEndName, PeerError, Tokens};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// Time between two words while nothing has to be told at once, for few routers.
@@ -32,12 +31,10 @@
 const GATHER_TIME: Duration = Duration::from_millis(8);
 /// Engines in one datagram, so that it fits one packet.
 const ENGINES_PER_DATAGRAM: usize = 24;
-/// Largest datagram that is read.
-const DATAGRAM_LIMIT: usize = 4_096;
 
 /// What one router tells the others.
 #[derive(Debug, Serialize, Deserialize)]
-struct LoadNews {
+pub(crate) struct LoadNews {
     /// Names the sender's life.
     router: u64,
     engines: Vec<(BackEndName, EngineNews)>,
@@ -47,9 +44,8 @@
 pub struct LoadExchange {
     own: u64,
     router: Rc<Router>,
-    socket: UdpSocket,
+    socket: Rc<PeerSocket>,
     peers: RefCell<Vec<SocketAddr>>,
-    refused_lines: LineLimit,
 }
 
 impl LoadExchange {
@@ -60,11 +56,9 @@
         address: SocketAddr,
         router: Rc<Router>,
     ) -> Result<Rc<Self>, PeerError> {
-        let socket = UdpSocket::bind(address)
-            .await
-            .map_err(|error| PeerError::new(Step::Listen, address, error))?;
-        let (peers, refused_lines) = (RefCell::default(), LineLimit::default());
-        let exchange = Rc::new(Self { own, router, socket, peers, refused_lines });
+        let socket = Rc::new(PeerSocket::bind(address).await?);
+        router.slots.open(own, address, socket.clone());
+        let exchange = Rc::new(Self { own, router, socket, peers: RefCell::default() });
         tokio::task::spawn_local(exchange.clone().listen());
         tokio::task::spawn_local(exchange.clone().tell());
         Ok(exchange)
@@ -73,6 +67,7 @@
     /// Takes over who is to be told.
     pub fn set_peers(&self, peers: &[SocketAddr]) {
         *self.peers.borrow_mut() = peers.to_vec();
+        self.router.slots.set_others(peers);
         self.router.told_at_once.set(Tokens(TOLD_AT_ONCE.0 * self.crowd()));
     }
 
@@ -82,34 +77,19 @@
     }
 
     async fn listen(self: Rc<Self>) {
-        let mut buffer = vec![0; DATAGRAM_LIMIT];
         loop {
-            match self.socket.recv_from(&mut buffer).await {
-                Ok((length, from)) => self.take_in(&buffer[..length], from),
-                // An earlier datagram met a closed port; the socket goes on.
-                Err(error) => log::debug!(step = "load"; "{error}"),
+            match self.socket.receive(&self.router.metrics).await {
+                (PeerDatagram::Load(news), _) => self.take_in(news),
+                (PeerDatagram::Slot(message), from) => self.router.on_slot_message(from, message),
             }
         }
     }
 
-    fn take_in(&self, datagram: &[u8], from: SocketAddr) {
-        match postcard::from_bytes::<LoadNews>(datagram) {
-            Ok(news) => {
-                let now = self.router.now();
-                let mut picker = self.router.picker.borrow_mut();
-                for (engine, of_engine) in news.engines {
-                    picker.on_news(now, news.router, engine, &of_engine);
-                }
-            }
-            Err(error) => self.refuse(from, &error),
-        }
-    }
-
-    fn refuse(&self, from: SocketAddr, error: &postcard::Error) {
-        self.router.metrics.on_datagram_refused();
-        if let Some(held_back) = self.refused_lines.pass(Instant::now().into_std()) {
-            let peer = from.to_string();
-            log::warn!(step = "load", peer = peer.as_str(), held_back = held_back; "{error}");
+    fn take_in(&self, news: LoadNews) {
+        let now = self.router.now();
+        let mut picker = self.router.picker.borrow_mut();
+        for (engine, of_engine) in news.engines {
+            picker.on_news(now, news.router, engine, &of_engine);
         }
     }
 
@@ -123,7 +103,7 @@
             if !urgent {
                 told_all_at = Instant::now();
             }
-            self.tell_all(urgent).await;
+            self.tell_all(urgent);
             sleep(GATHER_TIME).await;
         }
     }
@@ -132,16 +112,14 @@
         TELL_INTERVAL * self.crowd().min(MOST_INTERVALS) as u32
     }
 
-    async fn tell_all(&self, urgent: bool) {
+    fn tell_all(&self, urgent: bool) {
         let news = self.router.picker.borrow_mut().take_news(urgent);
         let peers = self.peers.borrow().clone();
         for engines in news.chunks(ENGINES_PER_DATAGRAM) {
             let news = LoadNews { router: self.own, engines: engines.to_vec() };
-            let datagram = postcard::to_stdvec(&news).expect("news can be encoded");
+            let datagram = PeerDatagram::Load(news);
             for peer in &peers {
-                if let Err(error) = self.socket.send_to(&datagram, peer).await {
-                    log::debug!(step = "load", peer = peer.to_string(); "{error}");
-                }
+                self.socket.send(*peer, &datagram);
             }
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -218,14 +218,14 @@
         self.progress.may_have_run = true;
         self.context.router.metrics.on_resumed();
         while self.context.may_go_on(&self.progress) {
-            let choice = self.context.next_engine(&self.progress)?;
+            let chosen = self.context.choose(&self.progress).await?;
             log::info!(
                 request = self.context.payload.caller.id.as_str(),
-                engine = choice.engine.notice.engine.as_str(),
+                engine = chosen.choice.engine.notice.engine.as_str(),
                 last_event = last_event;
                 "stream taken up"
             );
-            let attempt = self.context.attempt(choice, &mut self.progress, Some(last_event));
+            let attempt = self.context.attempt(chosen, &mut self.progress, Some(last_event));
             let answer = tokio::select! {
                 answer = attempt => answer,
                 () = self.sender.closed() => return None,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,10 +1,12 @@
 //! Sees one request through to the head of its answer.
 
-use crate::attempt::{self, AttemptResult, EngineAnswer, Payload, strip_connection_headers};
+use crate::attempt::{
+    self, AttemptResult, Chosen, EngineAnswer, Payload, strip_connection_headers,
+};
 use crate::body::GatewayBody;
 use crate::deadline::Deadline;
 use crate::decision_log::{self, BreakPoint};
-use crate::dialect::{CallerRequest, EngineAddressing, Generation};
+use crate::dialect::{CallerRequest, EngineAddressing};
 use crate::refusal::{Refusal, after_rest};
 use crate::relay::{self, LargeAnswer};
 use crate::reservation::Reservation;
@@ -15,9 +17,7 @@
 use hyper::header;
 use hyper::http::request;
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
-use stackpost_gateway_core::{
-    Admission, AttemptEnd, Choice, PickQuery, Route, RouteTable, ServiceOutlook, Tenant, Work,
-};
+use stackpost_gateway_core::{Admission, AttemptEnd, Route, RouteTable, ServiceOutlook, Tenant};
 use stackpost_prepaid::Demand;
 use stackpost_types::{BackEndName, Digest, Millis, ServiceName, TenantName};
 use std::rc::Rc;
@@ -67,6 +67,13 @@
     pub failure: Option<WholeAnswer>,
 }
 
+impl Progress {
+    /// Engines that are not to be asked again, reached or not.
+    pub fn all(&self) -> Vec<BackEndName> {
+        self.tried.iter().chain(&self.unreachable).cloned().collect()
+    }
+}
+
 /// An engine's answer that has come in whole.
 pub(crate) struct WholeAnswer {
     head: hyper::http::response::Parts,
@@ -200,7 +207,7 @@
     }
 
     /// A number that differs from request to request.
-    fn lot(&self) -> u64 {
+    pub fn lot(&self) -> u64 {
         Digest::of(&[self.payload.caller.id.as_bytes()]).to_u64()
     }
 
@@ -250,10 +257,10 @@
     async fn run(self) -> Result<Response<GatewayBody>, Refusal> {
         let mut progress = Progress::default();
         loop {
-            let Some(choice) = self.next_engine(&progress) else {
+            let Some(chosen) = self.choose(&progress).await else {
                 return self.give_up(progress);
             };
-            let Some(answer) = self.attempt(choice, &mut progress, None).await else {
+            let Some(answer) = self.attempt(chosen, &mut progress, None).await else {
                 if self.may_go_on(&progress) {
                     continue;
                 }
@@ -280,11 +287,11 @@
     /// Sends the request to an engine. `None` if no answer will come of it.
     pub async fn attempt(
         &self,
-        choice: Choice,
+        chosen: Chosen,
         progress: &mut Progress,
         last_event: Option<u64>,
     ) -> Option<EngineAnswer> {
-        let name = choice.engine.notice.engine.clone();
+        let name = chosen.choice.engine.notice.engine.clone();
         let wait = Millis(self.deadline.left().as_millis() as u64);
         let tenant = self.tenant.as_ref();
         let priority = tenant.and_then(|tenant| tenant.priority).unwrap_or(self.route.priority);
@@ -303,7 +310,7 @@
         };
         let result = attempt::send(
             &self.router,
-            choice,
+            chosen,
             &self.payload,
             &addressing,
             !self.route.kind.may_repeat(),
@@ -347,33 +354,6 @@
         now + patience.min(half)
     }
 
-    /// The engine for the next attempt.
-    pub fn next_engine(&self, progress: &Progress) -> Option<Choice> {
-        let tried: Vec<BackEndName> =
-            progress.tried.iter().chain(&progress.unreachable).cloned().collect();
-        let generation = self.payload.caller.generation;
-        let subject = generation.and_then(|generation| generation.subject);
-        let query = PickQuery {
-            service: &self.service,
-            subject: subject.filter(|_| self.route.sticky),
-            work: generation.map(|generation| self.work(generation)),
-            tried: &tried,
-            tie_breaker: self.lot(),
-        };
-        let directory = self.router.directory.borrow();
-        let picker = self.router.picker.borrow();
-        picker.pick(self.router.now(), &directory, &query)
-    }
-
-    fn work(&self, generation: Generation) -> Work {
-        Work {
-            shared: generation.shared,
-            own: generation.prompt - generation.shared,
-            objective: self.route.objective,
-            gap_objective: self.gap_objective(),
-        }
-    }
-
     /// Longest pause between events at which a stream of this route is in time.
     pub fn gap_objective(&self) -> Millis {
         self.route.gap_objective.unwrap_or(DEFAULT_GAP)
@@ -410,9 +390,11 @@
             (true, true) => Refusal::TimeOverUnknown,
             (true, false) => Refusal::AnswerLost,
             (false, true) => Refusal::TimeOver,
-            (false, false) if !progress.tried.is_empty() => Refusal::EnginesFull,
-            (false, false) if !progress.unreachable.is_empty() => Refusal::Unreachable,
-            (false, false) => Refusal::NoEngine,
+            (false, false) if progress.tried.is_empty() && !progress.unreachable.is_empty() => {
+                Refusal::Unreachable
+            }
+            // An engine may be asked, so all of those were, or none had a free slot.
+            (false, false) => Refusal::EnginesFull,
         })
     }
 
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -6,6 +6,7 @@
 use crate::engine_pool::EnginePool;
 use crate::loans::LoanDesk;
 use crate::metrics::RouterMetrics;
+use crate::slots::SlotDesk;
 use stackpost_clock::BootInstant;
 use stackpost_coordinator::{Document, DocumentCodec, DocumentDelta};
 use stackpost_gateway_core::{
@@ -67,6 +68,8 @@
     pub(crate) load_changed: Notify,
     /// Tokens to be read at one engine from which on that is so.
     pub(crate) told_at_once: Cell<Tokens>,
+    /// Slots of engines, own ones and lent ones.
+    pub(crate) slots: SlotDesk,
     refused_wishes: LineLimit,
     document: RefCell<Option<Document>>,
     table: RefCell<Option<Rc<RouteTable>>>,
@@ -102,6 +105,7 @@
             wallet_short: Notify::new(),
             load_changed: Notify::new(),
             told_at_once: Cell::new(Tokens(u64::MAX)),
+            slots: SlotDesk::default(),
             refused_wishes: LineLimit::default(),
             document: RefCell::default(),
             table: RefCell::default(),
@@ -170,6 +174,9 @@
         if let Some(rest) = wishes.rest {
             let change = self.picker.borrow_mut().on_rest(now, engine, rest);
             self.metrics.on_rest(change);
+            if let Some(record) = self.directory.borrow().get(engine) {
+                self.slots.on_rest(now, &record.notice.service);
+            }
             if change.begins {
                 decision_log::rest_begins(self, request, engine, rest);
             }
