Let innocents show that they are: the leader's word holds in touch, a run that ended well counts

Cause: a popular request whose connection breaks in three of ten runs, at engines that live, was refused as ending engines. A router's own three sightings refused it for ten seconds whatever the leader had taken back, a sighting told again began the count of the engine's announcements anew, and while the request was refused no run could end well and clear it. Now own sightings count for two seconds in touch (the leader has them by then), retold ones begin nothing anew, and a request that has ended well at a router within ten seconds is no suspect there; the leader hears of it as soon as it names such a request. One that ends engines never ends well, so nothing changes for it.

Ruled out: taking any answer of an engine as proof that it lives (the next life under the same id answers, too); letting a quarantined request in once a second as a probe (costs an engine each).

Property test: one that ends engines is let in three times over any order of sightings, announcements, retold reports and successes; an innocent is let in again two seconds after the engines announced themselves. Not run: three attempts beside two requests that end engines, with real processes.

--- a/crates/coordinator/src/crash_watch.rs
+++ b/crates/coordinator/src/crash_watch.rs
@@ -50,7 +50,9 @@
         change: QuarantineChange,
     ) -> Option<QuarantineChange> {
         if let QuarantineChange::Seen(sightings) = &change {
-            for seen in sightings {
+            // One that is told again is no new end of the engine: counted anew, an engine that lives would never have
+            // announced itself often enough since.
+            for seen in sightings.iter().filter(|seen| held.is_new(seen)) {
                 self.announcements.remove(&seen.engine);
             }
         }
--- a/crates/coordinator/tests/quarantine.rs
+++ b/crates/coordinator/tests/quarantine.rs
@@ -98,6 +98,16 @@
     assert!(quarantined(&world) >= FOUNDERS, "the other two engines still count");
 }
 
+/// Routers tell what is new more than once, in case a report was lost.
+#[test]
+fn a_sighting_that_is_told_again_begins_no_count_anew() {
+    let mut world = world_with_three_engines_lost();
+    announce(&mut world, 0);
+    report(&mut world, 0);
+    announce(&mut world, 0);
+    assert_eq!(quarantined(&world), 0);
+}
+
 #[test]
 fn it_ends_after_its_time_and_comes_back_with_the_next_engine() {
     let mut world = world_with_three_engines_lost();
--- a/crates/gateway-core/src/crash_memory.rs
+++ b/crates/gateway-core/src/crash_memory.rs
@@ -2,7 +2,11 @@
 //!
 //! Its own sightings count beside that word because they are there at once, and also while control is out
 //! of reach. They are forgotten soon: a router alone can't tell an engine that ended from a connection
-//! that broke, and nobody takes back what it has not told.
+//! that broke. In touch they count just until the leader has them; from then on its word holds, also where it takes
+//! something back because the engine goes on announcing itself.
+//!
+//! A request that ends engines never ends well. So one that has of late is no suspect here, whatever is held against
+//! it, and the leader is told: while it was refused, nothing could show its innocence any more.
 
 use crate::fingerprint::RequestFingerprint;
 use crate::quarantine::{CrashSighting, ENGINES_LOST, QuarantineNotice};
@@ -13,6 +17,13 @@
 /// How long own sightings count. Ten times what a copy of a request took to come again where one ended
 /// an engine a second.
 const OWN_MEMORY: Millis = Millis(10_000);
+/// How long own sightings count in touch: several times what the way to the leader, its commit and the way back take
+/// (0.1 s; 0.7 s with an election in between).
+const LEADER_KNOWS_AFTER: Millis = Millis(2_000);
+/// How long it counts that a request has ended well.
+const WELL_MEMORY: Millis = Millis(10_000);
+/// Requests that ended well that are kept, the newest ones.
+const MOST_ENDED_WELL: usize = 512;
 /// How long they are kept for a leader that can't be reached: longer than a router is cut off as a rule. The
 /// leader passes over engines that have announced themselves since, so an old sighting does no harm.
 const REPORT_MEMORY: Millis = Millis(60_000);
@@ -43,6 +54,7 @@
     notice: QuarantineNotice,
     own: VecDeque<OwnSighting>,
     cleared: BTreeSet<RequestFingerprint>,
+    ended_well: VecDeque<(Timestamp, RequestFingerprint)>,
 }
 
 impl CrashMemory {
@@ -58,12 +70,21 @@
     }
 
     /// Whether a request is let in no more.
-    pub fn is_quarantined(&mut self, now: Timestamp, request: &RequestFingerprint) -> bool {
+    pub fn is_quarantined(
+        &mut self,
+        now: Timestamp,
+        request: &RequestFingerprint,
+        in_touch: bool,
+    ) -> bool {
         self.forget_old(now);
+        if self.ended_well_lately(now, request) {
+            return false;
+        }
         if self.notice.quarantined.contains(request) {
             return true;
         }
-        let lately = self.own.iter().filter(|own| now.since(own.at) < OWN_MEMORY);
+        let counts_for = if in_touch { LEADER_KNOWS_AFTER } else { OWN_MEMORY };
+        let lately = self.own.iter().filter(|own| now.since(own.at) < counts_for);
         let seen = lately.map(|own| &own.sighting);
         let engines: BTreeSet<_> =
             seen.filter(|seen| seen.request == *request).map(|seen| &seen.engine).collect();
@@ -73,6 +94,9 @@
     /// A connection ended while an engine ran a request.
     pub fn on_engine_ended(&mut self, now: Timestamp, sighting: CrashSighting) {
         self.forget_old(now);
+        if self.ended_well_lately(now, &sighting.request) {
+            return;
+        }
         if self.own.len() >= MOST_SIGHTINGS {
             self.own.pop_front();
         }
@@ -81,7 +105,12 @@
     }
 
     /// A request has ended well, so it does not end engines.
-    pub fn on_ended_well(&mut self, request: &RequestFingerprint) {
+    pub fn on_ended_well(&mut self, now: Timestamp, request: &RequestFingerprint) {
+        self.ended_well.retain(|(_, ended)| ended != request);
+        if self.ended_well.len() >= MOST_ENDED_WELL {
+            self.ended_well.pop_front();
+        }
+        self.ended_well.push_back((now, *request));
         let before = self.own.len();
         self.own.retain(|own| own.sighting.request != *request);
         if before > self.own.len() || self.notice.names(request) {
@@ -89,11 +118,25 @@
         }
     }
 
-    /// Takes in the word of a control process, unless a newer one is known.
-    pub fn on_notice(&mut self, notice: QuarantineNotice) {
-        if notice.revision >= self.notice.revision {
-            self.notice = notice;
+    /// Takes in the word of a control process, unless a newer one is known. Returns whether the leader should hear
+    /// of a request named there that has ended well here.
+    pub fn on_notice(&mut self, now: Timestamp, notice: QuarantineNotice) -> bool {
+        if notice.revision < self.notice.revision {
+            return false;
         }
+        self.notice = notice;
+        let named = |request: &&RequestFingerprint| {
+            self.notice.names(request) && self.ended_well_lately(now, request)
+        };
+        let ended_well = self.ended_well.iter().map(|(_, request)| request);
+        let innocent: Vec<RequestFingerprint> = ended_well.filter(named).copied().collect();
+        self.cleared.extend(&innocent);
+        !innocent.is_empty()
+    }
+
+    fn ended_well_lately(&self, now: Timestamp, request: &RequestFingerprint) -> bool {
+        let lately = self.ended_well.iter().filter(|(at, _)| now.since(*at) < WELL_MEMORY);
+        lately.map(|(_, ended)| ended).any(|ended| ended == request)
     }
 
     /// Requests that are let in no more, by the word of control.
@@ -127,5 +170,8 @@
         while self.own.front().is_some_and(|own| now.since(own.at) >= REPORT_MEMORY) {
             self.own.pop_front();
         }
+        while self.ended_well.front().is_some_and(|(at, _)| now.since(*at) >= WELL_MEMORY) {
+            self.ended_well.pop_front();
+        }
     }
 }
--- a/crates/gateway-core/src/quarantine.rs
+++ b/crates/gateway-core/src/quarantine.rs
@@ -121,7 +121,7 @@
     pub fn is_news(&self, change: &QuarantineChange) -> bool {
         let known = |request: &RequestFingerprint| self.suspects.contains_key(request);
         match change {
-            QuarantineChange::Seen(sightings) => sightings.iter().any(|seen| self.adds(seen)),
+            QuarantineChange::Seen(sightings) => sightings.iter().any(|seen| self.is_new(seen)),
             QuarantineChange::StillRuns(engine) => self.concerns(engine),
             QuarantineChange::Released(requests) => {
                 requests.iter().any(|request| self.is_quarantined(request))
@@ -194,14 +194,15 @@
         }
     }
 
-    fn adds(&self, seen: &CrashSighting) -> bool {
+    /// Whether a sighting is not held yet.
+    pub fn is_new(&self, seen: &CrashSighting) -> bool {
         self.suspects.get(&seen.request).is_none_or(|suspect| {
             !suspect.is_quarantined() && !suspect.engines.contains(&seen.engine)
         })
     }
 
     fn see(&mut self, seen: CrashSighting) {
-        if !self.adds(&seen) {
+        if !self.is_new(&seen) {
             return;
         }
         if !self.suspects.contains_key(&seen.request) && self.suspects.len() >= MAX_REQUESTS {
--- a/crates/gateway-core/tests/quarantine.rs
+++ b/crates/gateway-core/tests/quarantine.rs
@@ -4,6 +4,9 @@
 use stackpost_gateway_core::*;
 use stackpost_types::{BackEndName, Millis, Timestamp};
 
+const OUT_OF_TOUCH: bool = false;
+const IN_TOUCH: bool = true;
+
 fn request(number: u64) -> RequestFingerprint {
     let path = format!("/{number}");
     RequestFingerprint::of(&RequestContent {
@@ -105,16 +108,16 @@
     let mut memory = CrashMemory::default();
     let at = |milliseconds| Timestamp(milliseconds);
     for at_engine in 0..ENGINES_LOST {
-        assert!(!memory.is_quarantined(at(1_000), &request(1)));
+        assert!(!memory.is_quarantined(at(1_000), &request(1), OUT_OF_TOUCH));
         memory.on_engine_ended(at(1_000), seen(1, at_engine));
     }
-    assert!(memory.is_quarantined(at(1_000), &request(1)));
-    assert!(!memory.is_quarantined(at(1_000), &request(2)));
+    assert!(memory.is_quarantined(at(1_000), &request(1), OUT_OF_TOUCH));
+    assert!(!memory.is_quarantined(at(1_000), &request(2), OUT_OF_TOUCH));
     assert!(
-        !memory.is_quarantined(at(11_000), &request(1)),
+        !memory.is_quarantined(at(11_000), &request(1), OUT_OF_TOUCH),
         "it can't be taken back, so it is short"
     );
-    assert!(!memory.is_quarantined(at(61_000), &request(1)));
+    assert!(!memory.is_quarantined(at(61_000), &request(1), OUT_OF_TOUCH));
     assert!(!memory.suspects_any() && !memory.quarantines_any());
 }
 
@@ -159,11 +162,11 @@
         quarantined: quarantined.iter().map(|number| request(*number)).collect(),
         ..QuarantineNotice::default()
     };
-    memory.on_notice(notice(7, &[1]));
-    memory.on_notice(notice(6, &[]));
-    assert!(memory.is_quarantined(Timestamp(1_000), &request(1)));
-    memory.on_notice(notice(8, &[]));
-    assert!(!memory.is_quarantined(Timestamp(1_000), &request(1)));
+    memory.on_notice(Timestamp(1_000), notice(7, &[1]));
+    memory.on_notice(Timestamp(1_000), notice(6, &[]));
+    assert!(memory.is_quarantined(Timestamp(1_000), &request(1), OUT_OF_TOUCH));
+    memory.on_notice(Timestamp(1_000), notice(8, &[]));
+    assert!(!memory.is_quarantined(Timestamp(1_000), &request(1), OUT_OF_TOUCH));
 }
 
 #[test]
@@ -171,14 +174,159 @@
     let (now, mut memory) = (Timestamp(1_000), CrashMemory::default());
     memory.on_engine_ended(now, seen(1, 0));
     memory.take_report(now);
-    memory.on_ended_well(&request(2));
+    memory.on_ended_well(now, &request(2));
     assert_eq!(memory.take_report(now), None);
-    memory.on_ended_well(&request(1));
+    memory.on_ended_well(now, &request(1));
     assert_eq!(memory.take_report(now).expect("news").cleared, [request(1)]);
-    memory.on_ended_well(&request(1));
+    memory.on_ended_well(now, &request(1));
     assert_eq!(memory.take_report(now), None);
 }
 
+#[test]
+fn what_the_leader_takes_back_holds_at_a_router_in_touch() {
+    let mut memory = CrashMemory::default();
+    (0..ENGINES_LOST)
+        .for_each(|at_engine| memory.on_engine_ended(Timestamp(1_000), seen(1, at_engine)));
+    assert!(
+        memory.is_quarantined(Timestamp(2_999), &request(1), IN_TOUCH),
+        "until the leader has it"
+    );
+    assert!(!memory.is_quarantined(Timestamp(3_000), &request(1), IN_TOUCH), "its word holds");
+    assert!(memory.is_quarantined(Timestamp(3_000), &request(1), OUT_OF_TOUCH));
+}
+
+#[test]
+fn a_request_that_has_ended_well_of_late_is_no_suspect_and_the_leader_hears_of_it() {
+    let (now, mut memory) = (Timestamp(1_000), CrashMemory::default());
+    memory.on_ended_well(now, &request(1));
+    (0..ENGINES_LOST).for_each(|at_engine| memory.on_engine_ended(now, seen(1, at_engine)));
+    assert_eq!(memory.take_report(now), None, "nothing is held against it");
+    let notice = QuarantineNotice {
+        revision: 3,
+        quarantined: [request(1), request(2)].into(),
+        ..QuarantineNotice::default()
+    };
+    assert!(memory.on_notice(now, notice));
+    assert!(!memory.is_quarantined(now, &request(1), IN_TOUCH), "whatever others saw");
+    assert!(memory.is_quarantined(now, &request(2), IN_TOUCH));
+    assert_eq!(memory.take_report(now).expect("news").cleared, [request(1)]);
+    assert!(memory.is_quarantined(Timestamp(11_000), &request(1), IN_TOUCH), "it is long ago");
+}
+
+/// What happens to two requests at one router: one ends engines, the other one is broken off now and then.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// The guilty one comes.
+    Guilty,
+    /// The other one comes, and its connection breaks or not.
+    Innocent { breaks: bool },
+    /// Time passes.
+    Pass(u64),
+    /// Reports are told again.
+    ToldAgain,
+    /// Every engine that runs announces itself twice.
+    Announced,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        3 => Just(Event::Guilty),
+        4 => any::<bool>().prop_map(|breaks| Event::Innocent { breaks }),
+        2 => (0_u64..1_500).prop_map(Event::Pass),
+        1 => Just(Event::ToldAgain),
+        2 => Just(Event::Announced),
+    ]
+}
+
+/// A router and the leader's record, told at once.
+struct Pair {
+    now: Timestamp,
+    memory: CrashMemory,
+    quarantine: Quarantine,
+    next_engine: usize,
+    running: Vec<usize>,
+}
+
+impl Pair {
+    fn exchange(&mut self) {
+        if let Some(report) = self.memory.take_report(self.now) {
+            let seen = report.seen.into_iter().map(|(sighting, _)| sighting).collect();
+            self.change(QuarantineChange::Seen(seen));
+            self.change(QuarantineChange::Cleared(report.cleared));
+        }
+        self.memory.on_notice(self.now, self.quarantine.notice());
+    }
+
+    fn change(&mut self, change: QuarantineChange) {
+        if self.quarantine.is_news(&change) {
+            self.quarantine.apply(change);
+        }
+    }
+
+    /// Lets a request in at the next engine, unless it is refused. Returns whether it was let in.
+    fn send(&mut self, of: u64, ends_engine: bool, breaks: bool) -> bool {
+        if self.memory.is_quarantined(self.now, &request(of), IN_TOUCH) {
+            return false;
+        }
+        let place = self.next_engine % self.running.len();
+        let at_engine = self.running[place];
+        self.next_engine += 1;
+        if ends_engine {
+            self.running[place] = 1_000 + self.next_engine;
+        }
+        if ends_engine || breaks {
+            self.memory.on_engine_ended(self.now, seen(of, at_engine));
+        } else {
+            self.memory.on_ended_well(self.now, &request(of));
+        }
+        self.exchange();
+        true
+    }
+}
+
+proptest! {
+    /// One that ends engines is let in three times, whatever happens to others; one that does not is let in again once
+    /// the engines have announced themselves and its sightings at this router are two seconds old.
+    #[test]
+    fn the_guilty_are_let_in_three_times_and_innocents_always_come_back(
+        events in prop::collection::vec(event(), 1..80),
+    ) {
+        let mut pair = Pair {
+            now: Timestamp(1_000),
+            memory: CrashMemory::default(),
+            quarantine: Quarantine::default(),
+            next_engine: 0,
+            running: (0..6).collect(),
+        };
+        let mut let_in = 0;
+        for event in events {
+            match event {
+                Event::Guilty => let_in += usize::from(pair.send(1, true, false)),
+                Event::Innocent { breaks } => {
+                    pair.send(2, false, breaks);
+                }
+                Event::Pass(time) => pair.now = pair.now + Millis(time),
+                Event::ToldAgain => {
+                    pair.memory.tell_again(pair.now);
+                    pair.exchange();
+                }
+                Event::Announced => {
+                    for engine_number in pair.running.clone() {
+                        pair.change(QuarantineChange::StillRuns(engine(engine_number)));
+                    }
+                    pair.exchange();
+                }
+            }
+            prop_assert!(let_in <= ENGINES_LOST, "{} let in", let_in);
+            let mut later = CrashMemory::clone(&pair.memory);
+            let mut record = pair.quarantine.clone();
+            pair.running.iter().for_each(|one| record.apply(QuarantineChange::StillRuns(engine(*one))));
+            later.on_notice(pair.now, record.notice());
+            prop_assert!(!later.is_quarantined(pair.now + Millis(2_000), &request(2), IN_TOUCH));
+        }
+    }
+}
+
 proptest! {
     /// Sightings may come from any router in any order, and more than once.
     #[test]
--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -32,7 +32,8 @@
     /// Whether this request is let in no more.
     pub fn is_quarantined(&self) -> bool {
         let mut memory = self.router.crash_memory.borrow_mut();
-        memory.quarantines_any() && memory.is_quarantined(self.router.now(), &self.fingerprint())
+        memory.quarantines_any()
+            && memory.is_quarantined(self.router.now(), &self.fingerprint(), self.router.in_touch())
     }
 
     /// An engine broke the answer off, so it may have ended under this request.
@@ -47,7 +48,7 @@
     pub fn on_ended_well(&self) {
         let mut memory = self.router.crash_memory.borrow_mut();
         if memory.suspects_any() {
-            memory.on_ended_well(&self.fingerprint());
+            memory.on_ended_well(self.router.now(), &self.fingerprint());
             self.router.crash_news.notify_one();
         }
     }
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -231,7 +231,10 @@
                 self.on_silent_engines(link, engines);
             }
             FleetMessage::Quarantined(notice) => {
-                self.router.crash_memory.borrow_mut().on_notice(notice);
+                let now = self.router.now();
+                if self.router.crash_memory.borrow_mut().on_notice(now, notice) {
+                    self.report_crashes();
+                }
             }
             FleetMessage::Outlooks(outlooks) => *self.router.outlooks.borrow_mut() = outlooks,
             FleetMessage::RouterPeers(peers) => {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -13,6 +13,9 @@
 /// balances and be refused again.
 const LEADER_BACK_WITHIN: Millis = Millis(3_000);
 
+/// The leader plans budgets four times a second, and what it hands out is here within one more round: a try before that
+/// would meet the same balances.
+const NEXT_ALLOTMENT_WITHIN: Millis = Millis(500);
 /// Time over which callers return whose engines all rest: engines are to serve again within half a second.
 const RETURN_SPREAD: Millis = Millis(400);
 /// Nobody is told to stay away for longer: by then engines may have come that rest from nothing (a replacement takes
@@ -128,7 +131,7 @@
             Self::Stopping => Some(Millis(50)),
             Self::EnginesFull => Some(Millis(100)),
             Self::EnginesRest { retry_after } => Some(retry_after),
-            Self::BudgetExhausted => Some(Millis(500)),
+            Self::BudgetExhausted => Some(NEXT_ALLOTMENT_WITHIN),
             Self::BudgetOutOfReach => Some(LEADER_BACK_WITHIN),
             Self::EndsEngines => Some(FIRST_QUARANTINE),
             _ => None,
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -152,6 +152,8 @@
     Full,
     /// Runs it and closes the connection without an answer.
     Lose,
+    /// Loses three of ten runs, by a lot that its name and their number decide.
+    LoseSome,
     /// Runs it and answers with an error of its own.
     Fail,
     /// Runs it and answers another request.
@@ -266,6 +268,9 @@
         let head = Response::builder().header("id", answered).header("signature", "s");
         let head = if self.leaves.get() { head.header("leaving", "1") } else { head };
         let response = match behaviour {
+            Behaviour::LoseSome if self.is_lost() => {
+                return Err(std::io::ErrorKind::ConnectionReset.into());
+            }
             Behaviour::Lose => return Err(std::io::ErrorKind::ConnectionReset.into()),
             Behaviour::Hang => std::future::pending().await,
             Behaviour::Pause => {
@@ -346,6 +351,12 @@
 }
 
 impl Engine {
+    /// Whether the connection of the run that has just begun breaks.
+    fn is_lost(&self) -> bool {
+        let run = self.runs.borrow().len().to_le_bytes();
+        Digest::of(&[self.name.as_str().as_bytes(), &run]).to_u64() % 10 < 3
+    }
+
     fn turn_away(&self, id: String) -> Response<EngineBody> {
         self.turned_away.borrow_mut().push(Instant::now());
         let refusal = Response::builder().status(503).header("not-run", "1").header("id", id);
