Bound the waits for slots over all attempts, and lend no engine that fails at the borrower

Cause: a repeat had no time left to wait for a slot if its first attempt had taken an eighth of the objective, and was refused beside free engines; an engine of a zone out of the borrower's reach could be lent to it. What an engine's health is made of is a module of its own.

The fleet's tests ran out of their 128 ports with the tests added (crashing_requests failed once, 'no port is free'); 160 now, all below the ports of outgoing connections.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -15,6 +15,7 @@
 mod config;
 mod crash_memory;
 mod directory;
+mod engine_health;
 mod engine_load;
 mod event_stream;
 mod fingerprint;
--- a/crates/gateway-core/src/picker.rs
+++ b/crates/gateway-core/src/picker.rs
@@ -10,6 +10,7 @@
 //! engine has asked for itself is none ([`HoldOff`]): such an engine is no candidate, whatever else there is.
 
 use crate::directory::{EngineDirectory, EngineRecord, EngineState};
+use crate::engine_health::EngineHealth;
 use crate::engine_load::{EngineLoad, EngineNews, Placement, Work, follow};
 use crate::hashing::mix;
 use crate::hold_off::{HoldOff, RestChange};
@@ -17,16 +18,6 @@
 use stackpost_types::{BackEndName, Digest, Millis, ServiceName, Timestamp, Tokens, ZoneName};
 use std::collections::HashMap;
 
-/// First time for which a failing engine is avoided; doubled at each further one.
-const FIRST_EJECTION: Millis = Millis(1_500);
-/// Most doublings of the ejection time.
-const MAX_DOUBLINGS: u32 = 3;
-/// Weight of the newest attempt in an engine's failure rate, in thousandths.
-const FAILURE_WEIGHT: u32 = 180;
-/// Failure rate, in thousandths, from which an engine is avoided.
-const FAILURE_LIMIT: u32 = 380;
-/// Failure rate an engine is given back with after it was avoided.
-const PROBATION_RATE: u32 = 250;
 /// An engine that answered so lately is there, whatever has been announced.
 const ANSWER_TRUST: Millis = Millis(2_000);
 /// Connections to a zone that must fail in a row before the zone is avoided.
@@ -104,16 +95,6 @@
     }
 }
 
-#[derive(Clone, Debug, Default)]
-struct Health {
-    in_flight: u64,
-    turned_away_at: Option<Timestamp>,
-    failure_permille: u32,
-    ejections: u32,
-    ejected_until: Option<Timestamp>,
-    answered_at: Option<Timestamp>,
-}
-
 #[derive(Clone, Debug, Default)]
 struct ZoneHealth {
     failures: u32,
@@ -162,7 +143,7 @@
 #[derive(Clone, Debug)]
 pub struct EnginePicker {
     own_zone: ZoneName,
-    engines: HashMap<BackEndName, Health>,
+    engines: HashMap<BackEndName, EngineHealth>,
     zones: HashMap<ZoneName, ZoneHealth>,
     loads: HashMap<BackEndName, EngineLoad>,
     hold_off: HoldOff,
@@ -392,7 +373,8 @@
             .collect()
     }
 
-    fn standing(&self, now: Timestamp, record: &EngineRecord, silent: bool) -> Standing {
+    /// How an engine stands with this router; `silent` if it has not been announced of late.
+    pub fn standing(&self, now: Timestamp, record: &EngineRecord, silent: bool) -> Standing {
         let health = self.engines.get(&record.notice.engine);
         let zone = self.zones.get(&record.notice.zone);
         let avoided = |until: Option<Timestamp>| until.is_some_and(|until| now < until);
@@ -474,30 +456,6 @@
     }
 }
 
-impl Health {
-    fn note(&mut self, now: Timestamp, failed: bool) {
-        let newest = if failed { 1_000 } else { 0 };
-        let kept = self.failure_permille * (1_000 - FAILURE_WEIGHT);
-        self.failure_permille = (kept + newest * FAILURE_WEIGHT) / 1_000;
-        if self.failure_permille >= FAILURE_LIMIT {
-            self.eject(now);
-        } else if !failed && self.failure_permille < PROBATION_RATE / 2 {
-            self.ejections = 0;
-        }
-    }
-
-    /// Requests that were under way when the engine was first avoided say nothing new.
-    fn eject(&mut self, now: Timestamp) {
-        self.failure_permille = PROBATION_RATE;
-        if self.ejected_until.is_some_and(|until| now < until) {
-            return;
-        }
-        let doublings = self.ejections.min(MAX_DOUBLINGS);
-        self.ejected_until = Some(now + Millis(FIRST_EJECTION.0 << doublings));
-        self.ejections += 1;
-    }
-}
-
 /// The engines of a service that say that they take work.
 fn ready_engines<'a>(
     directory: &'a EngineDirectory,
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -4,7 +4,7 @@
 use crate::dialect::Generation;
 use crate::request::{Progress, RequestContext};
 use crate::slots::Slot;
-use stackpost_gateway_core::{Choice, PickQuery, ServiceOutlook, Standing, Work};
+use stackpost_gateway_core::{Choice, PickQuery, Route, ServiceOutlook, Standing, Work};
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -13,6 +13,11 @@
 /// Time between two looks for a free slot if none is told of: an engine's rest may be over.
 const SLOT_LOOK: Duration = Duration::from_millis(10);
 
+/// How long a request of a route may wait for slots.
+pub(crate) fn longest_slot_wait(route: &Route) -> Duration {
+    Duration::from_millis(route.objective.0 * SLOT_WAIT_PERMILLE / 1_000)
+}
+
 impl RequestContext {
     /// The engine for the next attempt. While the service is held to its engines' slots, a request that is no
     /// generation waits for a free one; engines queue generations themselves and tell of their load otherwise.
@@ -33,13 +38,20 @@
         }
     }
 
-    /// Waits for a slot, and asks other routers for one meanwhile. No longer than a part of the objective: a refusal
-    /// up to then costs the caller nothing, one that comes later does.
+    /// Waits for a slot, and asks other routers for one meanwhile. No longer than an eighth of the objective in all
+    /// attempts together: a refusal up to then costs the caller nothing, one that comes later does.
     async fn wait_for_slot(&self, progress: &Progress) -> Option<Chosen> {
         let desk = &self.router.slots;
         let _waiting = desk.wait(&self.service);
-        let patience = Duration::from_millis(self.route.objective.0 * SLOT_WAIT_PERMILLE / 1_000);
-        let until = self.deadline.timer().min(self.arrived + patience);
+        let begun = Instant::now();
+        let until = self.deadline.timer().min(begun + self.slot_wait_left.get());
+        let chosen = self.slot_until(progress, until).await;
+        self.slot_wait_left.set(self.slot_wait_left.get().saturating_sub(begun.elapsed()));
+        chosen
+    }
+
+    async fn slot_until(&self, progress: &Progress, until: Instant) -> Option<Chosen> {
+        let desk = &self.router.slots;
         let tried = progress.all();
         let mut lenders = desk.lenders(self.router.now(), self.lot()).into_iter();
         while Instant::now() < until && self.router.outlook(&self.service) == ServiceOutlook::Open {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,6 +4,7 @@
     self, AttemptResult, Chosen, EngineAnswer, Payload, strip_connection_headers,
 };
 use crate::body::GatewayBody;
+use crate::choose::longest_slot_wait;
 use crate::deadline::Deadline;
 use crate::decision_log::{self, BreakPoint};
 use crate::dialect::{CallerRequest, EngineAddressing};
@@ -20,6 +21,7 @@
 use stackpost_gateway_core::{Admission, AttemptEnd, Route, RouteTable, ServiceOutlook, Tenant};
 use stackpost_prepaid::Demand;
 use stackpost_types::{BackEndName, Digest, Millis, ServiceName, TenantName};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -52,6 +54,8 @@
     /// When the time for the request is over.
     pub deadline: Deadline,
     pub arrived: Instant,
+    /// How long it may still wait for a slot, over all its attempts.
+    pub slot_wait_left: Cell<Duration>,
 }
 
 /// What the attempts of a request have led to so far.
@@ -137,6 +141,7 @@
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
     let payload = Payload { method: head.method, uri: head.uri, headers, body, caller };
+    let slot_wait_left = Cell::new(longest_slot_wait(&route));
     let mut context = RequestContext {
         router,
         table,
@@ -147,6 +152,7 @@
         reservation: None,
         deadline,
         arrived,
+        slot_wait_left,
     };
     context.refuse_if_quarantined()?;
     context.refuse_if_nobody_may_serve()?;
@@ -303,7 +309,7 @@
             last_event: last_event.or(self.payload.caller.last_event),
             hide_key: self.table.config().tenants.is_some(),
         };
-        let was_sent = std::cell::Cell::new(false);
+        let was_sent = Cell::new(false);
         let on_sent = || {
             was_sent.set(true);
             self.reservation.iter().for_each(Reservation::on_sent);
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -7,7 +7,7 @@
 use crate::peer_socket::{PeerDatagram, PeerSocket};
 use crate::router::Router;
 use serde::{Deserialize, Serialize};
-use stackpost_gateway_core::{EngineRecord, EngineState, SlotShares};
+use stackpost_gateway_core::{EngineRecord, EngineState, SlotShares, Standing};
 use stackpost_types::{BackEndName, Millis, ServiceName, Timestamp};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -236,9 +236,13 @@
         tried.iter().chain(closed).take(MOST_UNUSABLE).cloned().collect()
     }
 
+    /// Whether an engine is worth a question: it takes work and has not failed here of late.
     fn may_be_asked(&self, engine: &EngineRecord) -> bool {
-        let is_open = self.picker.borrow().is_open(self.now(), &engine.notice.engine);
-        engine.notice.state == EngineState::Ready && is_open
+        let (now, picker) = (self.now(), self.picker.borrow());
+        let is_silent = self.directory.borrow().is_silent(&engine.notice.engine);
+        engine.notice.state == EngineState::Ready
+            && picker.is_open(now, &engine.notice.engine)
+            && picker.standing(now, engine, is_silent) != Standing::Failing
     }
 
     /// Takes in what another router says of slots.
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -465,7 +465,7 @@
 /// connections: one of these could take a port between the look here and its use.
 const FIRST_PORT: u16 = 15_000;
 /// Ports that one test process may use.
-const PORTS_PER_PROCESS: u16 = 128;
+const PORTS_PER_PROCESS: u16 = 160;
 /// Test processes that are told apart.
 const PROCESSES: u32 = 100;
 
