Tests: what callers of resting engines are told, tokens, resumption, streams at an engine that leaves

Cause: the mend of the rests had no test for the ways beside a first attempt. No product code is changed.

--- a/crates/gateway/tests/fleet/rests.rs
+++ b/crates/gateway/tests/fleet/rests.rs
@@ -94,3 +94,92 @@
         assert_eq!(fleet.engines[1].runs.borrow().len(), fleet.runs() - 1);
     });
 }
+
+/// Seconds that a caller is told to stay away.
+fn retry_after(got: &Got) -> f64 {
+    let value = got.headers.get("retry-after").expect("callers are told when to come again");
+    value.to_str().expect("text").parse().expect("seconds")
+}
+
+#[test]
+fn callers_are_told_when_the_first_rest_ends_and_do_not_return_together() {
+    play(async {
+        let fleet = Fleet::start().await;
+        fleet.behave(Behaviour::Full, Behaviour::Full);
+        fleet.engines[0].rest.set(Some(REST));
+        fleet.engines[1].rest.set(Some(2 * REST));
+        let asked = Instant::now();
+        fleet.ask("/again/1", "first").await;
+        let mut told = Vec::new();
+        for number in 0..12 {
+            let got = fleet.ask("/again/1", &format!("told-{number}")).await;
+            assert!(got.body.as_ref().expect("whole").contains("engines_rest"));
+            let (least, most) = (REST.saturating_sub(asked.elapsed()), REST + UNDER_WAY);
+            let said = retry_after(&got);
+            assert!((least.as_secs_f64()..most.as_secs_f64()).contains(&said), "{said} s");
+            told.push((said * 1_000.0) as u64);
+        }
+        told.sort_unstable();
+        told.dedup();
+        assert!(told.len() > 6, "they return at different moments: {told:?}");
+    });
+}
+
+#[test]
+fn no_tokens_are_set_aside_for_what_nobody_may_serve() {
+    play(async {
+        let fleet = Fleet::start().await;
+        fleet.behave(Behaviour::Full, Behaviour::Full);
+        fleet.engines.iter().for_each(|engine| engine.rest.set(Some(REST)));
+        fleet.ask("/again/1", "first").await;
+        // More than the whole budget, one after the other: none is refused for it.
+        for number in 0..2 * PREPAID / (PROMPT + MOST_GENERATED) {
+            let got = fleet.generate(&format!("unserved-{number}")).await;
+            assert!(got.body.expect("whole").contains("engines_rest"));
+        }
+        fleet.behave(Behaviour::Answer, Behaviour::Answer);
+        tokio::time::sleep(REST).await;
+        wait_until_served(&fleet).await;
+    });
+}
+
+/// A generation is served once the rests are over.
+async fn wait_until_served(fleet: &Fleet) {
+    for number in 0.. {
+        if fleet.generate(&format!("served-{number}")).await.status == 200 {
+            return;
+        }
+        tokio::time::sleep(PACE).await;
+    }
+}
+
+#[test]
+fn a_stream_is_not_taken_up_at_an_engine_that_rests() {
+    play(async {
+        let fleet = Fleet::start().await;
+        fleet.behave(Behaviour::Full, Behaviour::Answer);
+        fleet.engines[0].rest.set(Some(REST));
+        while fleet.engines[0].turned_away.borrow().is_empty() {
+            fleet.ask("/again/1", &format!("before-{}", fleet.runs())).await;
+        }
+        fleet.engines[1].behaviour.set(Behaviour::Break);
+        let got = fleet.ask("/stream/1", "stream").await;
+        assert!(got.body.is_err(), "there is nobody to go on with it: {got:?}");
+        assert_eq!(fleet.engines[0].turned_away.borrow().len(), 1);
+    });
+}
+
+#[test]
+fn a_stream_under_way_at_an_engine_that_leaves_goes_on_to_its_end() {
+    play(async {
+        let fleet = Fleet::start().await;
+        fleet.control.engine_left(fleet.engines[1].name.id(), None);
+        wait_until(|| fleet.router.known_engines() == 1).await;
+        fleet.engines[0].leaves.set(true);
+        let got = fleet.ask("/plain-stream/1", "stream").await;
+        assert_eq!(got.body, Ok(all_events()), "its own head says that the engine leaves");
+        let got = fleet.ask("/plain-stream/1", "next").await;
+        assert_eq!(got.status, 503);
+        assert!(got.body.expect("whole").contains("no_engine"));
+    });
+}
--- a/crates/gateway/tests/refusals.rs
+++ b/crates/gateway/tests/refusals.rs
@@ -2,7 +2,8 @@
 
 use hyper::StatusCode;
 use hyper::header::RETRY_AFTER;
-use stackpost_gateway::Refusal;
+use stackpost_gateway::{Refusal, after_rest};
+use stackpost_types::Millis;
 
 fn told(refusal: Refusal) -> (StatusCode, Option<String>) {
     let response = refusal.into_response();
@@ -33,3 +34,15 @@
     }
     assert!(Refusal::BudgetOutOfReach.is_not_run());
 }
+
+#[test]
+fn callers_whose_engines_all_rest_come_back_after_the_first_rest_and_not_together() {
+    let soonest = Millis(3_000);
+    let moments: std::collections::BTreeSet<Millis> =
+        (0..1_000_u64).map(|lot| after_rest(soonest, lot)).collect();
+    assert!(moments.iter().all(|moment| (soonest..Millis(3_500)).contains(moment)));
+    assert!(moments.len() > 100, "spread over half a second");
+    let rests = told(Refusal::EnginesRest { retry_after: Millis(3_217) });
+    assert_eq!(rests, (StatusCode::SERVICE_UNAVAILABLE, Some("3.217".into())));
+    assert_eq!(after_rest(Millis(u64::MAX / 2), 7), Millis(30_000), "nobody stays away for ever");
+}
