Bound what unanswered questions for slots leave behind; hash each router once

Cause: a request whose caller left while another router was asked left its question in a table until an answer came, and a router that has ended never answers. Found by reading.

No figure of the real processes was taken anew.

--- a/crates/gateway-core/src/slot_shares.rs
+++ b/crates/gateway-core/src/slot_shares.rs
@@ -33,7 +33,8 @@
 #[derive(Clone, Debug)]
 pub struct SlotShares {
     own: SocketAddr,
-    others: Vec<SocketAddr>,
+    /// The other routers, each with what its rank for a slot is made of.
+    others: Vec<(SocketAddr, u64)>,
     absent: HashMap<SocketAddr, Timestamp>,
     shares: HashMap<BackEndName, Share>,
     used: HashMap<BackEndName, u32>,
@@ -55,8 +56,9 @@
 
     /// Takes over which other routers there are.
     pub fn set_others(&mut self, others: &[SocketAddr]) {
-        if self.others != others {
-            self.others = others.to_vec();
+        let known = self.others.iter().map(|(router, _)| router);
+        if !known.eq(others) {
+            self.others = others.iter().map(|router| (*router, hash_of(*router))).collect();
             self.shares.clear();
         }
     }
@@ -101,11 +103,13 @@
     /// Up to `most` routers to borrow from, for a request whose `lot` is any number: each request begins with
     /// another one.
     pub fn lenders(&self, now: Timestamp, lot: u64, most: usize) -> Vec<SocketAddr> {
-        let mut present: Vec<SocketAddr> =
-            self.others.iter().filter(|router| self.is_present(now, **router)).copied().collect();
-        present.sort_by_key(|router| mix(lot ^ hash_of(*router)));
-        present.truncate(most);
-        present
+        let mut present: Vec<(SocketAddr, u64)> = self.present(now).copied().collect();
+        present.sort_by_key(|(_, hash)| mix(lot ^ hash));
+        present.into_iter().map(|(router, _)| router).take(most).collect()
+    }
+
+    fn present(&self, now: Timestamp) -> impl Iterator<Item = &(SocketAddr, u64)> {
+        self.others.iter().filter(move |(router, _)| self.is_present(now, *router))
     }
 
     fn is_present(&self, now: Timestamp, router: SocketAddr) -> bool {
@@ -128,10 +132,9 @@
 
     fn is_own(&self, now: Timestamp, engine: &BackEndName, slot: u32) -> bool {
         let slot = Digest::of(&[engine.as_str().as_bytes(), &slot.to_le_bytes()]).to_u64();
-        let rank = |router: SocketAddr| (mix(slot ^ hash_of(router)), router);
-        let own = rank(self.own);
-        let present = self.others.iter().filter(|router| self.is_present(now, **router));
-        present.map(|router| rank(*router)).all(|other| other < own)
+        let rank = |(router, hash): (SocketAddr, u64)| (mix(slot ^ hash), router);
+        let own = rank((self.own, hash_of(self.own)));
+        self.present(now).all(|other| rank(*other) < own)
     }
 
     fn forget_absent(&mut self, now: Timestamp) {
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -169,8 +169,10 @@
         self.shares.borrow().lenders(now, lot, MOST_LENDERS)
     }
 
-    /// Takes back slots whose return was lost.
+    /// Takes back slots whose return was lost, and forgets questions that nobody waits for any more: their caller has gone
+    /// and the router that was asked may never answer.
     pub fn forget_old(&self, now: Timestamp) {
+        self.asked.borrow_mut().retain(|_, reply| !reply.is_closed());
         let is_over = |lent: &Lent| lent.until <= now;
         let over: Vec<Lent> = self
             .lent
