--- /dev/null
+++ b/crates/gateway/tests/fleet/support/wire.rs
@@ -0,0 +1,119 @@
+//! The headers and the one configuration of the tests.
+
+use super::{KEY, PREPAID, TOKENS_PER_EVENT};
+use hyper::{HeaderMap, StatusCode};
+use stackpost_coordinator::DocumentCodec;
+use stackpost_gateway::*;
+use stackpost_gateway_core::*;
+use stackpost_types::*;
+use std::collections::BTreeMap;
+
+/// Headers of the tests.
+pub struct TestDialect;
+
+impl Dialect for TestDialect {
+    fn read_request(&self, headers: &HeaderMap) -> Result<CallerRequest, UnreadableRequest> {
+        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+        let generation = headers.contains_key("generation").then_some(Generation {
+            prompt: Tokens(super::PROMPT),
+            shared: Tokens::ZERO,
+            most_generated: Tokens(super::MOST_GENERATED),
+            subject: None,
+        });
+        Ok(CallerRequest {
+            id: text("id").unwrap_or_default().into(),
+            wait: text("wait").and_then(|wait| wait.parse().ok()).map(Millis),
+            key: text("key").map(Into::into),
+            generation,
+            last_event: None,
+        })
+    }
+
+    fn address_engine(&self, headers: &mut HeaderMap, addressing: &EngineAddressing<'_>) {
+        headers.remove("key");
+        let mut set = |name: &'static str, value: String| {
+            headers.insert(name, value.parse().expect("a header value"));
+        };
+        set("engine", addressing.engine.to_string());
+        set("wait", addressing.wait.0.to_string());
+        if let Some(event) = addressing.last_event {
+            set("after", event.to_string());
+        }
+    }
+
+    fn judge_answer(
+        &self,
+        request: &CallerRequest,
+        _: StatusCode,
+        headers: &HeaderMap,
+    ) -> EngineVerdict {
+        if headers.contains_key("not-run") {
+            return EngineVerdict::NotRun;
+        }
+        match headers.get("id") {
+            Some(id) if *id == request.id => EngineVerdict::Genuine,
+            Some(_) => EngineVerdict::OtherRequest,
+            None => EngineVerdict::Unsigned,
+        }
+    }
+
+    fn read_wishes(&self, _: &CallerRequest, _: StatusCode, headers: &HeaderMap) -> EngineWishes {
+        let rest = headers.get("rest").map(|rest| rest.to_str().expect("text"));
+        let rest = rest.map(|rest| Millis(rest.parse().expect("milliseconds")));
+        let leaves = headers.contains_key("leaving");
+        EngineWishes { rest, leaves, unreadable: Vec::new() }
+    }
+}
+
+/// The one configuration of the tests, whatever the document says but its version.
+pub struct TestDocuments;
+
+impl DocumentCodec for TestDocuments {
+    fn decode(&self, bytes: &[u8]) -> Result<RoutingConfig, ConfigError> {
+        let text = std::str::from_utf8(bytes).unwrap_or_default();
+        let version =
+            text.parse().map_err(|_| ConfigError::Unreadable("not a number".to_string()))?;
+        let route = |prefix: &str, kind, max_attempts| Route {
+            name: RouteName::new(prefix),
+            host: "ferry.example".into(),
+            path_prefix: prefix.into(),
+            kind,
+            timeout: Millis(10_000),
+            objective: Millis(4_000),
+            gap_objective: None,
+            priority: 1,
+            split: vec![Split { service: "engines".into(), weight: 1 }],
+            max_attempts,
+            public: false,
+            sticky: false,
+        };
+        let engine = EngineProfile {
+            slots: 8,
+            cache_tokens: Tokens(1_000),
+            tokens_per_event: TOKENS_PER_EVENT,
+        };
+        let service = Service { max_connections: 100, engine: Some(engine) };
+        Ok(RoutingConfig {
+            version,
+            routes: vec![
+                route("/once/", RouteKind::OnlyOnce, 2),
+                route("/again/", RouteKind::Repeatable, 2),
+                route("/stream/", RouteKind::Streaming { resumable: true }, 2),
+                route("/plain-stream/", RouteKind::Streaming { resumable: false }, 2),
+            ],
+            services: BTreeMap::from([("engines".into(), service)]),
+            limits: ClientLimits {
+                max_header_bytes: 16_384,
+                max_body_bytes: 1_000,
+                header_timeout: Millis(3_000),
+                idle_timeout: Millis(15_000),
+            },
+            tenants: Some(vec![Tenant {
+                name: "ferry".into(),
+                keys: vec![KEY.into()],
+                priority: None,
+                prepaid: Some(Tokens(PREPAID)),
+            }]),
+        })
+    }
+}
