--- a/crates/gateway-core/src/crash_memory.rs
+++ b/crates/gateway-core/src/crash_memory.rs
@@ -17,8 +17,8 @@
 /// How long own sightings count. Ten times what a copy of a request took to come again where one ended
 /// an engine a second.
 const OWN_MEMORY: Millis = Millis(10_000);
-/// How long own sightings count in touch: several times what the way to the leader, its commit and the way back take
-/// (0.1 s; 0.7 s with an election in between).
+/// How long own sightings count in touch: by estimate several times what the way to the leader, its commit and the way
+/// back take, an election of 0.7 s in between included.
 const LEADER_KNOWS_AFTER: Millis = Millis(2_000);
 /// How long it counts that a request has ended well.
 const WELL_MEMORY: Millis = Millis(10_000);
