Ask an engine for a connection before its broken answer counts as its end

Cause: a broken connection was a sighting of an ended engine until the leader's word held, two seconds in touch. The first copy of a request that came to a router and broke off at three engines (three of a hundred do, at three breaks in ten) therefore refused the next ones there, though all engines lived and others served.

Change: the router opens a connection to the engine at once, one an engine at a time, and keeps it for the next request; an engine that takes it lives, and the break counts only if a newer life of it is announced within five seconds. The request waits for that look before it goes on, so that one that ends engines reaches no fourth.

Red test green. The property over orders of events has breaks at engines that take connections and next lives at once.

--- a/crates/gateway-core/src/crash_memory.rs
+++ b/crates/gateway-core/src/crash_memory.rs
@@ -5,13 +5,16 @@
 //! that broke. In touch they count just until the leader has them; from then on its word holds, also where it takes
 //! something back because the engine goes on announcing itself.
 //!
+//! A connection that broke at an engine which still takes connections is no sighting. That engine may be the next life of the
+//! one that broke it, or a listener that outlives its workers; then a newer life is announced, and the sighting counts.
+//!
 //! A request that ends engines never ends well. So one that has of late is no suspect here, whatever is held against
 //! it, and the leader is told: while it was refused, nothing could show its innocence any more.
 
 use crate::fingerprint::RequestFingerprint;
 use crate::quarantine::{CrashSighting, ENGINES_LOST, QuarantineNotice};
 use serde::{Deserialize, Serialize};
-use stackpost_types::{Millis, Timestamp};
+use stackpost_types::{BackEndName, Millis, Timestamp};
 use std::collections::{BTreeSet, VecDeque};
 
 /// How long own sightings count. Ten times what a copy of a request took to come again where one ended
@@ -29,6 +32,9 @@
 const REPORT_MEMORY: Millis = Millis(60_000);
 /// How long a sighting is told again: two or three times at the pace of the router's slow round.
 const TOLD_AGAIN_FOR: Millis = Millis(5_000);
+/// How long a break at an engine that takes connections may still turn out to be its end: some announcements of a life
+/// that has begun at once (one in 1.2 s).
+const DOUBT_MEMORY: Millis = Millis(5_000);
 /// Own sightings kept, the newest ones: several engines full of requests.
 const MOST_SIGHTINGS: usize = 512;
 
@@ -53,6 +59,8 @@
 pub struct CrashMemory {
     notice: QuarantineNotice,
     own: VecDeque<OwnSighting>,
+    /// Breaks at engines that took connections after it, with their times, the oldest first.
+    doubtful: VecDeque<(Timestamp, CrashSighting)>,
     cleared: BTreeSet<RequestFingerprint>,
     ended_well: VecDeque<(Timestamp, RequestFingerprint)>,
 }
@@ -66,7 +74,8 @@
     /// Whether any request is under suspicion. If not, none needs to be cleared.
     pub fn suspects_any(&self) -> bool {
         let notice = &self.notice;
-        !(notice.quarantined.is_empty() && notice.suspected.is_empty() && self.own.is_empty())
+        let told = !(notice.quarantined.is_empty() && notice.suspected.is_empty());
+        told || !self.own.is_empty() || !self.doubtful.is_empty()
     }
 
     /// Whether a request is let in no more.
@@ -104,6 +113,29 @@
         self.own.push_back(OwnSighting { at: now, sighting, told: false });
     }
 
+    /// A connection broke while an engine ran a request, and the engine still takes connections.
+    pub fn on_broken_at_living(&mut self, now: Timestamp, sighting: CrashSighting) {
+        self.forget_old(now);
+        if self.doubtful.len() >= MOST_SIGHTINGS {
+            self.doubtful.pop_front();
+        }
+        self.doubtful.push_back((now, sighting));
+    }
+
+    /// A life of an engine has begun, so those before it have ended. Returns whether that ended one under a request.
+    pub fn on_life_begun(&mut self, now: Timestamp, engine: &BackEndName) -> bool {
+        self.forget_old(now);
+        let is_former = |(_, seen): &(Timestamp, CrashSighting)| {
+            seen.engine.id() == engine.id() && seen.engine.born() < engine.born()
+        };
+        let doubtful = std::mem::take(&mut self.doubtful);
+        let (ended, left): (VecDeque<_>, VecDeque<_>) = doubtful.into_iter().partition(is_former);
+        self.doubtful = left;
+        let is_news = !ended.is_empty();
+        ended.into_iter().for_each(|(_, sighting)| self.on_engine_ended(now, sighting));
+        is_news
+    }
+
     /// A request has ended well, so it does not end engines.
     pub fn on_ended_well(&mut self, now: Timestamp, request: &RequestFingerprint) {
         self.ended_well.retain(|(_, ended)| ended != request);
@@ -111,6 +143,7 @@
             self.ended_well.pop_front();
         }
         self.ended_well.push_back((now, *request));
+        self.doubtful.retain(|(_, seen)| seen.request != *request);
         let before = self.own.len();
         self.own.retain(|own| own.sighting.request != *request);
         if before > self.own.len() || self.notice.names(request) {
@@ -170,6 +203,9 @@
         while self.own.front().is_some_and(|own| now.since(own.at) >= REPORT_MEMORY) {
             self.own.pop_front();
         }
+        while self.doubtful.front().is_some_and(|(at, _)| now.since(*at) >= DOUBT_MEMORY) {
+            self.doubtful.pop_front();
+        }
         while self.ended_well.front().is_some_and(|(at, _)| now.since(*at) >= WELL_MEMORY) {
             self.ended_well.pop_front();
         }
--- a/crates/gateway-core/tests/quarantine.rs
+++ b/crates/gateway-core/tests/quarantine.rs
@@ -213,13 +213,43 @@
     assert!(memory.is_quarantined(Timestamp(11_000), &request(1), IN_TOUCH), "it is long ago");
 }
 
+/// A listener may outlive the engine behind it, and a next life may take connections at once.
+#[test]
+fn a_break_at_an_engine_that_takes_connections_counts_once_its_next_life_is_known() {
+    let (now, mut memory) = (Timestamp(1_000), CrashMemory::default());
+    let life = |number: usize, born| BackEndName::of_life(&format!("e{number}"), Some(born));
+    let broke = |number| CrashSighting { request: request(1), engine: life(number, 5) };
+    (0..ENGINES_LOST).for_each(|number| memory.on_broken_at_living(now, broke(number)));
+    assert!(!memory.is_quarantined(now, &request(1), IN_TOUCH));
+    assert_eq!(memory.take_report(now), None);
+    for number in 0..ENGINES_LOST {
+        assert!(!memory.on_life_begun(now, &life(number, 5)), "it is the life that broke");
+        assert!(memory.on_life_begun(now, &life(number, 6)));
+        assert!(!memory.on_life_begun(now, &life(number, 7)), "it counts once");
+    }
+    assert!(memory.is_quarantined(now, &request(1), IN_TOUCH));
+    assert_eq!(memory.take_report(now).expect("news").seen.len(), ENGINES_LOST);
+}
+
+#[test]
+fn a_break_at_an_engine_that_lives_on_is_forgotten() {
+    let mut memory = CrashMemory::default();
+    let life = |born| BackEndName::of_life("e1", Some(born));
+    let broke = CrashSighting { request: request(1), engine: life(5) };
+    memory.on_broken_at_living(Timestamp(1_000), broke.clone());
+    assert!(!memory.on_life_begun(Timestamp(6_000), &life(6)), "it is long ago");
+    memory.on_broken_at_living(Timestamp(7_000), broke);
+    memory.on_ended_well(Timestamp(7_000), &request(1));
+    assert!(!memory.on_life_begun(Timestamp(7_000), &life(6)), "the request has ended well since");
+}
+
 /// What happens to two requests at one router: one ends engines, the other one is broken off now and then.
 #[derive(Clone, Copy, Debug)]
 enum Event {
-    /// The guilty one comes.
-    Guilty,
-    /// The other one comes, and its connection breaks or not.
-    Innocent { breaks: bool },
+    /// The guilty one comes. The engine's address may go on taking connections for its next life.
+    Guilty { takes_connections: bool },
+    /// The other one comes, and its connection breaks or not. The engine may be out of reach for the look at it.
+    Innocent { breaks: bool, takes_connections: bool },
     /// Time passes.
     Pass(u64),
     /// Reports are told again.
@@ -230,8 +260,9 @@
 
 fn event() -> impl Strategy<Value = Event> {
     prop_oneof![
-        3 => Just(Event::Guilty),
-        4 => any::<bool>().prop_map(|breaks| Event::Innocent { breaks }),
+        3 => any::<bool>().prop_map(|takes_connections| Event::Guilty { takes_connections }),
+        4 => any::<[bool; 2]>()
+            .prop_map(|[breaks, takes_connections]| Event::Innocent { breaks, takes_connections }),
         2 => (0_u64..1_500).prop_map(Event::Pass),
         1 => Just(Event::ToldAgain),
         2 => Just(Event::Announced),
@@ -244,7 +275,13 @@
     memory: CrashMemory,
     quarantine: Quarantine,
     next_engine: usize,
-    running: Vec<usize>,
+    /// The newest life of each engine.
+    running: Vec<BackEndName>,
+}
+
+/// A life of an engine; the higher `born`, the newer.
+fn life(number: usize, born: u64) -> BackEndName {
+    BackEndName::of_life(&format!("e{number}"), Some(born))
 }
 
 impl Pair {
@@ -263,21 +300,23 @@
         }
     }
 
-    /// Lets a request in at the next engine, unless it is refused. Returns whether it was let in.
-    fn send(&mut self, of: u64, ends_engine: bool, breaks: bool) -> bool {
+    /// Lets a request in at the next engine, unless it is refused. Returns whether it was let in. A next life of an engine
+    /// that ended is heard of at once.
+    fn send(&mut self, of: u64, ends_engine: bool, breaks: bool, takes_connections: bool) -> bool {
         if self.memory.is_quarantined(self.now, &request(of), IN_TOUCH) {
             return false;
         }
         let place = self.next_engine % self.running.len();
-        let at_engine = self.running[place];
         self.next_engine += 1;
-        if ends_engine {
-            self.running[place] = 1_000 + self.next_engine;
+        let sighting = CrashSighting { request: request(of), engine: self.running[place].clone() };
+        match (ends_engine || breaks, takes_connections) {
+            (true, true) => self.memory.on_broken_at_living(self.now, sighting),
+            (true, false) => self.memory.on_engine_ended(self.now, sighting),
+            (false, _) => self.memory.on_ended_well(self.now, &request(of)),
         }
-        if ends_engine || breaks {
-            self.memory.on_engine_ended(self.now, seen(of, at_engine));
-        } else {
-            self.memory.on_ended_well(self.now, &request(of));
+        if ends_engine {
+            self.running[place] = life(place, self.next_engine as u64);
+            self.memory.on_life_begun(self.now, &self.running[place]);
         }
         self.exchange();
         true
@@ -296,14 +335,16 @@
             memory: CrashMemory::default(),
             quarantine: Quarantine::default(),
             next_engine: 0,
-            running: (0..6).collect(),
+            running: (0..6).map(|number| life(number, 0)).collect(),
         };
         let mut let_in = 0;
         for event in events {
             match event {
-                Event::Guilty => let_in += usize::from(pair.send(1, true, false)),
-                Event::Innocent { breaks } => {
-                    pair.send(2, false, breaks);
+                Event::Guilty { takes_connections } => {
+                    let_in += usize::from(pair.send(1, true, false, takes_connections));
+                }
+                Event::Innocent { breaks, takes_connections } => {
+                    pair.send(2, false, breaks, takes_connections);
                 }
                 Event::Pass(time) => pair.now = pair.now + Millis(time),
                 Event::ToldAgain => {
@@ -311,8 +352,8 @@
                     pair.exchange();
                 }
                 Event::Announced => {
-                    for engine_number in pair.running.clone() {
-                        pair.change(QuarantineChange::StillRuns(engine(engine_number)));
+                    for running in pair.running.clone() {
+                        pair.change(QuarantineChange::StillRuns(running));
                     }
                     pair.exchange();
                 }
@@ -320,7 +361,7 @@
             prop_assert!(let_in <= ENGINES_LOST, "{} let in", let_in);
             let mut later = CrashMemory::clone(&pair.memory);
             let mut record = pair.quarantine.clone();
-            pair.running.iter().for_each(|one| record.apply(QuarantineChange::StillRuns(engine(*one))));
+            pair.running.iter().cloned().for_each(|one| record.apply(QuarantineChange::StillRuns(one)));
             later.on_notice(pair.now, record.notice());
             prop_assert!(!later.is_quarantined(pair.now + Millis(2_000), &request(2), IN_TOUCH));
         }
--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -5,6 +5,19 @@
 use crate::request::{RequestContext, host};
 use stackpost_gateway_core::{CrashSighting, RequestContent, RequestFingerprint};
 use stackpost_types::BackEndName;
+use tokio::task::JoinHandle;
+
+/// The router finds out what the break of a connection shows.
+pub(crate) struct BreakNoted(JoinHandle<()>);
+
+impl BreakNoted {
+    /// Waits until that is known and counts.
+    pub async fn wait(self) {
+        if let Err(error) = self.0.await {
+            log::error!(step = "check an engine after a break"; "{error}");
+        }
+    }
+}
 
 impl RequestContext {
     /// What the request asks, the same for every repeat of it.
@@ -36,12 +49,25 @@
             && memory.is_quarantined(self.router.now(), &self.fingerprint(), self.router.in_touch())
     }
 
-    /// An engine broke the answer off, so it may have ended under this request.
-    pub fn on_broken_off(&self, engine: &BackEndName, at: BreakPoint) {
+    /// An engine broke the answer off, so it may have ended under this request. What is returned is to be waited for
+    /// before the request goes on: a copy that has ended its third engine must not reach a fourth one.
+    pub fn on_broken_off(&self, engine: &BackEndName, at: BreakPoint) -> BreakNoted {
         decision_log::engine_broke_off(self, engine, at);
         let sighting = CrashSighting { request: self.fingerprint(), engine: engine.clone() };
-        self.router.crash_memory.borrow_mut().on_engine_ended(self.router.now(), sighting);
-        self.router.crash_news.notify_one();
+        let (router, id) = (self.router.clone(), self.payload.caller.id.clone());
+        // On a task of its own: what an engine's end shows counts though the caller goes away meanwhile.
+        BreakNoted(tokio::task::spawn_local(async move {
+            let lives = router.lives_after_break(&sighting.engine).await;
+            router.metrics.on_break(lives);
+            let mut memory = router.crash_memory.borrow_mut();
+            if lives {
+                decision_log::lives_after_break(&id, &sighting.engine);
+                memory.on_broken_at_living(router.now(), sighting);
+            } else {
+                memory.on_engine_ended(router.now(), sighting);
+                router.crash_news.notify_one();
+            }
+        }))
     }
 
     /// An engine has answered in whole, so the request is not one that ends engines.
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -130,6 +130,11 @@
     );
 }
 
+/// An engine whose connection broke takes new ones, so the break counts as no end of it.
+pub(crate) fn lives_after_break(request: &str, engine: &BackEndName) {
+    log::info!(request = request, engine = engine.as_str(); "the engine still takes connections");
+}
+
 /// A request is refused because engines have ended under it, by the fleet's word or this router's own.
 pub(crate) fn quarantined(context: &RequestContext) {
     log::info!(
--- a/crates/gateway/src/engine_pool.rs
+++ b/crates/gateway/src/engine_pool.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(450);
@@ -25,6 +25,11 @@
 const PROBE_AFTER: Duration = Duration::from_millis(1_000);
 /// Longest rest of a connection whose engine does not say how long it keeps it.
 const DEFAULT_REST: Duration = Duration::from_millis(3_000);
+/// Longest wait for the connection that shows whether an engine has ended: many times the way there and back between zones
+/// (2 ms), and short beside the time in which the request is to be tried elsewhere.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
+/// How long that connection must last: some times what a process takes to close its sockets as it ends.
+const PROBE_SETTLE: Duration = Duration::from_millis(10);
 /// Part of the rest that an engine grants that is used, so that a request does not cross its close.
 const REST_USED_PERCENT: u32 = 60;
 /// Resting connections kept for one engine.
@@ -70,6 +75,19 @@
         open(engine.notice.address).await
     }
 
+    /// Whether an engine still takes connections, looked at with a new one, which is kept for the next request. No answer
+    /// in time counts as no.
+    pub async fn takes_connections(&self, engine: &EngineRecord) -> bool {
+        let Ok(Ok(connection)) = timeout(PROBE_TIMEOUT, open(engine.notice.address)).await else {
+            return false;
+        };
+        // What ends closes its listener and its connections one after the other.
+        sleep(PROBE_SETTLE).await;
+        let lives = !connection.sender.is_closed();
+        self.release(&engine.notice.engine, connection, None);
+        lives
+    }
+
     /// Keeps a connection whose answer has come in whole. `granted` is how long the engine keeps
     /// it, if it has said so.
     pub fn release(
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -9,10 +9,10 @@
 use crate::machine_clock::machine_time;
 use crate::router::Router;
 use stackpost_coordinator::{ClockEcho, ControlStatus, FleetMessage, RouterStatus};
-use stackpost_gateway_core::{EngineNotice, Merge};
+use stackpost_gateway_core::{EngineNotice, EngineState, Merge};
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
 use stackpost_prepaid::{AccountReport, Allotment, Contact};
-use stackpost_types::{BackEndName, Digest, NodeId, PeerError, TenantName};
+use stackpost_types::{BackEndName, Digest, NodeId, PeerError, TenantName, Timestamp};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -278,11 +278,20 @@
         for notice in notices {
             let (engine, state) = (notice.engine.clone(), notice.state);
             if directory.merge(now, notice) == Merge::Changed {
+                self.on_engine_changed(now, &engine, state);
                 log::debug!(engine = engine.as_str(), state = state.as_str(); "engine");
             }
         }
     }
 
+    /// A life that has begun shows that the one before has ended.
+    fn on_engine_changed(&self, now: Timestamp, engine: &BackEndName, state: EngineState) {
+        let mut memory = self.router.crash_memory.borrow_mut();
+        if state != EngineState::Gone && memory.on_life_begun(now, engine) {
+            self.router.crash_news.notify_one();
+        }
+    }
+
     fn on_allotted(&self, allotments: Vec<(TenantName, Allotment)>) {
         let mut wallet = self.router.wallet.borrow_mut();
         let mut grown = false;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod attempt;
 mod body;
+mod break_check;
 mod choose;
 pub mod congestion;
 mod crash_evidence;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,6 +16,7 @@
     attempts: Counter<u64>,
     resumed: Counter<u64>,
     broken_off: Counter<u64>,
+    breaks: Counter<u64>,
     tokens: Counter<u64>,
     head_seconds: Histogram<f64>,
     configuration_version: Gauge<u64>,
@@ -47,6 +48,10 @@
             ),
             resumed: counter("stackpost_streams_resumed", "Streams taken up at another engine"),
             broken_off: counter("stackpost_streams_broken_off", "Streams that broke off"),
+            breaks: counter(
+                "stackpost_engine_breaks",
+                "Engines that broke an answer off, by whether they took connections after it",
+            ),
             tokens: counter("stackpost_tokens_spent", "Tokens settled against prepaid budgets"),
             head_seconds: meter
                 .f64_histogram("stackpost_request_head_seconds")
@@ -103,6 +108,12 @@
         self.broken_off.add(1, &[]);
     }
 
+    /// An engine broke an answer off, and has been looked at since.
+    pub fn on_break(&self, lives: bool) {
+        let engine = if lives { "lives" } else { "ended" };
+        self.breaks.add(1, &[KeyValue::new("engine", engine)]);
+    }
+
     /// A datagram could not be read.
     pub fn on_datagram_refused(&self) {
         self.datagrams_refused.add(1, &[]);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -87,8 +87,9 @@
         }
         Ok(NextEvent::End) => Ok(BegunStream { head, source, first: None }),
         Ok(NextEvent::Broken) => {
-            context.on_broken_off(source.hold.name(), BreakPoint::FirstEvent);
+            let noted = context.on_broken_off(source.hold.name(), BreakPoint::FirstEvent);
             source.hold.finish(AttemptEnd::Broken, None);
+            noted.wait().await;
             Err(NoFirstEvent)
         }
         Ok(NextEvent::Paused) | Err(_) => {
@@ -150,10 +151,13 @@
                     return hold.finish(AttemptEnd::Answered, Some(&headers));
                 }
                 Ok(end @ (NextEvent::Broken | NextEvent::Paused)) => {
-                    if matches!(end, NextEvent::Broken) {
-                        self.context.on_broken_off(source.hold.name(), BreakPoint::Stream);
-                    }
+                    let noted = matches!(end, NextEvent::Broken).then(|| {
+                        self.context.on_broken_off(source.hold.name(), BreakPoint::Stream)
+                    });
                     source.hold.finish(AttemptEnd::Broken, None);
+                    if let Some(noted) = noted {
+                        noted.wait().await;
+                    }
                     match self.resume().await {
                         Some(next) => source = next,
                         None => return self.break_off("the engine broke off").await,
@@ -295,7 +299,9 @@
                 return hold.finish(AttemptEnd::Answered, None);
             }
             Ok(PassedOn::CallerGone) => return,
-            Ok(PassedOn::Broken) => context.on_broken_off(hold.name(), BreakPoint::Body),
+            Ok(PassedOn::Broken) => {
+                context.on_broken_off(hold.name(), BreakPoint::Body).wait().await
+            }
             Err(_) => {}
         }
         // The caller may have gone meanwhile.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -332,7 +332,7 @@
             AttemptResult::Unreachable => progress.unreachable.push(name),
             AttemptResult::NotRun => progress.tried.push(name),
             AttemptResult::BrokenOff => {
-                self.on_broken_off(&name, BreakPoint::Head);
+                self.on_broken_off(&name, BreakPoint::Head).wait().await;
                 progress.tried.push(name);
                 progress.may_have_run = true;
             }
@@ -426,8 +426,9 @@
                 return Gathered::Large(Box::new(LargeAnswer { head, start, body, hold }));
             }
             Ok(Err(())) => {
-                self.on_broken_off(hold.name(), BreakPoint::Body);
+                let noted = self.on_broken_off(hold.name(), BreakPoint::Body);
                 hold.finish(AttemptEnd::Broken, None);
+                noted.wait().await;
                 progress.may_have_run = true;
                 return Gathered::Failed;
             }
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -1,5 +1,6 @@
 //! What a router knows, shared by all its requests.
 
+use crate::break_check::BreakChecks;
 use crate::congestion::Congestion;
 use crate::decision_log;
 use crate::dialect::{Dialect, EngineWishes};
@@ -49,6 +50,7 @@
     pub(crate) codec: Arc<dyn DocumentCodec>,
     pub(crate) metrics: RouterMetrics,
     pub(crate) pool: EnginePool,
+    pub(crate) break_checks: BreakChecks,
     pub(crate) directory: RefCell<EngineDirectory>,
     pub(crate) picker: RefCell<EnginePicker>,
     pub(crate) wallet: RefCell<Wallet>,
@@ -93,6 +95,7 @@
             codec,
             metrics: RouterMetrics::new(meter),
             pool: EnginePool::default(),
+            break_checks: BreakChecks::default(),
             directory: RefCell::new(EngineDirectory::following()),
             picker: RefCell::new(EnginePicker::new(settings.zone)),
             wallet: RefCell::default(),
--- a/crates/gateway/tests/fleet/innocent_requests.rs
+++ b/crates/gateway/tests/fleet/innocent_requests.rs
@@ -95,7 +95,7 @@
             if have_run() >= ENGINES_LOST {
                 break;
             }
-            let got = fleet.ask(PATH, &format!("broken-{copy}")).await;
+            let got = fleet.ask(PATH, &format!("unlucky-{copy}")).await;
             assert!(!got.body.expect("whole").contains("ends_engines"));
         }
         engines.all.iter().for_each(|engine| engine.behaviour.set(Behaviour::Answer));
