Tell callers of a quarantined request how long that goes on

Cause: every one of them was told 300 s, whatever the refusal rested on: also one that this router's own sightings refuse for two seconds, and one whose quarantine the leader takes back after two announcements. An innocent caller who obeys stays away for five minutes.

Change: what is left of the quarantine since this router first heard of it; 5 s while it is younger, and what the own sightings have left where they alone decide. In the line 'request is quarantined' as well.

Tests only: callers_are_told_how_long_a_quarantine_goes_on (new), refusals.

--- a/crates/gateway-core/src/crash_memory.rs
+++ b/crates/gateway-core/src/crash_memory.rs
@@ -12,10 +12,10 @@
 //! it, and the leader is told: while it was refused, nothing could show its innocence any more.
 
 use crate::fingerprint::RequestFingerprint;
-use crate::quarantine::{CrashSighting, ENGINES_LOST, QuarantineNotice};
+use crate::quarantine::{CrashSighting, ENGINES_LOST, FIRST_QUARANTINE, QuarantineNotice};
 use serde::{Deserialize, Serialize};
 use stackpost_types::{BackEndName, Millis, Timestamp};
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// How long own sightings count. Ten times what a copy of a request took to come again where one ended
 /// an engine a second.
@@ -23,6 +23,9 @@
 /// How long own sightings count in touch: by estimate several times what the way to the leader, its commit and the way
 /// back take, an election of 0.7 s in between included.
 const LEADER_KNOWS_AFTER: Millis = Millis(2_000);
+/// What the leader takes back it has taken back by then: two announcements of an engine (one in 1.2 s), with as much again.
+/// Callers of a request that was quarantined a moment ago, or that ought to be free by now, are told to come again then.
+const TAKEN_BACK_WITHIN: Millis = Millis(5_000);
 /// How long it counts that a request has ended well.
 const WELL_MEMORY: Millis = Millis(10_000);
 /// Requests that ended well that are kept, the newest ones.
@@ -58,6 +61,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashMemory {
     notice: QuarantineNotice,
+    /// Requests that are let in no more by the word of control, with when this router heard so first.
+    quarantined: BTreeMap<RequestFingerprint, Timestamp>,
     own: VecDeque<OwnSighting>,
     /// Breaks at engines that took connections after it, with their times, the oldest first.
     doubtful: VecDeque<(Timestamp, CrashSighting)>,
@@ -85,19 +90,45 @@
         request: &RequestFingerprint,
         in_touch: bool,
     ) -> bool {
+        self.quarantine_left(now, request, in_touch).is_some()
+    }
+
+    /// After how long another try of a request that is let in no more makes sense; `None` if it is let in.
+    pub fn quarantine_left(
+        &mut self,
+        now: Timestamp,
+        request: &RequestFingerprint,
+        in_touch: bool,
+    ) -> Option<Millis> {
         self.forget_old(now);
         if self.ended_well_lately(now, request) {
-            return false;
+            return None;
         }
-        if self.notice.quarantined.contains(request) {
-            return true;
+        let Some(since) = self.quarantined.get(request) else {
+            return self.own_quarantine_left(now, request, in_touch);
+        };
+        let lasted = now.since(*since);
+        if lasted < TAKEN_BACK_WITHIN {
+            return Some(TAKEN_BACK_WITHIN);
         }
+        Some(Millis(FIRST_QUARANTINE.0.saturating_sub(lasted.0)).max(TAKEN_BACK_WITHIN))
+    }
+
+    /// The same by this router's own sightings.
+    fn own_quarantine_left(
+        &self,
+        now: Timestamp,
+        request: &RequestFingerprint,
+        in_touch: bool,
+    ) -> Option<Millis> {
         let counts_for = if in_touch { LEADER_KNOWS_AFTER } else { OWN_MEMORY };
-        let lately = self.own.iter().filter(|own| now.since(own.at) < counts_for);
-        let seen = lately.map(|own| &own.sighting);
-        let engines: BTreeSet<_> =
-            seen.filter(|seen| seen.request == *request).map(|seen| &seen.engine).collect();
-        engines.len() >= ENGINES_LOST
+        let of_request = self.own.iter().filter(|own| own.sighting.request == *request);
+        let newest: BTreeMap<_, _> = of_request.map(|own| (&own.sighting.engine, own.at)).collect();
+        let mut times: Vec<Timestamp> = newest.into_values().collect();
+        times.sort_unstable();
+        let deciding = times.iter().rev().nth(ENGINES_LOST - 1)?;
+        let left = counts_for.0.checked_sub(now.since(*deciding).0)?;
+        (left > 0).then_some(Millis(left))
     }
 
     /// A connection ended while an engine ran a request.
@@ -158,6 +189,10 @@
             return false;
         }
         self.notice = notice;
+        let before = std::mem::take(&mut self.quarantined);
+        let since = |request: &RequestFingerprint| before.get(request).copied().unwrap_or(now);
+        let named = self.notice.quarantined.iter();
+        self.quarantined = named.map(|request| (*request, since(request))).collect();
         let named = |request: &&RequestFingerprint| {
             self.notice.names(request) && self.ended_well_lately(now, request)
         };
--- a/crates/gateway-core/tests/quarantine.rs
+++ b/crates/gateway-core/tests/quarantine.rs
@@ -213,6 +213,42 @@
     assert!(memory.is_quarantined(Timestamp(11_000), &request(1), IN_TOUCH), "it is long ago");
 }
 
+/// A caller is told when the quarantine is over, and soon as long as the leader may still take it back.
+#[test]
+fn callers_are_told_how_long_a_quarantine_goes_on() {
+    let mut memory = CrashMemory::default();
+    let at = Timestamp;
+    let left = |memory: &mut CrashMemory, now, in_touch| {
+        memory.quarantine_left(at(now), &request(1), in_touch)
+    };
+    for (number, time) in [1_000, 1_400, 1_500].into_iter().enumerate() {
+        assert_eq!(left(&mut memory, time, IN_TOUCH), None);
+        memory.on_engine_ended(at(time), seen(1, number));
+    }
+    assert_eq!(
+        left(&mut memory, 1_500, IN_TOUCH),
+        Some(Millis(1_500)),
+        "the first one counts until then"
+    );
+    assert_eq!(left(&mut memory, 1_500, OUT_OF_TOUCH), Some(Millis(9_500)));
+    let notice = |revision| QuarantineNotice {
+        revision,
+        quarantined: [request(1)].into(),
+        ..QuarantineNotice::default()
+    };
+    memory.on_notice(at(2_000), notice(1));
+    assert_eq!(left(&mut memory, 2_000, IN_TOUCH), Some(Millis(5_000)), "it may be taken back");
+    memory.on_notice(at(9_000), notice(2));
+    assert_eq!(
+        left(&mut memory, 12_000, IN_TOUCH),
+        Some(Millis(290_000)),
+        "since it was first named"
+    );
+    assert_eq!(left(&mut memory, 310_000, IN_TOUCH), Some(Millis(5_000)), "it ought to be over");
+    memory.on_notice(at(311_000), QuarantineNotice { revision: 3, ..QuarantineNotice::default() });
+    assert_eq!(left(&mut memory, 311_000, IN_TOUCH), None);
+}
+
 /// A listener may outlive the engine behind it, and a next life may take connections at once.
 #[test]
 fn a_break_at_an_engine_that_takes_connections_counts_once_its_next_life_is_known() {
--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -4,7 +4,7 @@
 use crate::refusal::Refusal;
 use crate::request::{RequestContext, host};
 use stackpost_gateway_core::{CrashSighting, RequestContent, RequestFingerprint};
-use stackpost_types::BackEndName;
+use stackpost_types::{BackEndName, Millis};
 use tokio::task::JoinHandle;
 
 /// The router finds out what the break of a connection shows.
@@ -35,18 +35,25 @@
     /// A request that has ended engines elsewhere, under another id, would end the next one here. It is
     /// known not to be servable, so it is refused before it takes up tokens or a place.
     pub fn refuse_if_quarantined(&self) -> Result<(), Refusal> {
-        if !self.is_quarantined() {
+        let Some(retry_after) = self.quarantine_left() else {
             return Ok(());
-        }
-        decision_log::quarantined(self);
-        Err(Refusal::EndsEngines)
+        };
+        decision_log::quarantined(self, retry_after);
+        Err(Refusal::EndsEngines { retry_after })
     }
 
     /// Whether this request is let in no more.
     pub fn is_quarantined(&self) -> bool {
+        self.quarantine_left().is_some()
+    }
+
+    /// After how long another try makes sense; `None` if the request is let in.
+    fn quarantine_left(&self) -> Option<Millis> {
         let mut memory = self.router.crash_memory.borrow_mut();
-        memory.quarantines_any()
-            && memory.is_quarantined(self.router.now(), &self.fingerprint(), self.router.in_touch())
+        if !memory.quarantines_any() {
+            return None;
+        }
+        memory.quarantine_left(self.router.now(), &self.fingerprint(), self.router.in_touch())
     }
 
     /// An engine broke the answer off, so it may have ended under this request. What is returned is to be waited for
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -136,11 +136,12 @@
 }
 
 /// A request is refused because engines have ended under it, by the fleet's word or this router's own.
-pub(crate) fn quarantined(context: &RequestContext) {
+pub(crate) fn quarantined(context: &RequestContext, retry_after: Millis) {
     log::info!(
         request = context.payload.caller.id.as_str(),
         fingerprint = context.fingerprint().to_string().as_str(),
-        in_touch = context.router.in_touch();
+        in_touch = context.router.in_touch(),
+        retry_after_ms = retry_after.0;
         "request is quarantined"
     );
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -3,7 +3,6 @@
 use crate::body::GatewayBody;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
-use stackpost_gateway_core::FIRST_QUARANTINE;
 use stackpost_types::Millis;
 
 /// Time within which a restarted router is usually configured: after a loss of power of all machines
@@ -60,7 +59,10 @@
     /// The time is over and the request has not run.
     TimeOver,
     /// Engines have ended under this very request, so it is sent to none.
-    EndsEngines,
+    EndsEngines {
+        /// When to come again: once the quarantine is over, or as long as it may still be taken back, soon.
+        retry_after: Millis,
+    },
     /// The request may have run; its answer is lost.
     AnswerLost,
     /// The time is over and the request may have run.
@@ -94,7 +96,7 @@
             Self::EnginesRest { .. } => "engines_rest",
             Self::Unreachable => "unreachable",
             Self::TimeOver => "time_over",
-            Self::EndsEngines => "ends_engines",
+            Self::EndsEngines { .. } => "ends_engines",
             Self::AnswerLost => "answer_lost",
             Self::TimeOverUnknown => "time_over_unknown",
         }
@@ -115,7 +117,7 @@
             | Self::EnginesFull
             | Self::EnginesRest { .. }
             | Self::Unreachable
-            | Self::EndsEngines
+            | Self::EndsEngines { .. }
             | Self::TimeOver => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::TimeOverUnknown => StatusCode::GATEWAY_TIMEOUT,
@@ -130,10 +132,11 @@
             Self::NoEngine | Self::Unreachable | Self::TimeOver => Some(Millis(200)),
             Self::Stopping => Some(Millis(50)),
             Self::EnginesFull => Some(Millis(100)),
-            Self::EnginesRest { retry_after } => Some(retry_after),
+            Self::EnginesRest { retry_after } | Self::EndsEngines { retry_after } => {
+                Some(retry_after)
+            }
             Self::BudgetExhausted => Some(NEXT_ALLOTMENT_WITHIN),
             Self::BudgetOutOfReach => Some(LEADER_BACK_WITHIN),
-            Self::EndsEngines => Some(FIRST_QUARANTINE),
             _ => None,
         }
     }
--- a/crates/gateway/tests/refusals.rs
+++ b/crates/gateway/tests/refusals.rs
@@ -44,5 +44,7 @@
     assert!(moments.len() > 100, "spread over half a second");
     let rests = told(Refusal::EnginesRest { retry_after: Millis(3_217) });
     assert_eq!(rests, (StatusCode::SERVICE_UNAVAILABLE, Some("3.217".into())));
+    let quarantined = told(Refusal::EndsEngines { retry_after: Millis(290_000) });
+    assert_eq!(quarantined, (StatusCode::SERVICE_UNAVAILABLE, Some("290.000".into())));
     assert_eq!(after_rest(Millis(u64::MAX / 2), 7), Millis(30_000), "nobody stays away for ever");
 }
