Keep a part of each budget for the time after a loss of the fleet, and hand scarce budgets to requests that wait

Change: 0.7% of each limit is handed out only for 20 s after half of the routers were lost within 3 s; a scarce budget goes to requests that wait, whole or not at all, the least lacking first; what lies scattered is called back for one; a router tells of the smallest request that waits for a scarce budget, since a large one hid it.

The property on overspend opens the guard at every loss.

--- a/crates/coordinator/src/prepaid_planner.rs
+++ b/crates/coordinator/src/prepaid_planner.rs
@@ -3,8 +3,8 @@
 use crate::message::{ClockEcho, RouterStatus};
 use crate::state::Command;
 use stackpost_prepaid::{
-    AccountReport, Contact, GivenBack, LifeEnd, Outlook, PrepaidLedger, ShortBudget, SteadyTime,
-    plan,
+    AccountReport, Contact, GivenBack, LifeEnd, Outlook, PrepaidLedger, Rations, ShortBudget,
+    SteadyTime, plan,
 };
 use stackpost_types::{Millis, NodeId, TenantName, Timestamp, Tokens};
 use std::collections::{BTreeMap, BTreeSet};
@@ -48,6 +48,7 @@
     ended: BTreeMap<NodeId, Contact>,
     farewells: BTreeMap<NodeId, BTreeMap<TenantName, Tokens>>,
     recalls: BTreeMap<NodeId, Vec<(TenantName, Tokens)>>,
+    rations: Rations,
     outlooks: BTreeMap<TenantName, Outlook>,
     outlooks_told_at: Option<Timestamp>,
     short_logged_at: BTreeMap<TenantName, Timestamp>,
@@ -139,7 +140,7 @@
             .map(|(router, view)| (router.clone(), view.accounts.clone()))
             .collect();
         commands.extend(returns(ledger, &reports));
-        let plan = plan(ledger, &reports, elapsed);
+        let plan = plan(ledger, &reports, elapsed, &mut self.rations);
         for recall in plan.recalls {
             let of_router = self.recalls.entry(recall.holder).or_default();
             of_router.push((recall.tenant, recall.keep));
@@ -214,9 +215,14 @@
             for router in ledger.earlier_lives(successor) {
                 let end = end_of_life(ledger, &router, self.ended.get(&router), view);
                 log::info!(router = router.to_string().as_str(); "router life ended: {end:?}");
+                self.rations.on_router_lost(now, router.machine.clone());
                 commands.push(Command::CloseRouter { router, end });
             }
         }
+        let routers = self.routers.len();
+        if let Some(lost) = self.rations.open_after_loss(now, routers) {
+            log::info!(lost = lost, routers = routers; "routers were lost together, the ends of budgets are open");
+        }
         commands
     }
 
--- a/crates/prepaid/src/lib.rs
+++ b/crates/prepaid/src/lib.rs
@@ -12,13 +12,15 @@
 mod policy;
 mod precedence;
 mod rate;
+mod rations;
 mod wallet;
 
 pub use ledger::{
     Allotment, Charge, Contact, GivenBack, Grant, LifeEnd, Pace, PrepaidLedger, RESERVE_LOCK,
     SteadyTime,
 };
-pub use policy::{AccountReport, Outlook, Plan, Recall, ShortBudget, plan, ration};
+pub use policy::{AccountReport, Outlook, Plan, Recall, ShortBudget, plan};
 pub use precedence::DemandByPriority;
 pub use rate::DemandRate;
+pub use rations::{Rations, ration};
 pub use wallet::{Balance, Demand, Shortfall, Wallet};
--- a/crates/prepaid/src/policy.rs
+++ b/crates/prepaid/src/policy.rs
@@ -5,6 +5,7 @@
 //! power is lost to the tenant, so both shrink the closer a budget comes to its end.
 
 use crate::ledger::{Grant, Pace, PrepaidLedger};
+use crate::rations::Rations;
 use serde::{Deserialize, Serialize};
 use stackpost_types::{Millis, NodeId, TenantName, Tokens};
 use std::collections::BTreeMap;
@@ -33,11 +34,8 @@
 /// requests only. No reserve is made of it, so no fault strands it: a tenant near the end of its
 /// budget is still served something afterwards.
 const LAST_PERMILLE: u64 = 5;
-/// How much of the last part is handed out a second, in millionths of the limit: it should still
-/// serve something after a fault, however long before that the budget became scarce.
-const RATION_PER_MILLION: u64 = 1_100;
-/// Longest time for which a ration is saved up.
-const RATION_SAVED: Millis = Millis(2_000);
+/// Part of every limit, in thousandths, that is handed out only after most of the fleet was lost ([`Rations`]).
+const GUARD_PERMILLE: u64 = 7;
 /// Part of every limit, in thousandths, that is never handed out: a margin for what an engine may
 /// count beyond what it was seen to hand out.
 const WITHHELD_PERMILLE: u64 = 5;
@@ -48,8 +46,6 @@
 const LONGEST_OUTLOOK: Millis = Millis(60_000);
 /// Outlooks are told in steps of this, so that they change seldom.
 const OUTLOOK_STEP: Millis = Millis(1_000);
-/// What a router holds of a scarce budget, in thousandths of the limit.
-const SCARCE_HAND_PERMILLE: u64 = 2;
 
 /// What a router says about one tenant's budget.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -126,31 +122,43 @@
     overdrawn: Tokens,
     /// Hand and reserve, less what has been used.
     held: Tokens,
+    /// Given back since the ledger was told last. That is taken in before what the same round hands out.
+    given_back: Tokens,
     pace: Pace,
 }
 
+impl Share<'_> {
+    /// What a request that waits there lacks.
+    fn missing(&self) -> Tokens {
+        self.report.wanted - self.held
+    }
+
+    fn lacks(&self) -> bool {
+        !self.missing().is_zero()
+    }
+
+    /// Whether a request waits there, for more or for a part of the reserve.
+    fn waits(&self) -> bool {
+        self.report.wanted > self.hand
+    }
+}
+
 /// What a router should hold.
 struct Target {
     hand: Tokens,
     held: Tokens,
 }
 
-/// What may be handed out of a scarce budget `elapsed` after something was handed out last.
-pub fn ration(limit: Tokens, elapsed: Millis) -> Tokens {
-    let millis = elapsed.0.min(RATION_SAVED.0);
-    limit.scaled(RATION_PER_MILLION * millis, 1_000_000 * 1_000)
-}
-
 /// Plans a round over the routers that have reported, `elapsed` after the last one.
 pub fn plan(
     ledger: &PrepaidLedger,
     reports: &BTreeMap<NodeId, BTreeMap<TenantName, AccountReport>>,
     elapsed: Millis,
+    rations: &mut Rations,
 ) -> Plan {
+    rations.begin_round(elapsed);
     let mut plan = Plan::default();
     for (tenant, limit) in ledger.tenants() {
-        let available = ledger.available(tenant) - limit.scaled(WITHHELD_PERMILLE, 1_000);
-        let pool = available - limit.scaled(LAST_PERMILLE, 1_000);
         let shares: Vec<Share<'_>> = reports
             .iter()
             .filter_map(|(holder, accounts)| {
@@ -158,25 +166,52 @@
             })
             .collect();
         let held: Tokens = shares.iter().map(|share| share.held).sum();
+        let given_back: Tokens = shares.iter().map(|share| share.given_back).sum();
+        let end = budget_end(ledger.available(tenant), limit);
         let wanted = shares.iter().map(|share| share.report.wanted).max().unwrap_or_default();
         if !wanted.is_zero() {
             let (tenant, available) = (tenant.clone(), ledger.available(tenant));
             plan.short.push(ShortBudget { tenant, limit, available, held, wanted });
         }
-        if pool.is_zero() && held < limit.scaled(SCARCE_HELD_PERMILLE, 1_000) {
+        if end.pool.is_zero() && held < limit.scaled(SCARCE_HELD_PERMILLE, 1_000) {
             plan.outlooks.insert(tenant.clone(), Outlook::Scarce);
-            let allowed = available.min(ration(limit, elapsed));
-            plan_scarce(tenant, limit, allowed, &shares, &mut plan);
+            let guard = if rations.is_guard_open() { end.guard } else { Tokens::ZERO };
+            let ration = rations.allowed(tenant, limit, end.last.is_zero());
+            // What is moved from one router to another was rationed when it was handed out.
+            let allowed = (end.last + guard).min(ration) + given_back;
+            let granted = plan_scarce(tenant, allowed, &shares, &mut plan);
+            rations.take(tenant, granted - given_back);
         } else {
-            if let Some(lasts) = lasts(pool + held, &shares) {
+            if let Some(lasts) = lasts(end.pool + held, &shares) {
                 plan.outlooks.insert(tenant.clone(), Outlook::Lasts(lasts));
             }
-            plan_tenant(tenant, pool, &shares, &mut plan);
+            plan_tenant(tenant, &end, &shares, &mut plan);
         }
     }
     plan
 }
 
+/// What nobody holds of a budget, by how it may be handed out.
+struct BudgetEnd {
+    /// By demand.
+    pool: Tokens,
+    /// In rations.
+    last: Tokens,
+    /// After a loss of most of the fleet.
+    guard: Tokens,
+    /// What the last parts lack: what is given back goes there first.
+    lacking: Tokens,
+}
+
+/// Divides what nobody holds: the last parts of the limit first.
+fn budget_end(unheld: Tokens, limit: Tokens) -> BudgetEnd {
+    let kept = limit.scaled(WITHHELD_PERMILLE + GUARD_PERMILLE + LAST_PERMILLE, 1_000);
+    let (pool, lacking) = (unheld - kept, kept - unheld);
+    let unheld = unheld - limit.scaled(WITHHELD_PERMILLE, 1_000);
+    let guard = unheld.min(limit.scaled(GUARD_PERMILLE, 1_000));
+    BudgetEnd { pool, last: unheld - guard, guard, lacking }
+}
+
 /// How long `left` covers the demand of late; `None` if that is long enough for nobody to care.
 fn lasts(left: Tokens, shares: &[Share<'_>]) -> Option<Millis> {
     let rate: Tokens = shares.iter().map(|share| share.report.rate).sum();
@@ -185,23 +220,56 @@
     (millis < LONGEST_OUTLOOK.0).then_some(Millis(millis / step * step))
 }
 
-/// Hands out the last part of a budget, a little at a time.
+/// Hands out the last part of a budget, a little at a time and to requests that wait alone: what lies in a hand for the
+/// next one lies there while the request comes to another router. The request that lacks least comes first, and gets
+/// what it lacks or nothing. Returns how much was handed out.
 fn plan_scarce(
     tenant: &TenantName,
-    limit: Tokens,
     allowed: Tokens,
     shares: &[Share<'_>],
     plan: &mut Plan,
-) {
+) -> Tokens {
     let mut left = allowed;
-    for share in shares {
-        let hand = limit.scaled(SCARCE_HAND_PERMILLE, 1_000).min(left);
-        let target = Target { hand, held: hand };
-        if let Some(grant) = grant(tenant, share, &target, left) {
+    let mut needy: Vec<&Share<'_>> = shares.iter().filter(|share| share.waits()).collect();
+    needy.sort_by_key(|share| share.missing());
+    let nothing_ahead = Target { hand: Tokens::ZERO, held: Tokens::ZERO };
+    for (place, share) in needy.iter().enumerate() {
+        if share.missing() > left {
+            let covered = &needy[..place];
+            recall_scattered(tenant, share, share.missing() - left, shares, covered, plan);
+            break;
+        }
+        if let Some(grant) = grant(tenant, share, &nothing_ahead, left) {
             left = left - grant.amount;
             plan.grants.push(grant);
         }
     }
+    allowed - left
+}
+
+/// Calls back for one request what lies with routers that can serve none with it, if that is enough. Those that are
+/// `covered` in this round can.
+fn recall_scattered(
+    tenant: &TenantName,
+    needy: &Share<'_>,
+    missing: Tokens,
+    shares: &[Share<'_>],
+    covered: &[&Share<'_>],
+    plan: &mut Plan,
+) {
+    let is_covered =
+        |share: &Share<'_>| covered.iter().any(|covered| covered.holder == share.holder);
+    let is_idle = |share: &&Share<'_>| {
+        share.holder != needy.holder
+            && !is_covered(share)
+            && (share.report.wanted.is_zero() || share.lacks())
+    };
+    let mut idle: Vec<&Share<'_>> = shares.iter().filter(is_idle).collect();
+    let enough = idle.iter().map(|share| share.held).sum::<Tokens>() >= missing;
+    if enough {
+        idle.sort_by_key(|share| std::cmp::Reverse(share.held));
+        recall_from(tenant, &idle, missing, plan);
+    }
 }
 
 fn share<'a>(
@@ -219,14 +287,15 @@
         hand: allotment.usable_hand() - gone,
         overdrawn: gone - allotment.usable_hand(),
         held: allotment.allotted - released - gone,
+        given_back: (released - allotment.released) + (report.returned - allotment.returned),
         pace: allotment.pace,
     }
 }
 
-fn plan_tenant(tenant: &TenantName, pool: Tokens, shares: &[Share<'_>], plan: &mut Plan) {
-    let total: Tokens = pool + shares.iter().map(|share| share.held).sum();
+fn plan_tenant(tenant: &TenantName, end: &BudgetEnd, shares: &[Share<'_>], plan: &mut Plan) {
+    let total: Tokens = end.pool + shares.iter().map(|share| share.held).sum();
     let rate: Tokens = shares.iter().map(|share| share.report.rate).sum();
-    let mut left = pool;
+    let mut left = end.pool;
     for share in shares {
         let target = target(share, total, rate);
         let grant = grant(tenant, share, &target, left);
@@ -237,7 +306,9 @@
     }
     let missing = shares.iter().map(|share| share.report.wanted - share.held - left).max();
     recall_excess(tenant, total, rate, shares, plan);
-    recall_missing(tenant, missing.unwrap_or_default(), shares, plan);
+    if let Some(missing) = missing.filter(|missing| !missing.is_zero()) {
+        recall_missing(tenant, missing + end.lacking, shares, plan);
+    }
 }
 
 /// Calls back what routers hold far beyond their targets.
@@ -258,10 +329,14 @@
 
 /// Calls back what a request elsewhere needs and nobody else can give, from whoever holds most.
 fn recall_missing(tenant: &TenantName, missing: Tokens, shares: &[Share<'_>], plan: &mut Plan) {
-    let mut missing = missing;
     let mut idle: Vec<&Share<'_>> =
         shares.iter().filter(|share| share.report.wanted.is_zero()).collect();
     idle.sort_by_key(|share| std::cmp::Reverse(share.held));
+    recall_from(tenant, &idle, missing, plan);
+}
+
+fn recall_from(tenant: &TenantName, idle: &[&Share<'_>], missing: Tokens, plan: &mut Plan) {
+    let mut missing = missing;
     for share in idle {
         if missing.is_zero() {
             break;
--- a/crates/prepaid/src/wallet.rs
+++ b/crates/prepaid/src/wallet.rs
@@ -48,8 +48,10 @@
     allotment: Allotment,
     spent: Tokens,
     reserved: Tokens,
-    /// Largest amount asked for and not yet covered.
+    /// Amount asked for and not yet covered: the largest, or the smallest of a budget of which only the end is left.
     wanted: Tokens,
+    /// Whether only the end of the budget is left, by the leader's word.
+    is_scarce: bool,
     largest: Tokens,
     /// Mean of the amounts asked for of late.
     mean: Tokens,
@@ -69,6 +71,14 @@
         };
     }
 
+    /// Many small requests can be covered by the end of a budget, a large one hides them from the leader.
+    fn note_wanted(&mut self, amount: Tokens) {
+        self.wanted = match self.is_scarce && !self.wanted.is_zero() {
+            true => self.wanted.min(amount),
+            false => self.wanted.max(amount),
+        };
+    }
+
     /// What the hand has left.
     fn hand_left(&self) -> Tokens {
         self.allotment.usable_hand() - self.allotment.returned - self.used()
@@ -133,6 +143,7 @@
     ) -> bool {
         let account = self.accounts.entry(tenant.clone()).or_default();
         let Demand { amount, priority } = demand;
+        account.is_scarce = outlook == Some(Outlook::Scarce);
         account.by_priority.note(priority, amount);
         let admitted = match outlook {
             None => true,
@@ -159,7 +170,7 @@
         let account = self.accounts.entry(tenant.clone()).or_default();
         let spendable = account.spendable(silent_for);
         if spendable < amount {
-            account.wanted = account.wanted.max(amount);
+            account.note_wanted(amount);
             return Err(Shortfall { missing: amount - spendable });
         }
         account.reserved += amount;
--- a/crates/prepaid/tests/escrow.rs
+++ b/crates/prepaid/tests/escrow.rs
@@ -35,6 +35,8 @@
     /// Used by lives that have ended.
     ended: u64,
     in_flight: Vec<(usize, u64, u64)>,
+    /// Open to the end of the budget after every router that was lost.
+    rations: Rations,
 }
 
 #[derive(Clone, Debug)]
@@ -77,6 +79,7 @@
             next_life: 1,
             ended: 0,
             in_flight: vec![],
+            rations: Rations::default(),
         };
         for machine in 0..ROUTERS {
             let life = world.fresh(machine);
@@ -99,9 +102,13 @@
             Step::Round { reach, lost, grants } => self.round(reach, lost, *grants),
             Step::Kill { router, down } => {
                 self.now += down;
+                self.lose(*router);
                 self.replace(*router, Some(()));
             }
-            Step::PowerOff { router } => self.replace(*router, None),
+            Step::PowerOff { router } => {
+                self.lose(*router);
+                self.replace(*router, None);
+            }
             Step::Farewell { router } => {
                 let spent = self.lives[*router].wallet.used();
                 self.end_life(*router, &LifeEnd::Told(spent));
@@ -109,6 +116,13 @@
         }
     }
 
+    /// One loss counts for that of the fleet here.
+    fn lose(&mut self, router: usize) {
+        let (now, machine) = (Timestamp(self.now), self.lives[router].node.machine.clone());
+        self.rations.on_router_lost(now, machine);
+        self.rations.open_after_loss(now, 1);
+    }
+
     fn request(&mut self, router: usize, amount: u64) {
         let life = &mut self.lives[router];
         if life.wallet.reserve(Timestamp(self.now), &tenant(), Tokens(amount)).is_ok() {
@@ -150,7 +164,11 @@
             }
             reports.insert(life.node.clone(), accounts);
         }
-        let plan = if grants { plan(&self.ledger, &reports, Millis(250)) } else { Plan::default() };
+        let plan = if grants {
+            plan(&self.ledger, &reports, Millis(250), &mut self.rations)
+        } else {
+            Plan::default()
+        };
         for grant in &plan.grants {
             self.ledger.allot(grant);
         }
@@ -342,53 +360,6 @@
     assert_eq!(world.ledger.available(&tenant()), Tokens(10));
 }
 
-#[test]
-fn the_last_part_of_a_budget_is_rationed() {
-    let limit = Tokens(1_000_000);
-    let second = ration(limit, Millis(1_000));
-    assert_eq!(second, Tokens(1_100));
-    assert_eq!(ration(limit, Millis(500)), Tokens(550));
-    assert_eq!(ration(limit, Millis(60_000)), ration(limit, Millis(2_000)), "little is saved up");
-}
-
-/// One router that has used all but the last part of a budget.
-#[test]
-fn a_scarce_budget_is_said_to_be_scarce_and_lasts() {
-    let mut ledger = PrepaidLedger::default();
-    ledger.set_limits(&[(tenant(), Tokens(LIMIT))]);
-    let holder = node(0, 1);
-    let all_but_last = Tokens(LIMIT * 992 / 1_000);
-    ledger.allot(&Grant {
-        holder: holder.clone(),
-        tenant: tenant(),
-        amount: all_but_last,
-        to_hand: all_but_last,
-        pace: Pace::default(),
-    });
-    let mut used = all_but_last;
-    for round in 0..40 {
-        let report = AccountReport {
-            used,
-            wanted: Tokens(50),
-            largest: Tokens(4_000),
-            rate: Tokens(9_000),
-            ..AccountReport::default()
-        };
-        let reports = BTreeMap::from([(holder.clone(), BTreeMap::from([(tenant(), report)]))]);
-        let plan = plan(&ledger, &reports, Millis(250));
-        assert_eq!(plan.outlooks.get(&tenant()), Some(&Outlook::Scarce));
-        plan.grants.iter().for_each(|grant| ledger.allot(grant));
-        used = ledger.allotment(&holder, &tenant()).hand;
-        if round == 3 {
-            let second = ration(Tokens(LIMIT), Millis(1_000));
-            assert!(used <= all_but_last + second, "a second hands out one ration at most");
-        }
-    }
-    assert!(used > all_but_last, "something is handed out");
-    // Half a percent of the limit is never handed out.
-    assert!(used <= all_but_last + Tokens(LIMIT * 3 / 1_000), "no more than the last part");
-}
-
 fn report_of(wanted: u64, used: u64) -> AccountReport {
     AccountReport {
         used: Tokens(used),
@@ -420,7 +391,7 @@
             (node(machine, 1), BTreeMap::from([(tenant(), report)]))
         })
         .collect();
-    let planned = plan(&ledger, &reports, Millis(250));
+    let planned = plan(&ledger, &reports, Millis(250), &mut Rations::default());
     for recall in &planned.recalls {
         let machine = (0..ROUTERS).find(|machine| node(*machine, 1) == recall.holder);
         let machine = machine.expect("a router of the test");
@@ -434,7 +405,7 @@
             released: account.released,
         });
     }
-    let next = plan(&ledger, &reports, Millis(250));
+    let next = plan(&ledger, &reports, Millis(250), &mut Rations::default());
     next.grants.iter().for_each(|grant| ledger.allot(grant));
     let allotment = ledger.allotment(&node(0, 1), &tenant());
     assert!(allotment.usable_hand() >= Tokens(60_000), "hand {}", allotment.usable_hand());
--- a/crates/prepaid/tests/precedence.rs
+++ b/crates/prepaid/tests/precedence.rs
@@ -75,7 +75,10 @@
     let outlook_at = |rate: u64| {
         let report = AccountReport { rate: Tokens(rate), ..AccountReport::default() };
         let reports = BTreeMap::from([(holder.clone(), BTreeMap::from([(tenant(), report)]))]);
-        plan(&ledger, &reports, Millis(250)).outlooks.get(&tenant()).copied()
+        plan(&ledger, &reports, Millis(250), &mut Rations::default())
+            .outlooks
+            .get(&tenant())
+            .copied()
     };
     // 970,000 tokens can be handed out: half a percent is withheld, 2.5 are kept for the end.
     assert_eq!(outlook_at(0), None);
