The chat fleet's router keeps the rests that back ends ask for

Cause: the class of the incident in the other fleet: what a back end says as it turns a request away (429 or 503 with Retry-After) was known of one attempt only, so the next call was sent there, and callers were told two seconds whatever the back ends had said.

Change: a rest holds for the back end until its end, whatever it reports; if nothing else keeps the back ends of a service from work, calls are refused at once with the soonest end. The value is read by one checked function for both fleets.

--- a/crates/balance/src/back_end.rs
+++ b/crates/balance/src/back_end.rs
@@ -37,6 +37,8 @@
     failures_in_row: u32,
     ejections_in_row: u32,
     ejected_until: Option<Timestamp>,
+    /// It has asked for rest until then. Not a guess as an ejection is: it holds whatever a report says.
+    rests_until: Timestamp,
 }
 
 impl BackEnd {
@@ -53,13 +55,33 @@
             failures_in_row: 0,
             ejections_in_row: 0,
             ejected_until: None,
+            rests_until: Timestamp::default(),
         }
     }
 
     /// Whether new work may go there.
     pub fn takes_work(&self, now: Timestamp) -> bool {
+        self.is_in_use() && !self.is_ejected(now) && !self.is_resting(now)
+    }
+
+    /// When its rest is over, if that is all that keeps it from new work.
+    pub fn open_from(&self, now: Timestamp) -> Option<Timestamp> {
+        let rests_alone = self.is_in_use() && !self.is_ejected(now) && self.is_resting(now);
+        rests_alone.then_some(self.rests_until)
+    }
+
+    fn is_in_use(&self) -> bool {
         let leaving = self.leaving_by_platform || self.row.state == BackEndState::Leaving;
-        !leaving && self.row.weight > 0 && !self.is_ejected(now)
+        !leaving && self.row.weight > 0
+    }
+
+    fn is_resting(&self, now: Timestamp) -> bool {
+        now < self.rests_until
+    }
+
+    /// It has turned a request away and wants none for `rest`. Where wishes overlap, the later end counts.
+    pub fn on_rest(&mut self, now: Timestamp, rest: Millis) {
+        self.rests_until = self.rests_until.max(now + rest);
     }
 
     /// Whether it is kept out of use after failures.
--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -55,6 +55,8 @@
     Chosen(Vec<Candidate>),
     /// Every back end that takes work has as many requests as allowed.
     AllBusy,
+    /// Those that would take work have asked for rest, the first of them until then.
+    AllRest(Timestamp),
     /// No back end takes work.
     NoneAvailable,
 }
@@ -104,11 +106,14 @@
         let names = self.by_service.get(query.service).map(Vec::as_slice).unwrap_or_default();
         let mut candidates = Vec::new();
         let mut any_takes_work = false;
-        for name in names.iter().filter(|name| !query.tried.contains(name)) {
+        let mut soonest: Option<Timestamp> = None;
+        for name in names {
             let Some(back_end) = self.back_ends.get(name) else {
                 continue;
             };
-            if !back_end.takes_work(now) {
+            if query.tried.contains(name) || !back_end.takes_work(now) {
+                let opens = back_end.open_from(now);
+                soonest = soonest.into_iter().chain(opens).min();
                 continue;
             }
             any_takes_work = true;
@@ -122,7 +127,11 @@
             }
         }
         if candidates.is_empty() {
-            return if any_takes_work { Choice::AllBusy } else { Choice::NoneAvailable };
+            return match soonest {
+                _ if any_takes_work => Choice::AllBusy,
+                Some(soonest) => Choice::AllRest(soonest),
+                None => Choice::NoneAvailable,
+            };
         }
         // Equal costs are broken by the prompt's first block, so that equal prompts meet even
         // before any cache event has arrived.
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -77,6 +77,24 @@
     assert_eq!((index.matching(&blocks), index.next_sequence()), (0, None));
 }
 
+/// A wish is no guess: no such back end is tried for want of another, whatever it reports meanwhile.
+#[test]
+fn a_back_end_that_asked_for_rest_is_left_alone_until_its_end() {
+    let mut balancer = balancer(&[("one", "a"), ("two", "a")]);
+    let [one, two] = ["one", "two"].map(BackEndName::new);
+    balancer.get_mut(&one).expect("there").on_rest(Timestamp(100), Millis(3_000));
+    assert_eq!(winner(choose(&balancer, 101, &[], true)), "two");
+    balancer.get_mut(&two).expect("there").on_rest(Timestamp(200), Millis(1_000));
+    balancer.get_mut(&two).expect("there").on_rest(Timestamp(300), Millis(100));
+    balancer.get_mut(&two).expect("there").on_report(Timestamp(400), LoadReport::default());
+    balancer.get_mut(&two).expect("there").on_success();
+    assert_eq!(choose(&balancer, 1_199, &[], true), Choice::AllRest(Timestamp(1_200)));
+    assert_eq!(winner(choose(&balancer, 1_200, &[], true)), "two");
+    balancer.get_mut(&two).expect("there").on_platform(true);
+    assert_eq!(choose(&balancer, 1_200, &[], true), Choice::AllRest(Timestamp(3_100)));
+    assert_eq!(winner(choose(&balancer, 3_100, &[], true)), "one");
+}
+
 #[test]
 fn a_sick_back_end_is_ejected_and_tried_with_one_request() {
     let mut balancer = balancer(&[("one", "a")]);
--- a/crates/e2e/tests/engines.rs
+++ b/crates/e2e/tests/engines.rs
@@ -72,6 +72,30 @@
     assert_eq!(started, 2);
 }
 
+/// Model engines of the fleet.
+const ENGINES: usize = 2;
+/// Seconds of rest that every engine asks for: longer than the test.
+const REST: u64 = 60;
+
+/// The failure, seen with the gateway fleet: engines that had asked for rest got more requests. Here, too, a back end's wish
+/// was known of one attempt only: two engines got 2 requests of each of 8 calls. See docs/incidents/2026-12-03-rests-not-kept.md.
+#[tokio::test]
+async fn engines_that_asked_for_rest_get_no_further_request() {
+    let fleet = Fleet::start_with(126, &["--rest-s", &REST.to_string()]).await;
+    for number in 0..8 {
+        let ask = Ask::chat(fleet.api("a-1"), &format!("call {number}"), 5, false);
+        let reply = ask.send().await.expect("an answer");
+        assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE, "{}", reply.body);
+    }
+    let notes = fleet.journal();
+    let turned_away = notes.iter().filter(|note| note.event == "turned_away").count();
+    assert!((1..=ENGINES).contains(&turned_away), "{turned_away} requests");
+    let last = Ask::chat(fleet.api("a-1"), "last", 5, false).send().await.expect("an answer");
+    let retry_after = last.headers.get("retry-after").expect("it is told");
+    let retry_after: u64 = retry_after.to_str().expect("text").parse().expect("seconds");
+    assert!((REST / 2..=REST).contains(&retry_after), "{retry_after} s");
+}
+
 async fn service_version(fleet: &Fleet) -> u64 {
     let rows: Vec<serde_json::Value> =
         fleet.get(fleet.control_admins()[0], "/v1/table").await.expect("the table");
--- a/crates/router-core/src/dispatch.rs
+++ b/crates/router-core/src/dispatch.rs
@@ -121,6 +121,13 @@
                 true
             }
             Choice::AllBusy => false,
+            Choice::AllRest(until) => {
+                let detail =
+                    format!("the back ends of service {} have asked for rest", call.service);
+                let refusal = Refusal::not_run(RefusalReason::NoBackEnd, detail);
+                self.give_up(id, refusal.retry_after(until.since(self.now)));
+                true
+            }
             Choice::NoneAvailable => {
                 let detail = format!("no back end of service {} takes work", call.service);
                 let reason = match call.attempts {
@@ -231,14 +238,16 @@
                 self.on_back_end_failure(&back_end);
                 self.on_not_sent(id, back_end, reason);
             }
-            AttemptOutcome::Rejected { status, answer } => {
+            AttemptOutcome::Rejected { status, answer, rest } => {
+                self.on_rest(id, &back_end, rest);
                 self.on_rejected(id, back_end, status, answer);
             }
             AttemptOutcome::Broken { reason, counted, delivered } => {
                 self.on_back_end_failure(&back_end);
                 self.on_broken(id, back_end, reason, counted, delivered);
             }
-            AttemptOutcome::Answered { reported, counted, answer } => {
+            AttemptOutcome::Answered { reported, counted, answer, rest } => {
+                self.on_rest(id, &back_end, rest);
                 if let Some(known) = self.balancer.get_mut(&back_end) {
                     known.on_success();
                 }
@@ -248,6 +257,15 @@
         }
     }
 
+    /// A back end wants no request of this router for a while. Known of one attempt only, the next one would break it.
+    fn on_rest(&mut self, id: CallId, back_end: &BackEndName, rest: Option<Millis>) {
+        let now = self.now;
+        if let (Some(rest), Some(known)) = (rest, self.balancer.get_mut(back_end)) {
+            known.on_rest(now, rest);
+            self.note_call(id, TraceStep::RestAsked { back_end: back_end.clone(), rest });
+        }
+    }
+
     /// Nothing left this process: even a non-repeatable request may be tried elsewhere.
     fn on_not_sent(&mut self, id: CallId, back_end: BackEndName, reason: String) {
         self.note_failure(id, &reason);
--- a/crates/router-core/src/event.rs
+++ b/crates/router-core/src/event.rs
@@ -36,6 +36,8 @@
         status: u16,
         /// The answer, to be passed on.
         answer: StoredAnswer,
+        /// For how long the back end wants no further request, if it said so.
+        rest: Option<Millis>,
     },
     /// The request may have run, but its answer is not whole.
     Broken {
@@ -54,6 +56,8 @@
         counted: Usage,
         /// The answer; kept if the request has a key.
         answer: StoredAnswer,
+        /// For how long the back end wants no further request, if the answer turns this one away and says so.
+        rest: Option<Millis>,
     },
     /// The attempt was cancelled because the caller went away.
     Cancelled {
--- a/crates/router-core/src/trace.rs
+++ b/crates/router-core/src/trace.rs
@@ -31,6 +31,7 @@
     Finished,
     Replayed { request: RequestId },
     Refused(Refusal),
+    RestAsked { back_end: BackEndName, rest: Millis },
 }
 
 impl fmt::Display for TraceStep {
@@ -62,6 +63,9 @@
             Self::AttemptFailed { number, reason } => {
                 write!(formatter, "attempt {number} failed: {reason}")
             }
+            Self::RestAsked { back_end, rest } => {
+                write!(formatter, "{back_end} wants no request for {} ms", rest.0)
+            }
             Self::CallerGone => write!(formatter, "caller went away"),
             Self::Billed { tokens, kind } => write!(formatter, "billed {tokens} ({kind:?})"),
             Self::Finished => write!(formatter, "answer complete"),
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -11,7 +11,7 @@
 };
 use stackpost_ledger::StoredAnswer;
 use stackpost_router_core::{AttemptOutcome, Dispatch, Usage};
-use stackpost_types::Tokens;
+use stackpost_types::{Millis, Tokens};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -233,13 +233,14 @@
     let answer = send(client, request, reader).await?;
     let status = answer.status();
     let content_type = content_type_of(answer.headers());
+    let rest = asked_rest(status, answer.headers());
     let echoed = answer.headers().get("x-request-id").cloned();
     if echoed.is_some_and(|id| id.as_bytes() != dispatch.request.to_string().as_bytes()) {
         return Err(reader.broken("the answer belongs to another request"));
     }
     let mut body = answer.into_body();
     if status != StatusCode::OK {
-        return Err(rejected(status, content_type, &mut body, reader).await);
+        return Err(rejected(status, content_type, rest, &mut body, reader).await);
     }
     if chat.stream {
         stream_chat(&mut body, chat, content_type, reader).await
@@ -248,10 +249,24 @@
     }
 }
 
+/// For how long a back end that turns a request away wants no further one.
+fn asked_rest(status: StatusCode, headers: &HeaderMap) -> Option<Millis> {
+    if !matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
+        return None;
+    }
+    let value = headers.get(header::RETRY_AFTER)?;
+    let rest = value.to_str().ok().and_then(Millis::parse_rest);
+    if rest.is_none() {
+        log::info!(step = "answer"; "a back end asks for a rest that can't be read");
+    }
+    rest
+}
+
 /// An error status before any output.
 async fn rejected(
     status: StatusCode,
     content_type: String,
+    rest: Option<Millis>,
     body: &mut Incoming,
     reader: &Reader,
 ) -> AttemptOutcome {
@@ -269,7 +284,7 @@
         body: Arc::new(text.to_vec()),
         billed: Tokens::ZERO,
     };
-    AttemptOutcome::Rejected { status: status.as_u16(), answer }
+    AttemptOutcome::Rejected { status: status.as_u16(), answer, rest }
 }
 
 /// A streamed answer: events pass as they come, from the one that ends generation on they are
@@ -304,7 +319,7 @@
                 let answer = reader.kept_answer(StatusCode::OK, content_type);
                 let counted = reader.counted;
                 return Ok(Ended {
-                    outcome: AttemptOutcome::Answered { reported, counted, answer },
+                    outcome: AttemptOutcome::Answered { reported, counted, answer, rest: None },
                     held,
                 });
             }
@@ -370,7 +385,7 @@
     let answer = reader.kept_answer(StatusCode::OK, content_type);
     let reported = part.usage.map(Usage::from);
     let counted = reader.counted;
-    let outcome = AttemptOutcome::Answered { reported, counted, answer };
+    let outcome = AttemptOutcome::Answered { reported, counted, answer, rest: None };
     Ok(Ended { outcome, held: vec![bytes] })
 }
 
@@ -409,6 +424,7 @@
     let answer = send(client, request, reader).await?;
     let status = answer.status();
     let content_type = content_type_of(answer.headers());
+    let rest = asked_rest(status, answer.headers());
     reader.head(status, without_hop_by_hop(answer.headers().clone())).await;
     let mut body = answer.into_body();
     let mut last: Option<Bytes> = None;
@@ -423,7 +439,7 @@
     }
     let answer = reader.kept_answer(status, content_type);
     let counted = reader.counted;
-    let outcome = AttemptOutcome::Answered { reported: None, counted, answer };
+    let outcome = AttemptOutcome::Answered { reported: None, counted, answer, rest };
     Ok(Ended { outcome, held })
 }
 
--- a/crates/sim/src/back_ends.rs
+++ b/crates/sim/src/back_ends.rs
@@ -114,7 +114,7 @@
             billed: Tokens::ZERO,
         };
         let reported = model.then_some(counted);
-        let outcome = AttemptOutcome::Answered { reported, counted, answer };
+        let outcome = AttemptOutcome::Answered { reported, counted, answer, rest: None };
         self.report(1, node, call, number, outcome);
         if dies {
             self.engine_dies_at_work(back_end, 1);
--- a/crates/standins/src/bin/stackpost-standin-engine.rs
+++ b/crates/standins/src/bin/stackpost-standin-engine.rs
@@ -31,6 +31,13 @@
                 .value_parser(["exact", "missing", "low", "high"])
                 .help("How it reports what it used"),
         )
+        .arg(
+            Arg::new("rest-s")
+                .long("rest-s")
+                .value_name("SECONDS")
+                .value_parser(clap::value_parser!(u64))
+                .help("Turn every chat away and ask for so much rest"),
+        )
         .arg(
             Arg::new("weight-store")
                 .long("weight-store")
@@ -50,6 +57,7 @@
         lag: Duration::from_millis(value("lag-ms")),
         usage: usage.unwrap_or(UsageMode::Exact),
         weight_store: matches.get_one::<SocketAddr>("weight-store").copied(),
+        rest: matches.get_one::<u64>("rest-s").copied(),
     };
     let address = *matches.get_one::<SocketAddr>("address").expect("required");
     run_forever(|| {
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -42,6 +42,8 @@
     pub usage: UsageMode,
     /// Where weights are read; without one, loading takes no time.
     pub weight_store: Option<SocketAddr>,
+    /// If given, every chat is turned away with a wish for so many seconds of rest.
+    pub rest: Option<u64>,
 }
 
 /// An engine.
@@ -200,6 +202,11 @@
         return Answer::json(StatusCode::SERVICE_UNAVAILABLE, &error);
     }
     let plan = Plan::new(&request, &body);
+    if let Some(rest) = engine.options.rest {
+        engine.note("turned_away", &request, &plan, 0);
+        let answer = Answer::text(StatusCode::SERVICE_UNAVAILABLE, "no room\n");
+        return answer.with_header("retry-after", &rest.to_string());
+    }
     let watch = exchange.watch.take();
     let answer = if body.stream {
         stream(engine, request.clone(), plan, watch)
