A router reads its clock where a test can suspend its machine

Cause: the router read CLOCK_BOOTTIME itself, so nothing showed what it does when its machine wakes; only its parts, which take times, and the replicas were shown.

Change: MachineClock, handed to the router and through it to its pool, its deadlines and its contacts. Six tests: out of touch until the leader is heard, and the first request then served; an unknown route not denied; a request under way not sent again after its time (and, as a check of the test, sent again within it); a rest over; no more spent than was paid for over repeated suspensions.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -8,6 +8,8 @@
 
 use rustix::time::{ClockId, clock_gettime};
 use std::ops::Add;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 /// A moment in the life of this machine, by a clock that goes on while it is suspended. Moments of two
@@ -46,3 +48,27 @@
         Self(self.0.saturating_add(time))
     }
 }
+
+/// Where the parts of one process read the time: the machine's clock, which tests may move on. Clones read the same one.
+#[derive(Clone, Debug, Default)]
+pub struct MachineClock {
+    /// Time that this clock is ahead of the machine's, in milliseconds.
+    ahead: Arc<AtomicU64>,
+}
+
+impl MachineClock {
+    /// This moment.
+    pub fn now(&self) -> BootInstant {
+        BootInstant::now() + Duration::from_millis(self.ahead.load(Ordering::Relaxed))
+    }
+
+    /// Time since `earlier`.
+    pub fn since(&self, earlier: BootInstant) -> Duration {
+        self.now().since(earlier)
+    }
+
+    /// Moves the clock on as a suspension of the machine does: timers and sockets have seen nothing of the time.
+    pub fn suspend(&self, time: Duration) {
+        self.ahead.fetch_add(time.as_millis() as u64, Ordering::Relaxed);
+    }
+}
--- a/crates/gateway/src/engine_pool.rs
+++ b/crates/gateway/src/engine_pool.rs
@@ -5,7 +5,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use stackpost_clock::BootInstant;
+use stackpost_clock::{BootInstant, MachineClock};
 use stackpost_gateway_core::{EngineDirectory, EngineRecord, EngineState};
 use stackpost_types::BackEndName;
 use std::cell::RefCell;
@@ -57,12 +57,17 @@
 }
 
 /// Resting connections, by engine.
-#[derive(Default)]
 pub(crate) struct EnginePool {
+    clock: MachineClock,
     resting: RefCell<HashMap<BackEndName, Vec<Resting>>>,
 }
 
 impl EnginePool {
+    /// An empty pool.
+    pub fn new(clock: MachineClock) -> Self {
+        Self { clock, resting: RefCell::default() }
+    }
+
     /// A resting connection, the newest first, or a new one. `fresh` asks for a new one.
     pub async fn acquire(
         &self,
@@ -103,7 +108,7 @@
             return connection.close();
         }
         connection.reused = true;
-        of_engine.push(Resting { connection, since: BootInstant::now(), limit });
+        of_engine.push(Resting { connection, since: self.clock.now(), limit });
     }
 
     /// Closes connections that have rested too long or whose engines have left.
@@ -114,7 +119,7 @@
             let kept = std::mem::take(resting);
             for entry in kept {
                 if gone
-                    || entry.since.elapsed() >= entry.limit
+                    || self.clock.since(entry.since) >= entry.limit
                     || entry.connection.sender.is_closed()
                 {
                     entry.connection.close();
@@ -130,7 +135,8 @@
         let mut resting = self.resting.borrow_mut();
         let of_engine = resting.get_mut(engine)?;
         while let Some(entry) = of_engine.pop() {
-            let usable = entry.since.elapsed() < entry.limit && entry.connection.sender.is_ready();
+            let usable =
+                self.clock.since(entry.since) < entry.limit && entry.connection.sender.is_ready();
             if usable {
                 return Some(entry.connection);
             }
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -66,6 +66,7 @@
     ) -> Result<Rc<Self>, PeerError> {
         let listens_at = own.listens_at;
         let node = own.node.clone();
+        let started = machine_time(&router.clock);
         let (mesh, events) = Mesh::new(own);
         mesh.listen(listens_at).await?;
         let life = Digest::of(&[node.to_string().as_bytes()]).to_u64();
@@ -78,7 +79,7 @@
             leader: Cell::new(None),
             leader_contact: Cell::new(None),
             echoes: RefCell::default(),
-            started: machine_time(),
+            started,
             reported: RefCell::default(),
             fully_reported_at: Cell::new(Instant::now()),
             sign_at: Cell::new(Instant::now()),
@@ -253,7 +254,7 @@
         for address in &status.control_peers {
             self.mesh.dial(*address);
         }
-        let heard = machine_time();
+        let heard = machine_time(&self.router.clock);
         self.echoes.borrow_mut().insert(link, ClockEcho { heard, spoken: status.clock });
         let routers = u64::from(status.routers);
         self.router.retry_budget.borrow_mut().set_routers(routers);
--- a/crates/gateway/src/machine_clock.rs
+++ b/crates/gateway/src/machine_clock.rs
@@ -1,6 +1,6 @@
 //! The clock of the machine, which goes on while processes restart and while the machine is suspended.
 
-use stackpost_clock::BootInstant;
+use stackpost_clock::MachineClock;
 use stackpost_prepaid::{Contact, SteadyTime};
 use stackpost_types::Digest;
 
@@ -8,8 +8,8 @@
 const BOOT_ID_FILE: &str = "/proc/sys/kernel/random/boot_id";
 
 /// This moment in the life of the machine.
-pub(crate) fn machine_time() -> Contact {
-    let since_boot = BootInstant::now().since_boot();
+pub(crate) fn machine_time(clock: &MachineClock) -> Contact {
+    let since_boot = clock.now().since_boot();
     Contact { boot: boot(), at: SteadyTime(since_boot.as_millis() as u64) }
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -130,7 +130,8 @@
     }
     let (route, tenant) = (route.clone(), tenant.cloned());
     let wait = caller.wait.unwrap_or(DEFAULT_WAIT);
-    let deadline = Deadline::after(Duration::from_millis(wait.0.min(route.timeout.0)));
+    let deadline =
+        Deadline::after(Duration::from_millis(wait.0.min(route.timeout.0)), router.clock.clone());
     let limit = table.config().limits.max_body_bytes;
     let reading = timeout_at(deadline.timer(), read_body(body, limit));
     let body = reading.await.map_err(|_| Refusal::TimeOver)??;
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -8,7 +8,7 @@
 use crate::loans::LoanDesk;
 use crate::metrics::RouterMetrics;
 use crate::slots::SlotDesk;
-use stackpost_clock::BootInstant;
+use stackpost_clock::{BootInstant, MachineClock};
 use stackpost_coordinator::{Document, DocumentCodec, DocumentDelta};
 use stackpost_gateway_core::{
     CrashMemory, EngineDirectory, EnginePicker, EngineState, Placement, RetryBudget, RetryLimits,
@@ -42,6 +42,8 @@
     pub zone: ZoneName,
     /// The fleet's bound on further sends.
     pub retry_limits: RetryLimits,
+    /// Where it reads the time.
+    pub clock: MachineClock,
 }
 
 /// A router: its decisions and what they rest on. Belongs to one thread.
@@ -49,6 +51,7 @@
     pub(crate) dialect: Box<dyn Dialect>,
     pub(crate) codec: Arc<dyn DocumentCodec>,
     pub(crate) metrics: RouterMetrics,
+    pub(crate) clock: MachineClock,
     pub(crate) pool: EnginePool,
     pub(crate) break_checks: BreakChecks,
     pub(crate) directory: RefCell<EngineDirectory>,
@@ -94,7 +97,7 @@
             dialect,
             codec,
             metrics: RouterMetrics::new(meter),
-            pool: EnginePool::default(),
+            pool: EnginePool::new(settings.clock.clone()),
             break_checks: BreakChecks::default(),
             directory: RefCell::new(EngineDirectory::following()),
             picker: RefCell::new(EnginePicker::new(settings.zone)),
@@ -116,13 +119,14 @@
             leader_heard_at: Cell::new(None),
             draining_since: Cell::new(None),
             congestion: Congestion::default(),
-            started: BootInstant::now(),
+            started: settings.clock.now(),
+            clock: settings.clock,
         })
     }
 
     /// The router's clock, which goes on while the machine is suspended. Zero stands for "never", so it starts a little later.
     pub fn now(&self) -> Timestamp {
-        Timestamp(self.started.elapsed().as_millis() as u64 + 1_000)
+        Timestamp(self.clock.since(self.started).as_millis() as u64 + 1_000)
     }
 
     /// Whether the platform should send callers here.
@@ -134,7 +138,7 @@
     /// A router that was started out of touch has nothing to spend; callers are better served by
     /// others, unless it goes on for so long that there may be none.
     fn can_pay(&self) -> bool {
-        self.confirmed.get() || self.started.elapsed() > ALONE_AFTER
+        self.confirmed.get() || self.clock.since(self.started) > ALONE_AFTER
     }
 
     /// Engines that take work, as far as this router knows.
@@ -213,7 +217,7 @@
 
     /// Begins a planned stop.
     pub fn begin_drain(&self) {
-        self.draining_since.set(Some(BootInstant::now()));
+        self.draining_since.set(Some(self.clock.now()));
     }
 
     /// Whether a planned stop has begun.
@@ -224,7 +228,7 @@
     /// Whether a planned stop has gone so far that a stream which begins now might be cut off. The
     /// platform has had time to notice; a caller that still comes is better served elsewhere.
     pub(crate) fn takes_no_more(&self) -> bool {
-        self.draining_since.get().is_some_and(|since| since.elapsed() >= LAST_REQUESTS)
+        self.draining_since.get().is_some_and(|since| self.clock.since(since) >= LAST_REQUESTS)
     }
 
     /// Whether the leader was heard so lately that what it has not said is not so.
@@ -248,7 +252,7 @@
     /// router waits for a leader, but not for ever.
     pub(crate) fn accepts_unconfirmed(&self) -> bool {
         self.confirmed.get()
-            || self.started.elapsed().as_millis() as u64 > UNCONFIRMED_AFTER.0
+            || self.clock.since(self.started).as_millis() as u64 > UNCONFIRMED_AFTER.0
                 && self.leader_heard_at.get().is_none()
     }
 
--- a/crates/gateway/tests/fleet/main.rs
+++ b/crates/gateway/tests/fleet/main.rs
@@ -8,4 +8,5 @@
 mod requests;
 mod rests;
 mod support;
+mod suspension;
 mod turned_away_lines;
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -11,6 +11,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use stackpost_clock::MachineClock;
 use stackpost_coordinator::*;
 use stackpost_gateway::*;
 use stackpost_gateway_core::*;
@@ -49,17 +50,20 @@
     pub server: Rc<Server>,
     /// Where it takes callers.
     pub callers: SocketAddr,
+    /// Its machine's clock.
+    pub clock: MachineClock,
 }
 
 impl EntryMachine {
     /// Starts a router that looks for control at `control`.
     async fn start(control: SocketAddr) -> Self {
-        let router = router();
+        let clock = MachineClock::default();
+        let router = router_at(clock.clone());
         let own = peer(PeerRole::Router, "router", free_address());
         let link = FleetLink::start(own, router.clone(), &[control]).await.expect("started");
         let callers = free_address();
         let server = serve_callers(router.clone(), callers).await.expect("started");
-        Self { router, link, server, callers }
+        Self { router, link, server, callers, clock }
     }
 
     /// Waits until it serves and knows `engines` engines that take work.
@@ -82,6 +86,8 @@
     pub control: ControlNode,
     pub engines: [Rc<Engine>; 2],
     pub callers: SocketAddr,
+    /// The clock of the router's machine.
+    pub clock: MachineClock,
     /// What control tells of itself.
     pub control_figures: MetricsRegistry,
     control_address: SocketAddr,
@@ -119,9 +125,13 @@
 
 /// A router that knows nothing yet.
 pub fn router() -> Rc<Router> {
+    router_at(MachineClock::default())
+}
+
+fn router_at(clock: MachineClock) -> Rc<Router> {
     let retry_limits = RetryLimits { permille: 200, extra: 200, window: Millis(10_000) };
     Router::new(
-        RouterSettings { zone: "hall".into(), retry_limits },
+        RouterSettings { zone: "hall".into(), retry_limits, clock },
         Box::new(TestDialect),
         Arc::new(TestDocuments),
         &MetricsRegistry::new().expect("a registry").meter(),
@@ -162,7 +172,7 @@
         let own = peer(PeerRole::Control, name.as_str(), mesh);
         let control =
             ControlNode::start(own, settings, replica, effects, metrics).await.expect("started");
-        let EntryMachine { router, link, server, callers } = EntryMachine::start(mesh).await;
+        let EntryMachine { router, link, server, callers, clock } = EntryMachine::start(mesh).await;
         let engines = [Engine::start("e1").await, Engine::start("e2").await];
         let control_address = mesh;
         let fleet = Self {
@@ -172,6 +182,7 @@
             control,
             engines,
             callers,
+            clock,
             control_figures,
             control_address,
             _folder: folder,
