Fleet tests: 320 ports a test process

Half as many test processes are told apart instead (50); all ports stay below those of outgoing connections, and each is tried before it is given.

--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -98,9 +98,9 @@
 /// connections: one of these could take a port between the look here and its use.
 const FIRST_PORT: u16 = 15_000;
 /// Ports that one test process may use.
-const PORTS_PER_PROCESS: u16 = 160;
+const PORTS_PER_PROCESS: u16 = 320;
 /// Test processes that are told apart.
-const PROCESSES: u32 = 100;
+const PROCESSES: u32 = 50;
 
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
