--- a/crates/prepaid/src/policy.rs
+++ b/crates/prepaid/src/policy.rs
@@ -56,7 +56,7 @@
     pub released: Tokens,
     /// Spent and reserved.
     pub used: Tokens,
-    /// The largest request that did not fit; zero if all did.
+    /// The largest request that did not fit, of a scarce budget the smallest; zero if all did.
     pub wanted: Tokens,
     /// The largest request seen.
     pub largest: Tokens,
@@ -166,7 +166,6 @@
             })
             .collect();
         let held: Tokens = shares.iter().map(|share| share.held).sum();
-        let given_back: Tokens = shares.iter().map(|share| share.given_back).sum();
         let end = budget_end(ledger.available(tenant), limit);
         let wanted = shares.iter().map(|share| share.report.wanted).max().unwrap_or_default();
         if !wanted.is_zero() {
@@ -175,12 +174,7 @@
         }
         if end.pool.is_zero() && held < limit.scaled(SCARCE_HELD_PERMILLE, 1_000) {
             plan.outlooks.insert(tenant.clone(), Outlook::Scarce);
-            let guard = if rations.is_guard_open() { end.guard } else { Tokens::ZERO };
-            let ration = rations.allowed(tenant, limit, end.last.is_zero());
-            // What is moved from one router to another was rationed when it was handed out.
-            let allowed = (end.last + guard).min(ration) + given_back;
-            let granted = plan_scarce(tenant, allowed, &shares, &mut plan);
-            rations.take(tenant, granted - given_back);
+            plan_scarce(tenant, limit, &end, &shares, rations, &mut plan);
         } else {
             if let Some(lasts) = lasts(end.pool + held, &shares) {
                 plan.outlooks.insert(tenant.clone(), Outlook::Lasts(lasts));
@@ -188,6 +182,7 @@
             plan_tenant(tenant, &end, &shares, &mut plan);
         }
     }
+    rations.keep(|tenant| plan.outlooks.get(tenant) == Some(&Outlook::Scarce));
     plan
 }
 
@@ -220,10 +215,29 @@
     (millis < LONGEST_OUTLOOK.0).then_some(Millis(millis / step * step))
 }
 
-/// Hands out the last part of a budget, a little at a time and to requests that wait alone: what lies in a hand for the
-/// next one lies there while the request comes to another router. The request that lacks least comes first, and gets
-/// what it lacks or nothing. Returns how much was handed out.
+/// Hands out the end of a budget, a little at a time.
 fn plan_scarce(
+    tenant: &TenantName,
+    limit: Tokens,
+    end: &BudgetEnd,
+    shares: &[Share<'_>],
+    rations: &mut Rations,
+    plan: &mut Plan,
+) {
+    let guard = if rations.is_guard_open() { end.guard } else { Tokens::ZERO };
+    let least = shares.iter().filter(|share| share.lacks()).map(Share::missing).min();
+    let ration = rations.allowed(tenant, limit, end.last.is_zero(), least.unwrap_or_default());
+    // What is moved from one router to another was rationed when it was handed out.
+    let given_back: Tokens = shares.iter().map(|share| share.given_back).sum();
+    let allowed = (end.last + guard).min(ration) + given_back;
+    let granted = hand_out_scarce(tenant, allowed, shares, plan);
+    rations.take(tenant, granted - given_back);
+}
+
+/// Hands out to requests that wait alone: what lies in a hand for the next one lies there while the request comes to
+/// another router. The request that lacks least comes first, and gets what it lacks or nothing. Returns how much was
+/// handed out.
+fn hand_out_scarce(
     tenant: &TenantName,
     allowed: Tokens,
     shares: &[Share<'_>],
--- a/crates/prepaid/src/rations.rs
+++ b/crates/prepaid/src/rations.rs
@@ -11,7 +11,7 @@
 /// How much of the last part is handed out a second, in millionths of the limit: it should still
 /// serve something after a fault, however long before that the budget became scarce.
 const RATION_PER_MILLION: u64 = 1_100;
-/// Longest time for which a ration is saved up.
+/// Longest time for which a ration is saved up, unless a request that waits costs more.
 const RATION_SAVED: Millis = Millis(2_000);
 /// How much of the guard is handed out a second, in millionths of the limit: it lasts for [`GUARD_OPEN_FOR`].
 const GUARD_RATION_PER_MILLION: u64 = 350;
@@ -73,15 +73,27 @@
         self.open_for > Millis(0)
     }
 
-    /// What may be handed out of a scarce budget in this round; `only_guard` if nothing but the guard is left.
-    pub fn allowed(&mut self, tenant: &TenantName, limit: Tokens, only_guard: bool) -> Tokens {
+    /// What may be handed out of a scarce budget in this round; `only_guard` if nothing but the guard is left. A request
+    /// lacks `least` at the least: of a small budget its part is saved up for longer.
+    pub fn allowed(
+        &mut self,
+        tenant: &TenantName,
+        limit: Tokens,
+        only_guard: bool,
+        least: Tokens,
+    ) -> Tokens {
         let per_million = if only_guard { GUARD_RATION_PER_MILLION } else { RATION_PER_MILLION };
-        let most = ration(limit, RATION_SAVED);
+        let most = ration(limit, RATION_SAVED).max(least);
         let saved = self.saved.entry(tenant.clone()).or_default();
         *saved = (*saved + at_rate(limit, per_million, self.elapsed)).min(most);
         *saved
     }
 
+    /// Forgets budgets that are not scarce any more.
+    pub fn keep(&mut self, is_scarce: impl Fn(&TenantName) -> bool) {
+        self.saved.retain(|tenant, _| is_scarce(tenant));
+    }
+
     /// Something has been handed out of a scarce budget.
     pub fn take(&mut self, tenant: &TenantName, amount: Tokens) {
         if let Some(saved) = self.saved.get_mut(tenant) {
--- a/crates/prepaid/tests/budget_ends.rs
+++ b/crates/prepaid/tests/budget_ends.rs
@@ -39,6 +39,10 @@
 impl Fleet {
     /// Every router holds `held`, and nobody holds `unheld`.
     fn start(held: u64, unheld: u64) -> Self {
+        Self::with_limit(LIMIT, held, unheld)
+    }
+
+    fn with_limit(limit: u64, held: u64, unheld: u64) -> Self {
         let mut fleet = Self {
             now: Timestamp(10_000),
             life: 1,
@@ -48,8 +52,8 @@
             outlook: Some(Outlook::Scarce),
             served: Vec::new(),
         };
-        fleet.ledger.set_limits(&[(tenant(), Tokens(LIMIT))]);
-        fleet.allot(&node(ROUTERS, 0), LIMIT - unheld - held * ROUTERS as u64);
+        fleet.ledger.set_limits(&[(tenant(), Tokens(limit))]);
+        fleet.allot(&node(ROUTERS, 0), limit - unheld - held * ROUTERS as u64);
         for machine in 0..ROUTERS {
             fleet.allot(&node(machine, 1), held);
         }
@@ -171,6 +175,15 @@
     assert!(fleet.served.len() - before <= (7 * LIMIT / 1_000 / CHEAP) as usize);
 }
 
+/// What a ration saves up in two seconds is less than a request costs there.
+#[test]
+fn the_last_part_of_a_small_budget_is_handed_out_as_well() {
+    let limit = 3 * LIMIT / 10;
+    let mut fleet = Fleet::with_limit(limit, 0, limit * 17 / 1_000);
+    fleet.exhaust();
+    assert_eq!(fleet.served, [CHEAP], "five thousandths of the limit cover one request");
+}
+
 #[test]
 fn half_of_the_routers_must_be_lost_together() {
     let (mut rations, machine) = (Rations::default(), |number| node(number, 1).machine);
