--- a/crates/prepaid/tests/budget_ends.rs
+++ b/crates/prepaid/tests/budget_ends.rs
@@ -3,8 +3,9 @@
 //! The failure: of the requests that came after a loss of power of all machines, 22 to 25 in 100 were served, the plain
 //! ones. Every tenant was at the end of its budget. The cause: the last part of each budget had been handed out before the
 //! loss, in hands of which the loss took what was left; what remained lay scattered, a little less than a request at each
-//! router. The evidence: of 647 requests that one such day refused in its last four seconds 510 were cheap ones, with 500 to 1,800
-//! tokens at the router that refused them and up to 16,000 with the others.
+//! router. The evidence: of 1,051 requests that one such day refused for their budgets in its last five and a half seconds 510 were
+//! cheap ones which the router's hand did not cover, with nothing to 1,800 tokens in it, while up to 16,700 of the same budget lay
+//! with all routers together.
 
 use stackpost_prepaid::*;
 use stackpost_types::*;
