Say when an engine comes and goes, who told it and how late

Cause of the change: of the five hypotheses on forgotten departures none could be told from the others. A router logged no change of an engine (debug level), control logged no announcement that changed nothing. No logic changes: a line a departure, lines for four arrivals of a message at most (a router that starts hears of all engines at once), control's count of announcements by state and change, and a router's figures of the age at which it hears of departures and of the requests sent there meanwhile.

--- a/crates/coordinator/src/control_metrics.rs
+++ b/crates/coordinator/src/control_metrics.rs
@@ -2,7 +2,7 @@
 //! bounded: states, calls and replies are enumerations, nothing comes from a caller.
 
 use crate::replica_api::{PutReply, ReadReply};
-use stackpost_gateway_core::EngineState;
+use stackpost_gateway_core::{EngineState, Merge};
 use stackpost_telemetry::{Counter, Gauge, Histogram, KeyValue, Meter};
 use std::time::Duration;
 
@@ -30,6 +30,7 @@
 pub struct ControlMetrics {
     puts: Counter<u64>,
     reads: Counter<u64>,
+    announcements: Counter<u64>,
     announcements_refused: Counter<u64>,
     sightings: Counter<u64>,
     round_seconds: Histogram<f64>,
@@ -54,6 +55,10 @@
         Self {
             puts: counter("stackpost_configuration_puts", "Configurations sent, by reply"),
             reads: counter("stackpost_configuration_reads", "Configurations read, by reply"),
+            announcements: counter(
+                "stackpost_announcements",
+                "Announcements of engines in order, by state and by what they changed",
+            ),
             announcements_refused: counter(
                 "stackpost_announcements_refused",
                 "Calls of engines that were not in order",
@@ -99,6 +104,13 @@
         self.reads.add(1, &[KeyValue::new("reply", reply)]);
     }
 
+    /// An announcement of an engine was in order.
+    pub(crate) fn on_announcement(&self, state: EngineState, merge: Merge) {
+        let labels =
+            [KeyValue::new("state", state.as_str()), KeyValue::new("change", merge.as_str())];
+        self.announcements.add(1, &labels);
+    }
+
     /// A call of an engine was not in order.
     pub fn on_announcement_refused(&self) {
         self.announcements_refused.add(1, &[]);
--- a/crates/coordinator/src/engine_news.rs
+++ b/crates/coordinator/src/engine_news.rs
@@ -33,14 +33,21 @@
         let now = self.now();
         let name = notice.engine.clone();
         let state = &mut *self.state.borrow_mut();
-        match state.directory.merge(now, notice.clone()) {
-            Merge::Old => {}
+        let merge = state.directory.merge(now, notice.clone());
+        self.metrics.on_announcement(notice.state, merge);
+        match merge {
+            Merge::Old => log_old(&notice),
             Merge::Refreshed => {
                 self.on_still_announced(&name);
                 state.refreshed.insert(name);
             }
             Merge::Changed => {
-                log::info!(engine = name.as_str(), state = notice.state.as_str(); "engine announced");
+                log::info!(
+                    engine = name.as_str(),
+                    state = notice.state.as_str(),
+                    sequence = notice.sequence;
+                    "engine announced"
+                );
                 let message = FleetMessage::Engines(vec![notice]);
                 self.mesh.send_all(state.links.one_to_everyone(now), &message);
             }
@@ -123,3 +130,15 @@
         }
     }
 }
+
+/// An announcement that changes nothing is acknowledged all the same.
+fn log_old(notice: &EngineNotice) {
+    if notice.state != EngineState::Ready {
+        log::info!(
+            engine = notice.engine.as_str(),
+            state = notice.state.as_str(),
+            sequence = notice.sequence;
+            "announcement is old"
+        );
+    }
+}
--- a/crates/gateway-core/src/directory.rs
+++ b/crates/gateway-core/src/directory.rs
@@ -115,6 +115,17 @@
     Changed,
 }
 
+impl Merge {
+    /// The change as it stands in logs and figures.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Old => "old",
+            Self::Refreshed => "refreshed",
+            Self::Changed => "changed",
+        }
+    }
+}
+
 /// All engines known to a process.
 #[derive(Clone, Debug)]
 pub struct EngineDirectory {
--- a/crates/gateway-core/src/engine_health.rs
+++ b/crates/gateway-core/src/engine_health.rs
@@ -1,6 +1,7 @@
 //! How an engine has fared with one router's requests, and for how long it is avoided because of that.
 
 use stackpost_types::{Millis, Timestamp};
+use std::collections::VecDeque;
 
 /// First time for which a failing engine is avoided; doubled at each further one.
 const FIRST_EJECTION: Millis = Millis(1_500);
@@ -13,6 +14,9 @@
 /// Failure rate an engine is given back with after it was avoided.
 const PROBATION_RATE: u32 = 250;
 
+/// Newest requests to an engine whose times are kept.
+const SENDS_KEPT: usize = 64;
+
 /// What one router's requests show of an engine.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct EngineHealth {
@@ -26,9 +30,25 @@
     pub ejected_until: Option<Timestamp>,
     /// When it last answered.
     pub answered_at: Option<Timestamp>,
+    /// When the newest requests were sent there, the newest last.
+    sends: VecDeque<Timestamp>,
 }
 
 impl EngineHealth {
+    /// Notes that a request is sent.
+    pub fn on_sent(&mut self, now: Timestamp) {
+        self.in_flight += 1;
+        if self.sends.len() == SENDS_KEPT {
+            self.sends.pop_front();
+        }
+        self.sends.push_back(now);
+    }
+
+    /// Requests sent later than `time`, of the newest [`SENDS_KEPT`].
+    pub fn sent_since(&self, time: Timestamp) -> usize {
+        self.sends.iter().rev().take_while(|sent| **sent > time).count()
+    }
+
     /// Notes the end of a request that says something of the engine.
     pub fn note(&mut self, now: Timestamp, failed: bool) {
         let newest = if failed { 1_000 } else { 0 };
--- a/crates/gateway-core/src/picker.rs
+++ b/crates/gateway-core/src/picker.rs
@@ -252,7 +252,7 @@
     /// Notes that a request is sent to an engine.
     pub fn on_start(&mut self, now: Timestamp, engine: &BackEndName, sent: Option<&Placement>) {
         self.hold_off.on_sent(now, engine);
-        self.engines.entry(engine.clone()).or_default().in_flight += 1;
+        self.engines.entry(engine.clone()).or_default().on_sent(now);
         if let Some(sent) = sent {
             let load = self.loads.entry(engine.clone()).or_default();
             load.on_sent(now, self.usual_speed, sent);
@@ -344,6 +344,11 @@
         self.engines.get(engine)?.turned_away_at
     }
 
+    /// Requests that this router sent to an engine later than `time`, some dozens at most.
+    pub fn sent_since(&self, engine: &BackEndName, time: Timestamp) -> usize {
+        self.engines.get(engine).map_or(0, |health| health.sent_since(time))
+    }
+
     /// Requests that this router has at an engine.
     pub fn in_flight(&self, engine: &BackEndName) -> u64 {
         self.engines.get(engine).map_or(0, |health| health.in_flight)
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -1,5 +1,6 @@
 //! Keeps a router's knowledge up to date over the connections of the fleet.
 
+mod engine_news;
 mod farewell;
 mod loan_exchange;
 
@@ -9,10 +10,10 @@
 use crate::machine_clock::machine_time;
 use crate::router::Router;
 use stackpost_coordinator::{ClockEcho, ControlStatus, FleetMessage, RouterStatus};
-use stackpost_gateway_core::{EngineNotice, EngineState, Merge, RouterLists};
+use stackpost_gateway_core::RouterLists;
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
 use stackpost_prepaid::{AccountReport, Allotment, Contact};
-use stackpost_types::{BackEndName, Digest, NodeId, PeerError, TenantName, Timestamp};
+use stackpost_types::{BackEndName, Digest, NodeId, PeerError, TenantName};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -35,7 +36,8 @@
     node: NodeId,
     mesh: Mesh<FleetMessage>,
     router: Rc<Router>,
-    links: RefCell<BTreeSet<LinkId>>,
+    /// The control processes that are connected.
+    links: RefCell<BTreeMap<LinkId, NodeId>>,
     leader: Cell<Option<LinkId>>,
     leader_contact: Cell<Option<Contact>>,
     echoes: RefCell<BTreeMap<LinkId, ClockEcho>>,
@@ -122,38 +124,6 @@
         }
     }
 
-    fn on_silent_engines(&self, link: LinkId, engines: BTreeSet<BackEndName>) {
-        let mut silent = self.silent.borrow_mut();
-        silent.retain(|known, _| self.links.borrow().contains(known));
-        silent.insert(link, engines);
-        drop(silent);
-        self.take_over_silent();
-    }
-
-    /// What one control process said counts no more, unless it was the last: out of sight of all of
-    /// them the last word stands.
-    fn on_control_down(&self, link: LinkId) {
-        let mut silent = self.silent.borrow_mut();
-        if silent.len() > 1 {
-            silent.remove(&link);
-        }
-        drop(silent);
-        self.take_over_silent();
-        self.router_lists.borrow_mut().on_down(self.router.now(), link);
-    }
-
-    /// An engine is silent if no control process hears it.
-    fn take_over_silent(&self) {
-        let silent = self.silent.borrow();
-        let mut sets = silent.values();
-        let Some(first) = sets.next() else {
-            return;
-        };
-        let by_all =
-            sets.fold(first.clone(), |common, set| common.intersection(set).cloned().collect());
-        self.router.directory.borrow_mut().set_silent(by_all);
-    }
-
     async fn run(
         self: Rc<Self>,
         mut events: mpsc::UnboundedReceiver<LinkEvent<FleetMessage>>,
@@ -197,15 +167,15 @@
             }
             LinkEvent::Up { link, peer, .. } => {
                 log::info!(peer = peer.node.to_string().as_str(); "control connected");
-                self.links.borrow_mut().insert(link);
+                self.links.borrow_mut().insert(link, peer.node);
                 self.send_sign(link);
             }
             LinkEvent::Down { link } => {
                 self.peer_links.borrow_mut().remove(&link);
                 self.on_peer_down(link);
                 self.on_control_down(link);
-                if self.links.borrow_mut().remove(&link) {
-                    log::info!("control disconnected");
+                if let Some(peer) = self.links.borrow_mut().remove(&link) {
+                    log::info!(peer = peer.to_string().as_str(); "control disconnected");
                 }
                 self.echoes.borrow_mut().remove(&link);
                 if self.leader.get() == Some(link) {
@@ -230,7 +200,7 @@
                 self.router.apply_delta(&delta);
                 self.send_sign(link);
             }
-            FleetMessage::Engines(notices) => self.on_engines(notices),
+            FleetMessage::Engines(notices) => self.on_engines(link, notices),
             FleetMessage::Allotted(allotments) => self.on_allotted(allotments),
             FleetMessage::Recall(keeps) => {
                 let mut wallet = self.router.wallet.borrow_mut();
@@ -296,26 +266,6 @@
         }
     }
 
-    fn on_engines(&self, notices: Vec<EngineNotice>) {
-        let now = self.router.now();
-        let mut directory = self.router.directory.borrow_mut();
-        for notice in notices {
-            let (engine, state) = (notice.engine.clone(), notice.state);
-            if directory.merge(now, notice) == Merge::Changed {
-                self.on_engine_changed(now, &engine, state);
-                log::debug!(engine = engine.as_str(), state = state.as_str(); "engine");
-            }
-        }
-    }
-
-    /// A life that has begun shows that the one before has ended.
-    fn on_engine_changed(&self, now: Timestamp, engine: &BackEndName, state: EngineState) {
-        let mut memory = self.router.crash_memory.borrow_mut();
-        if state != EngineState::Gone && memory.on_life_begun(now, engine) {
-            self.router.crash_news.notify_one();
-        }
-    }
-
     fn on_allotted(&self, allotments: Vec<(TenantName, Allotment)>) {
         let mut wallet = self.router.wallet.borrow_mut();
         let mut grown = false;
@@ -334,7 +284,7 @@
         let leader = self.leader.get();
         if sign_due {
             self.sign_at.set(Instant::now());
-            let links = self.links.borrow().clone();
+            let links: Vec<LinkId> = self.links.borrow().keys().copied().collect();
             links.into_iter().filter(|link| Some(*link) != leader).for_each(|link| {
                 self.send_sign(link);
             });
--- /dev/null
+++ b/crates/gateway/src/fleet_link/engine_news.rs
@@ -0,0 +1,114 @@
+//! What control processes say of engines.
+
+use super::FleetLink;
+use stackpost_gateway_core::{EngineNotice, EngineState, Merge};
+use stackpost_mesh::LinkId;
+use stackpost_types::{BackEndName, Timestamp};
+use std::collections::BTreeSet;
+
+/// Engines of one message that come and get a line each; a router that starts hears of all engines at once.
+const MOST_ARRIVAL_LINES: usize = 4;
+
+impl FleetLink {
+    /// Takes in announcements that a control process passes on.
+    pub(super) fn on_engines(&self, link: LinkId, notices: Vec<EngineNotice>) {
+        let now = self.router.now();
+        let mut arrivals = Vec::new();
+        for notice in notices {
+            let before = self.state_of(&notice.engine);
+            let merged = self.router.directory.borrow_mut().merge(now, notice.clone());
+            if merged != Merge::Changed {
+                continue;
+            }
+            self.on_engine_changed(now, &notice.engine, notice.state);
+            if notice.state == EngineState::Ready {
+                arrivals.push(notice);
+            } else if before != Some(notice.state) {
+                self.on_departure(now, link, &notice);
+            }
+        }
+        self.log_arrivals(link, &arrivals);
+    }
+
+    fn state_of(&self, engine: &BackEndName) -> Option<EngineState> {
+        self.router.directory.borrow().get(engine).map(|record| record.notice.state)
+    }
+
+    /// A life that has begun shows that the one before has ended.
+    fn on_engine_changed(&self, now: Timestamp, engine: &BackEndName, state: EngineState) {
+        let mut memory = self.router.crash_memory.borrow_mut();
+        if state != EngineState::Gone && memory.on_life_begun(now, engine) {
+            self.router.crash_news.notify_one();
+        }
+    }
+
+    /// An engine takes no more work. Says how late this router hears of it, and what it sent there meanwhile.
+    fn on_departure(&self, now: Timestamp, link: LinkId, notice: &EngineNotice) {
+        let left_at = Timestamp(now.0.saturating_sub(notice.age.0));
+        let sent_since = self.router.picker.borrow().sent_since(&notice.engine, left_at);
+        self.router.metrics.on_departure(notice.age, sent_since);
+        log::info!(
+            engine = notice.engine.as_str(),
+            state = notice.state.as_str(),
+            sequence = notice.sequence,
+            age_ms = notice.age.0,
+            sent_since = sent_since,
+            peer = self.name_of(link).as_str();
+            "engine goes"
+        );
+    }
+
+    fn log_arrivals(&self, link: LinkId, arrivals: &[EngineNotice]) {
+        let peer = self.name_of(link);
+        for notice in arrivals.iter().take(MOST_ARRIVAL_LINES) {
+            log::info!(
+                engine = notice.engine.as_str(),
+                sequence = notice.sequence,
+                age_ms = notice.age.0,
+                peer = peer.as_str();
+                "engine comes"
+            );
+        }
+        if arrivals.len() > MOST_ARRIVAL_LINES {
+            let others = arrivals.len() - MOST_ARRIVAL_LINES;
+            log::info!(others = others, peer = peer.as_str(); "engines come");
+        }
+    }
+
+    /// The process at the other end of a connection to control.
+    fn name_of(&self, link: LinkId) -> String {
+        self.links.borrow().get(&link).map_or_else(String::new, ToString::to_string)
+    }
+
+    pub(super) fn on_silent_engines(&self, link: LinkId, engines: BTreeSet<BackEndName>) {
+        let mut silent = self.silent.borrow_mut();
+        silent.retain(|known, _| self.links.borrow().contains_key(known));
+        silent.insert(link, engines);
+        drop(silent);
+        self.take_over_silent();
+    }
+
+    /// What one control process said counts no more, unless it was the last: out of sight of all of
+    /// them the last word stands.
+    pub(super) fn on_control_down(&self, link: LinkId) {
+        let mut silent = self.silent.borrow_mut();
+        if silent.len() > 1 {
+            silent.remove(&link);
+        }
+        drop(silent);
+        self.take_over_silent();
+        self.router_lists.borrow_mut().on_down(self.router.now(), link);
+    }
+
+    /// An engine is silent if no control process hears it.
+    fn take_over_silent(&self) {
+        let silent = self.silent.borrow();
+        let mut sets = silent.values();
+        let Some(first) = sets.next() else {
+            return;
+        };
+        let by_all =
+            sets.fold(first.clone(), |common, set| common.intersection(set).cloned().collect());
+        self.router.directory.borrow_mut().set_silent(by_all);
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -4,11 +4,15 @@
 use crate::refusal::Refusal;
 use stackpost_gateway_core::{AttemptEnd, RestChange};
 use stackpost_telemetry::{Counter, Gauge, Histogram, KeyValue, Meter};
+use stackpost_types::Millis;
 use std::time::Duration;
 
 /// Upper bounds of the buckets for times, in seconds.
 const TIME_BUCKETS: [f64; 10] = [0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 4.0, 15.0];
 
+/// Upper bounds of the buckets for the age of what is heard of engines, in seconds.
+const AGE_BUCKETS: [f64; 7] = [0.05, 0.2, 0.5, 1.0, 2.0, 5.0, 30.0];
+
 /// The instruments of a router.
 pub(crate) struct RouterMetrics {
     answered: Counter<u64>,
@@ -32,6 +36,8 @@
     sent_to_limited: Counter<u64>,
     permits_asked: Counter<u64>,
     permits_borrowed: Counter<u64>,
+    departure_ages: Histogram<f64>,
+    sent_after_departure: Counter<u64>,
 }
 
 impl RouterMetrics {
@@ -95,6 +101,17 @@
                 "stackpost_permits_borrowed",
                 "Permits for engines that other routers gave",
             ),
+            departure_ages: meter
+                .f64_histogram("stackpost_engine_departure_age_seconds")
+                .with_description(
+                    "Time from an engine's word that it leaves until the router heard it",
+                )
+                .with_boundaries(AGE_BUCKETS.to_vec())
+                .build(),
+            sent_after_departure: counter(
+                "stackpost_requests_after_departure",
+                "Requests sent to engines that had said that they leave, not known here then",
+            ),
             quarantined: gauge(
                 "stackpost_requests_quarantined",
                 "Requests that are let in no more because engines ended under them",
@@ -175,6 +192,12 @@
         self.permits_borrowed.add(1, &[]);
     }
 
+    /// An engine left `age` ago; `sent_since` requests were sent to it meanwhile.
+    pub fn on_departure(&self, age: Millis, sent_since: usize) {
+        self.departure_ages.record(age.0 as f64 / 1_000.0, &[]);
+        self.sent_after_departure.add(sent_since as u64, &[]);
+    }
+
     /// Tokens are settled.
     pub fn on_settled(&self, tokens: u64) {
         self.tokens.add(tokens, &[]);
--- a/crates/gateway/tests/fleet/support/lines.rs
+++ b/crates/gateway/tests/fleet/support/lines.rs
@@ -46,10 +46,14 @@
 
 /// The lines with a message about these requests, in their order.
 pub fn lines_about(message: &str, requests: &[&str]) -> Vec<Fields> {
+    lines_with(message, "request", requests)
+}
+
+/// The lines with a message whose `field` has one of these values, in their order.
+pub fn lines_with(message: &str, field: &str, values: &[&str]) -> Vec<Fields> {
     let lines = LINES.0.lock().unwrap_or_else(PoisonError::into_inner);
-    let about = |fields: &Fields| {
-        fields.get("request").is_some_and(|request| requests.contains(&request.as_str()))
-    };
-    let wanted = lines.iter().filter(|(said, fields)| said == message && about(fields));
+    let is_meant =
+        |fields: &Fields| fields.get(field).is_some_and(|value| values.contains(&value.as_str()));
+    let wanted = lines.iter().filter(|(said, fields)| said == message && is_meant(fields));
     wanted.map(|(_, fields)| fields.clone()).collect()
 }
