--- a/crates/coordinator/src/control_metrics.rs
+++ b/crates/coordinator/src/control_metrics.rs
@@ -32,6 +32,7 @@
     reads: Counter<u64>,
     announcements: Counter<u64>,
     announcements_refused: Counter<u64>,
+    departures: Counter<u64>,
     sightings: Counter<u64>,
     round_seconds: Histogram<f64>,
     leads: Gauge<u64>,
@@ -63,6 +64,10 @@
                 "stackpost_announcements_refused",
                 "Calls of engines that were not in order",
             ),
+            departures: counter(
+                "stackpost_departures",
+                "Engines' words of their end, by state and by whether they were acknowledged",
+            ),
             sightings: counter(
                 "stackpost_crash_sightings",
                 "Engines said to have ended under requests, by whether they have run since",
@@ -116,6 +121,13 @@
         self.announcements_refused.add(1, &[]);
     }
 
+    /// An engine said something new of its end.
+    pub(crate) fn on_departure(&self, state: EngineState, is_acknowledged: bool) {
+        let reply = if is_acknowledged { "acknowledged" } else { "withheld" };
+        let labels = [KeyValue::new("state", state.as_str()), KeyValue::new("reply", reply)];
+        self.departures.add(1, &labels);
+    }
+
     pub(crate) fn on_sightings(&self, taken: usize, passed_over: usize) {
         self.sightings.add(taken as u64, &[KeyValue::new("engine", "ended")]);
         self.sightings.add(passed_over as u64, &[KeyValue::new("engine", "has_run_since")]);
--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -2,6 +2,7 @@
 
 use crate::control_metrics::{ControlMetrics, ControlSight};
 use crate::control_state::ControlState;
+use crate::departures::UnwrittenWords;
 use crate::links::Links;
 use crate::message::{ControlStatus, FleetMessage, RouterStatus};
 use crate::replica_api::{PutReply, ReadReply, ReplicaEffect, ReplicaEvent};
@@ -10,7 +11,7 @@
 use stackpost_clock::BootInstant;
 use stackpost_gateway_core::{EngineDirectory, EngineNotice, EngineState};
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
-use stackpost_types::{MachineName, Millis, NodeId, Timestamp};
+use stackpost_types::{MachineName, NodeId, Timestamp};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -24,8 +25,6 @@
 const STATUS_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two looks for the figures, and between two words on the quarantine.
 const LOOK_INTERVAL: Duration = Duration::from_secs(2);
-/// A configuration that a router has not confirmed is sent again after so long.
-const RESEND_AFTER: Millis = Millis(600);
 /// Longest wait for the replica's answer.
 const REPLY_LIMIT: Duration = Duration::from_millis(1_500);
 
@@ -63,6 +62,8 @@
         let state = ControlState {
             directory: EngineDirectory::default(),
             silent: BTreeSet::new(),
+            departures_taken: 0,
+            unwritten: UnwrittenWords::default(),
             refreshed: BTreeSet::new(),
             links: Links::default(),
             control_peers: BTreeSet::new(),
@@ -208,6 +209,9 @@
                 status.control_peers.into_iter().for_each(|peer| self.add_control_peer(peer));
             }
             FleetMessage::Engines(notices) => self.on_engines(notices),
+            FleetMessage::DepartureWords(words) => {
+                self.replica.send(ReplicaEvent::DepartureWords(words));
+            }
             FleetMessage::RouterStatus(status) => self.on_router_status(link, peer, status),
             FleetMessage::CrashReport(report) => self.on_crash_report(report),
             FleetMessage::Farewell(spent) => {
@@ -229,17 +233,20 @@
             | FleetMessage::Allotted(_)
             | FleetMessage::Recall(_)
             | FleetMessage::Quarantined(_)
+            | FleetMessage::Departures(_)
             | FleetMessage::FarewellTaken => {}
         }
     }
 
     fn on_router_status(&self, link: LinkId, router: NodeId, status: RouterStatus) {
         if let Some(entry) = self.state.borrow_mut().links.get_mut(link) {
-            entry.document_known = status.document_version;
+            entry.document.confirm(status.document_version);
+            entry.departures.confirm(status.departures_known);
         }
         let view = self.replica.view();
         if view.leads() || status.accepts_unconfirmed {
             self.send_document(link, &view);
+            self.send_departures(link, &view);
         }
         self.replica.send(ReplicaEvent::RouterReport { router, status });
     }
@@ -254,17 +261,9 @@
         let Some(entry) = state.links.get_mut(link) else {
             return;
         };
-        let is_overdue = |at: Timestamp| now.since(at) >= RESEND_AFTER;
-        let sent_lately = entry
-            .document_sent
-            .is_some_and(|(version, at)| version >= document.version && !is_overdue(at));
-        if entry.document_known >= document.version || sent_lately {
+        let Some(base) = entry.document.send(now, document.version) else {
             return;
-        }
-        let sent_before = entry.document_sent.replace((document.version, now));
-        // What is on its way arrives first. A router that has not confirmed it in time gets all.
-        let overdue = sent_before.is_some_and(|(_, at)| is_overdue(at));
-        let base = sent_before.filter(|_| !overdue).map_or(entry.document_known, |(base, _)| base);
+        };
         match state.delta(base, document) {
             Some(delta) => self.mesh.send(link, &FleetMessage::DocumentDelta(delta)),
             None => self.mesh.send(link, &FleetMessage::Document(state.packed(document))),
@@ -302,9 +301,11 @@
                 self.send_to_router(&router, &FleetMessage::FarewellTaken);
             }
             ReplicaEffect::QuarantineChanged => self.tell_quarantine(),
+            ReplicaEffect::DeparturesChanged => self.take_over_departures(),
             ReplicaEffect::RoleChanged(leads) => {
                 log::info!(leads = leads; "role");
                 self.tell_quarantine();
+                self.tell_departures();
                 self.on_tick();
             }
         }
@@ -361,6 +362,8 @@
         self.tell_router_peers();
         // Told again and again: a replica that had to open its data folder anew knows of nobody.
         self.tell_control_peers();
+        self.take_over_departures();
+        self.push_unwritten();
         let now = self.now();
         let status = FleetMessage::ControlStatus(self.status());
         let state = &mut *self.state.borrow_mut();
@@ -398,6 +401,7 @@
         ControlStatus {
             leads: view.leads(),
             document_version: view.document_version(),
+            departures: view.departures.revision(),
             clock: self.replica.now(),
             routers: state.links.count_machines(PeerRole::Router) as u32,
             control_peers: state.control_peers.iter().copied().chain([self.own_address]).collect(),
@@ -425,7 +429,7 @@
         self.mesh.send_all(routers.into_values(), &FleetMessage::Routers(all));
     }
 
-    fn send_to_control(&self, machine: &MachineName, message: &FleetMessage) {
+    pub(crate) fn send_to_control(&self, machine: &MachineName, message: &FleetMessage) {
         let link = self.state.borrow().links.to_control(self.now(), machine);
         if let Some(link) = link {
             self.mesh.send(link, message);
--- a/crates/coordinator/src/control_state.rs
+++ b/crates/coordinator/src/control_state.rs
@@ -1,5 +1,6 @@
 //! What a control process knows of engines, connections and configurations.
 
+use crate::departures::UnwrittenWords;
 use crate::document_delta::DocumentDelta;
 use crate::links::Links;
 use crate::message::Document;
@@ -21,6 +22,9 @@
     pub directory: EngineDirectory,
     /// Engines that have not been announced of late.
     pub silent: BTreeSet<BackEndName>,
+    /// Revision of the departures that the directory has taken over.
+    pub departures_taken: u64,
+    pub unwritten: UnwrittenWords,
     /// Engines announced since the last status.
     pub refreshed: BTreeSet<BackEndName>,
     pub links: Links,
--- a/crates/coordinator/src/engine_news.rs
+++ b/crates/coordinator/src/engine_news.rs
@@ -2,34 +2,51 @@
 //! reports of engines that ended.
 
 use crate::control_node::ControlNode;
+use crate::departures::NotWritten;
 use crate::message::FleetMessage;
 use crate::replica_api::ReplicaEvent;
 use stackpost_gateway_core::{
-    CrashReport, CrashSighting, EngineNotice, EngineState, Merge, QuarantineChange,
+    CrashReport, CrashSighting, DepartureWord, EngineNotice, EngineState, Merge, QuarantineChange,
 };
 use stackpost_mesh::PeerRole;
 use stackpost_types::{BackEndName, Timestamp};
 use thiserror::Error;
 
-/// Why an announcement is not taken.
+/// Why an announcement is not acknowledged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-pub enum NotAnEngine {
-    /// The configuration in force names no such service.
+pub enum AnnouncementError {
+    /// The configuration in force names no such service. Nothing has changed.
     #[error("the configuration names no such service")]
     UnknownService,
-    /// The engine is known to belong to another service.
+    /// The engine is known to belong to another service. Nothing has changed.
     #[error("the engine belongs to another service")]
     OtherService,
+    /// The engine leaves, which may not outlive this process. Whoever can be reached has been told.
+    #[error(transparent)]
+    NotWritten(#[from] NotWritten),
 }
 
 impl ControlNode {
-    /// Takes in an engine's announcement. A change is on its way to everyone when this returns.
+    /// Takes in an engine's announcement. A change is on its way to everyone when this returns, and that an engine
+    /// drains is written down.
     ///
     /// # Errors
     ///
-    /// The announcement can't be one of an engine of this fleet. Nothing has changed.
-    pub fn announce(&self, notice: EngineNotice) -> Result<(), NotAnEngine> {
+    /// The announcement can't be one of an engine of this fleet, or could not be written down.
+    pub async fn announce(&self, notice: EngineNotice) -> Result<(), AnnouncementError> {
         self.check(&notice)?;
+        self.take_over_departures();
+        let word = DepartureWord {
+            engine: notice.engine.clone(),
+            state: notice.state,
+            sequence: notice.sequence,
+        };
+        self.take_in(notice);
+        self.acknowledge(word).await
+    }
+
+    /// Tells everyone of an announcement if it is news.
+    fn take_in(&self, notice: EngineNotice) {
         let now = self.now();
         let name = notice.engine.clone();
         let state = &mut *self.state.borrow_mut();
@@ -52,35 +69,69 @@
                 self.mesh.send_all(state.links.one_to_everyone(now), &message);
             }
         }
-        Ok(())
+    }
+
+    /// Has written down what an engine says of its end. That it takes work again is written down in passing: it is
+    /// acknowledged as any other announcement.
+    async fn acknowledge(&self, word: DepartureWord) -> Result<(), AnnouncementError> {
+        if word.state == EngineState::Ready {
+            self.write_down_later(word);
+            return Ok(());
+        }
+        if self.is_outdated(&word) {
+            return Ok(());
+        }
+        let written = self.write_down(word.clone()).await;
+        self.metrics.on_departure(word.state, written.is_ok());
+        log_departure(&word, written);
+        Ok(written?)
+    }
+
+    /// Whether an engine is known to take work again since it said `word`.
+    fn is_outdated(&self, word: &DepartureWord) -> bool {
+        let state = self.state.borrow();
+        let known = state.directory.get(&word.engine).map(|record| &record.notice);
+        word.state != EngineState::Gone
+            && known.is_some_and(|known| {
+                known.state == EngineState::Ready && known.sequence > word.sequence
+            })
     }
 
     /// An engine keeps its service for life, and there are none of services that nobody has configured.
-    fn check(&self, notice: &EngineNotice) -> Result<(), NotAnEngine> {
+    fn check(&self, notice: &EngineNotice) -> Result<(), AnnouncementError> {
         let services = self.replica.view().services;
         if services.is_some_and(|services| !services.contains(&notice.service)) {
-            return Err(NotAnEngine::UnknownService);
+            return Err(AnnouncementError::UnknownService);
         }
         let state = self.state.borrow();
-        let known = state.directory.get(&notice.engine).map(|record| &record.notice);
-        let same = known.is_none_or(|known| {
-            known.state == EngineState::Gone || known.service == notice.service
+        let same = state.directory.get(&notice.engine).is_none_or(|known| {
+            let has_service = known.notice.state != EngineState::Gone && !known.is_name_only();
+            !has_service || known.notice.service == notice.service
         });
-        if same { Ok(()) } else { Err(NotAnEngine::OtherService) }
+        if same { Ok(()) } else { Err(AnnouncementError::OtherService) }
     }
 
-    /// Takes in that the engine `id` has left; `born` names the life, if that is known.
-    pub fn engine_left(&self, id: &str, born: Option<u64>) {
-        let now = self.now();
-        let state = &mut *self.state.borrow_mut();
-        let engine = match born {
-            Some(_) => BackEndName::of_life(id, born),
-            None => state.directory.life_that_leaves(now, id),
+    /// Takes in that the engine `id` has left; `born` names the life, if that is known. It is written down when this
+    /// returns.
+    ///
+    /// # Errors
+    ///
+    /// It could not be written down. Whoever can be reached has been told.
+    pub async fn engine_left(&self, id: &str, born: Option<u64>) -> Result<(), AnnouncementError> {
+        let notice = {
+            let now = self.now();
+            let state = &mut *self.state.borrow_mut();
+            let engine = match born {
+                Some(_) => BackEndName::of_life(id, born),
+                None => state.directory.life_that_leaves(now, id),
+            };
+            let notice = state.directory.leave(now, &engine);
+            let message = FleetMessage::Engines(vec![notice.clone()]);
+            self.mesh.send_all(state.links.one_to_everyone(now), &message);
+            notice
         };
-        let notice = state.directory.leave(now, &engine);
-        log::info!(engine = engine.as_str(); "engine left");
-        let message = FleetMessage::Engines(vec![notice]);
-        self.mesh.send_all(state.links.one_to_everyone(now), &message);
+        let EngineNotice { engine, state, sequence, .. } = notice;
+        self.acknowledge(DepartureWord { engine, state, sequence }).await
     }
 
     /// Passes on to the routers what another control process says and they may not have heard.
@@ -142,3 +193,11 @@
         );
     }
 }
+
+fn log_departure(word: &DepartureWord, written: Result<(), NotWritten>) {
+    let (engine, state) = (word.engine.as_str(), word.state.as_str());
+    match written {
+        Ok(()) => log::info!(engine = engine, state = state; "departure written down"),
+        Err(error) => log::warn!(engine = engine, state = state; "not acknowledged: {error}"),
+    }
+}
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -10,6 +10,8 @@
 mod control_node;
 mod control_state;
 mod crash_watch;
+mod departure_watch;
+mod departures;
 mod document_delta;
 mod engine_news;
 mod links;
@@ -23,12 +25,14 @@
 mod replica_thread;
 mod router_peers;
 mod state;
+mod told;
 mod voters;
 
 pub use control_metrics::ControlMetrics;
 pub use control_node::{ControlNode, ControlSettings};
+pub use departures::NotWritten;
 pub use document_delta::DocumentDelta;
-pub use engine_news::NotAnEngine;
+pub use engine_news::AnnouncementError;
 pub use links::{Link, Links};
 pub use message::{ClockEcho, ControlStatus, Document, FleetMessage, RouterStatus};
 pub use packed_document::PackedDocument;
@@ -39,6 +43,7 @@
 pub use replica_thread::{ReplicaHandle, ReplicaThread, ReplicaView};
 pub use router_peers::{PEERS_PER_ROUTER, RouterSite, peers_of};
 pub use state::{Command, FleetState, Outcome};
+pub use told::Told;
 
 use stackpost_gateway_core::{ConfigError, RoutingConfig};
 
--- a/crates/coordinator/src/links.rs
+++ b/crates/coordinator/src/links.rs
@@ -5,6 +5,7 @@
 //! be lost goes over one that has been heard lately: a connection may fall silent for good without
 //! a reset, long before it is given up.
 
+use crate::told::Told;
 use stackpost_mesh::{LinkId, PeerInfo, PeerRole};
 use stackpost_types::{MachineName, Millis, NodeId, Timestamp, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,10 +18,10 @@
 pub struct Link {
     /// The other end.
     pub peer: PeerInfo,
-    /// The version of the configuration that a router has confirmed; zero if none.
-    pub document_known: u64,
-    /// The version that was sent last, and when.
-    pub document_sent: Option<(u64, Timestamp)>,
+    /// Versions of the configuration.
+    pub document: Told,
+    /// Revisions of the engines' departures.
+    pub departures: Told,
     heard_at: Timestamp,
 }
 
@@ -33,7 +34,8 @@
 impl Links {
     /// A connection has come up.
     pub fn up(&mut self, now: Timestamp, link: LinkId, peer: PeerInfo) {
-        let entry = Link { peer, document_known: 0, document_sent: None, heard_at: now };
+        let (document, departures) = (Told::default(), Told::default());
+        let entry = Link { peer, document, departures, heard_at: now };
         self.links.insert(link, entry);
     }
 
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -4,7 +4,9 @@
 use crate::packed_document::PackedDocument;
 use serde::{Deserialize, Serialize};
 use stackpost_consensus::Envelope;
-use stackpost_gateway_core::{CrashReport, EngineNotice, QuarantineNotice};
+use stackpost_gateway_core::{
+    CrashReport, DepartureNews, DepartureWord, EngineNotice, QuarantineNotice,
+};
 use stackpost_prepaid::{AccountReport, Allotment, Contact, Outlook};
 use stackpost_types::{BackEndName, NodeId, TenantName, Timestamp, Tokens};
 use std::collections::{BTreeMap, BTreeSet};
@@ -27,6 +29,8 @@
     pub leads: bool,
     /// Version of the newest configuration it has applied; zero if there is none.
     pub document_version: u64,
+    /// Revision of the engines' departures that it holds.
+    pub departures: u64,
     /// Its clock, to be given back by routers; of no meaning to anyone else.
     pub clock: Timestamp,
     /// Routers connected to it.
@@ -40,6 +44,8 @@
 pub struct RouterStatus {
     /// Version of its configuration; zero if it has none.
     pub document_version: u64,
+    /// Revision of the engines' departures that it has been told of whole; zero if none.
+    pub departures_known: u64,
     /// Whether it would take a configuration that no leader has confirmed.
     pub accepts_unconfirmed: bool,
     /// When its process started, by the clock of its machine.
@@ -126,4 +132,8 @@
     Quarantined(QuarantineNotice),
     /// From control to a router: where every router that it hears accepts connections of the fleet, in order.
     Routers(Vec<SocketAddr>),
+    /// From control to a router: which engines have said that they leave, as it is written down.
+    Departures(DepartureNews),
+    /// From a control replica to the leader: what engines have said of their end, to be written down.
+    DepartureWords(Vec<DepartureWord>),
 }
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -4,6 +4,7 @@
 //! before the effects that promise it are returned.
 
 use crate::crash_watch::CrashWatch;
+use crate::departure_watch::DepartureWatch;
 use crate::message::Document;
 use crate::prepaid_planner::PrepaidPlanner;
 use crate::replica_api::*;
@@ -12,7 +13,7 @@
 use crate::state::{Command, FleetState, Outcome};
 use crate::voters::{VoterSight, VoterStep, VoterView, next_step};
 use stackpost_consensus::{Config, Entry, Payload, Raft, Ready, Role, Snapshot, Voters};
-use stackpost_gateway_core::QuarantineChange;
+use stackpost_gateway_core::{DepartureChange, DepartureWord, QuarantineChange};
 use stackpost_storage::{Disk, LogStore};
 use stackpost_types::{BackEndName, MachineName, Millis, NodeId, Timestamp, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
@@ -50,6 +51,7 @@
     next_context: u64,
     planner: PrepaidPlanner,
     crash_watch: CrashWatch,
+    departure_watch: DepartureWatch,
     /// The control machines that are connected, with their zones.
     control_peers: BTreeMap<MachineName, ZoneName>,
     /// The zones of control machines that are connected or have been.
@@ -90,6 +92,7 @@
             next_context: 1,
             planner: PrepaidPlanner::default(),
             crash_watch: CrashWatch::default(),
+            departure_watch: DepartureWatch::default(),
             control_peers: BTreeMap::new(),
             zones_seen: BTreeMap::new(),
             was_leading: false,
@@ -131,6 +134,7 @@
             }
             ReplicaEvent::CrashReport(change) => self.on_crash_report(now, change),
             ReplicaEvent::EngineAnnounced(engine) => self.on_announced(now, engine),
+            ReplicaEvent::DepartureWords(words) => self.on_departure_words(now, words),
             ReplicaEvent::ControlPeers(machines) => {
                 self.zones_seen.extend(machines.clone());
                 self.control_peers = machines;
@@ -188,6 +192,8 @@
         if self.leads(now) {
             let changes = self.crash_watch.on_tick(now, &self.state.quarantine);
             changes.into_iter().for_each(|change| self.propose_quarantine(change));
+            let forgotten = self.departure_watch.on_tick(now, &self.state.departures);
+            forgotten.into_iter().for_each(|change| self.propose_departures(change));
         }
     }
 
@@ -207,6 +213,20 @@
         }
     }
 
+    fn on_departure_words(&mut self, now: Timestamp, words: Vec<DepartureWord>) {
+        if self.raft.role() == Role::Leader
+            && let Some(change) = self.departure_watch.on_words(now, &self.state.departures, words)
+        {
+            self.propose_departures(change);
+        }
+    }
+
+    fn propose_departures(&mut self, change: DepartureChange) {
+        if self.propose(&Command::Departures(change)).is_none() {
+            log::info!(step = "departures"; "not proposed: another replica leads");
+        }
+    }
+
     fn propose_quarantine(&mut self, change: QuarantineChange) {
         if self.propose(&Command::Quarantine(change)).is_none() {
             log::info!(step = "quarantine"; "not proposed: another replica leads");
@@ -367,6 +387,7 @@
             self.was_leading = leading;
             self.planner.on_role_change(now);
             self.crash_watch.on_role_change();
+            self.departure_watch.on_role_change();
             self.effects.push(ReplicaEffect::RoleChanged(leading));
         }
         Ok(())
@@ -406,6 +427,7 @@
             self.effects.push(ReplicaEffect::DocumentChanged(document));
         }
         self.effects.push(ReplicaEffect::QuarantineChanged);
+        self.effects.push(ReplicaEffect::DeparturesChanged);
         Ok(())
     }
 
@@ -429,6 +451,9 @@
         if outcome == Outcome::QuarantineChanged {
             self.effects.push(ReplicaEffect::QuarantineChanged);
         }
+        if outcome == Outcome::DeparturesChanged {
+            self.effects.push(ReplicaEffect::DeparturesChanged);
+        }
         self.answer_puts(&entry);
         self.tell_routers(touched, closed);
         if entry.index - self.raft.snapshot_index() >= SNAPSHOT_ENTRIES {
--- a/crates/coordinator/src/replica_api.rs
+++ b/crates/coordinator/src/replica_api.rs
@@ -3,7 +3,7 @@
 use crate::DocumentCodec;
 use crate::message::{Document, RouterStatus};
 use stackpost_consensus::Envelope;
-use stackpost_gateway_core::QuarantineChange;
+use stackpost_gateway_core::{DepartureWord, QuarantineChange};
 use stackpost_prepaid::{Allotment, Outlook};
 use stackpost_storage::StoreError;
 use stackpost_types::{BackEndName, MachineName, Millis, NodeId, TenantName, Tokens, ZoneName};
@@ -91,6 +91,8 @@
     CrashReport(QuarantineChange),
     /// An engine has announced itself that is said to have ended.
     EngineAnnounced(BackEndName),
+    /// What engines have said of their end is to be written down.
+    DepartureWords(Vec<DepartureWord>),
     /// The control machines that are connected now, with their zones.
     ControlPeers(BTreeMap<MachineName, ZoneName>),
 }
@@ -140,6 +142,8 @@
     FarewellTaken(NodeId),
     /// Routers are to be told which requests are let in no more.
     QuarantineChanged,
+    /// Engines have said something new of their end.
+    DeparturesChanged,
     /// The role has changed; true for a leader.
     RoleChanged(bool),
 }
--- a/crates/coordinator/src/replica_thread.rs
+++ b/crates/coordinator/src/replica_thread.rs
@@ -5,7 +5,7 @@
 use crate::replica::Replica;
 use crate::replica_api::{ReplicaConfig, ReplicaEffect, ReplicaError, ReplicaEvent};
 use stackpost_clock::BootInstant;
-use stackpost_gateway_core::Quarantine;
+use stackpost_gateway_core::{Departures, Quarantine};
 use stackpost_storage::{DiskError, FileDisk, StoreError};
 use stackpost_types::{MachineName, ServiceName, Timestamp};
 use std::collections::BTreeSet;
@@ -39,6 +39,8 @@
     pub services: Option<Arc<BTreeSet<ServiceName>>>,
     /// Requests under which engines have ended.
     pub quarantine: Arc<Quarantine>,
+    /// What engines have said of their end.
+    pub departures: Arc<Departures>,
 }
 
 impl ReplicaView {
@@ -73,6 +75,17 @@
         reading(self.started)
     }
 
+    /// Waits until `condition` holds, no longer than `limit`. Returns whether it does.
+    pub async fn wait_until(
+        &self,
+        condition: impl FnMut(&ReplicaView) -> bool,
+        limit: Duration,
+    ) -> bool {
+        let mut view = self.view.clone();
+        let waited = tokio::time::timeout(limit, view.wait_for(condition)).await;
+        waited.is_ok_and(|held| held.is_ok())
+    }
+
     /// The replica as of its last round.
     pub fn view(&self) -> ReplicaView {
         self.view.borrow().clone()
@@ -169,12 +182,17 @@
             if quarantine_is_new {
                 view.quarantine = Arc::new(quarantine.clone());
             }
+            let departures = &replica.state().departures;
+            let departures_are_new = view.departures.revision() != departures.revision();
+            if departures_are_new {
+                view.departures = Arc::new(departures.clone());
+            }
             let role_is_new = view.leader.as_ref() != leader;
             view.leader = leader.cloned();
             view.lease_until = lease_until;
             view.term = replica.term();
             view.applied = replica.applied();
-            document_is_new || quarantine_is_new || role_is_new
+            document_is_new || quarantine_is_new || departures_are_new || role_is_new
         });
     }
 
--- a/crates/coordinator/src/state.rs
+++ b/crates/coordinator/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::message::Document;
 use serde::{Deserialize, Serialize};
-use stackpost_gateway_core::{Quarantine, QuarantineChange, Suspect};
+use stackpost_gateway_core::{DepartureChange, Departures, Quarantine, QuarantineChange, Suspect};
 use stackpost_prepaid::{Charge, Contact, GivenBack, Grant, LifeEnd, PrepaidLedger};
 use stackpost_types::{BackEndName, NodeId, TenantName, Tokens};
 
@@ -38,6 +38,8 @@
     },
     /// Changes what is held against requests under which engines have ended.
     Quarantine(QuarantineChange),
+    /// Changes what engines have said of their end.
+    Departures(DepartureChange),
 }
 
 /// What applying a command did.
@@ -51,6 +53,8 @@
     DocumentSuperseded,
     /// Routers are to be told something else about requests that end engines.
     QuarantineChanged,
+    /// Engines have said something new of their end.
+    DeparturesChanged,
 }
 
 /// Everything that the control replicas agree on.
@@ -63,6 +67,17 @@
     /// Requests under which engines have ended. Kept with the rest because a request may come again after
     /// all processes have been killed.
     pub quarantine: Quarantine,
+    /// What engines have said of their end. Kept with the rest because an engine that was told that its leaving is known
+    /// calls nobody again.
+    pub departures: Departures,
+}
+
+/// The state as versions before the departures wrote it.
+#[derive(Deserialize)]
+struct StateWithoutDepartures {
+    document: Option<Document>,
+    ledger: PrepaidLedger,
+    quarantine: Quarantine,
 }
 
 /// The state as versions before the quarantine wrote it.
@@ -101,6 +116,11 @@
                 self.ledger.note_contact(&router, contact, &gone);
             }
             Command::Quarantine(change) => return self.change_quarantine(change),
+            Command::Departures(change) => {
+                if self.departures.apply(change) {
+                    return Outcome::DeparturesChanged;
+                }
+            }
         }
         Outcome::Done
     }
@@ -135,13 +155,20 @@
         postcard::to_stdvec(self).expect("the state can be encoded")
     }
 
-    /// The state from bytes.
+    /// The state from bytes, of this version or an earlier one.
     pub fn from_snapshot(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        postcard::from_bytes(bytes).or_else(|error| {
-            let before: StateWithoutQuarantine = postcard::from_bytes(bytes).map_err(|_| error)?;
-            let StateWithoutQuarantine { document, ledger } = before;
-            Ok(Self { document, ledger, quarantine: Quarantine::default() })
-        })
+        let newest = postcard::from_bytes(bytes);
+        newest.or_else(|error| Self::from_earlier(bytes).map_err(|_| error))
+    }
+
+    fn from_earlier(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let departures = Departures::default();
+        if let Ok(state) = postcard::from_bytes::<StateWithoutDepartures>(bytes) {
+            let StateWithoutDepartures { document, ledger, quarantine } = state;
+            return Ok(Self { document, ledger, quarantine, departures });
+        }
+        let StateWithoutQuarantine { document, ledger } = postcard::from_bytes(bytes)?;
+        Ok(Self { document, ledger, quarantine: Quarantine::default(), departures })
     }
 }
 
--- /dev/null
+++ b/crates/gateway-core/src/departures.rs
@@ -0,0 +1,148 @@
+//! What engines have said of their end, as all control replicas agree on it.
+//!
+//! An engine is told that its leaving is known, and calls nobody again. So its word must outlive whoever took it in,
+//! and every process that comes later must hear of it.
+//!
+//! Invariants: a life of an engine that has left stays gone; otherwise the word with the higher count holds. A change
+//! raises the revision by one, so equal revisions mean equal words. At most [`MAX_WORDS`] words are kept. Without I/O
+//! and clock, so that replicas that take in the same changes in the same order hold the same state.
+
+use crate::directory::EngineState;
+use serde::{Deserialize, Serialize};
+use stackpost_types::BackEndName;
+use std::collections::BTreeMap;
+
+/// Words kept; the oldest go first. Several times the engines of a large fleet; with names about 400 KB.
+pub const MAX_WORDS: usize = 4_096;
+
+/// What an engine says of its end.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DepartureWord {
+    /// The engine: one life of it.
+    pub engine: BackEndName,
+    /// `Draining` or `Gone`; `Ready` if it takes work again after it had said `Draining`.
+    pub state: EngineState,
+    /// Its count of announcements. What has left is gone whatever the count.
+    pub sequence: u64,
+}
+
+impl DepartureWord {
+    /// Whether this word changes anything where `held` holds.
+    fn is_newer_than(&self, held: &Self) -> bool {
+        match (held.state, self.state) {
+            (EngineState::Gone, _) => false,
+            (_, EngineState::Gone) => true,
+            (before, after) => before != after && self.sequence > held.sequence,
+        }
+    }
+}
+
+/// One change of what is held.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DepartureChange {
+    /// Engines have said something of their end.
+    Said(Vec<DepartureWord>),
+    /// These engines left long ago.
+    Forgotten(Vec<BackEndName>),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct HeldWord {
+    word: DepartureWord,
+    /// The revision that brought it.
+    revision: u64,
+}
+
+/// The words that hold.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departures {
+    words: BTreeMap<BackEndName, HeldWord>,
+    revision: u64,
+}
+
+/// Changes of [`Departures`], for a process that follows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DepartureNews {
+    /// The revision after which the changes begin.
+    pub base: u64,
+    /// The revision up to which they go.
+    pub revision: u64,
+    /// The words that hold since.
+    pub words: Vec<DepartureWord>,
+}
+
+impl Departures {
+    /// Rises with each change; equal for equal contents.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Whether a word would change anything.
+    pub fn is_news(&self, word: &DepartureWord) -> bool {
+        match self.words.get(&word.engine) {
+            Some(held) => word.is_newer_than(&held.word),
+            // An engine of which nothing is held takes work.
+            None => word.state != EngineState::Ready,
+        }
+    }
+
+    /// Whether a word holds, or a newer one of the same engine.
+    pub fn covers(&self, word: &DepartureWord) -> bool {
+        self.words.contains_key(&word.engine) && !self.is_news(word)
+    }
+
+    /// Takes in a change. Returns whether anything is different.
+    pub fn apply(&mut self, change: DepartureChange) -> bool {
+        let before = self.revision;
+        match change {
+            DepartureChange::Said(words) => words.into_iter().for_each(|word| self.say(word)),
+            DepartureChange::Forgotten(engines) => {
+                engines.iter().for_each(|engine| self.forget(engine));
+            }
+        }
+        self.revision != before
+    }
+
+    /// What has changed after revision `base`. Words that were forgotten are not told: whoever follows forgets by its
+    /// own clock.
+    pub fn since(&self, base: u64) -> DepartureNews {
+        let newer = self.words.values().filter(|held| held.revision > base);
+        let words = newer.map(|held| held.word.clone()).collect();
+        DepartureNews { base, revision: self.revision, words }
+    }
+
+    /// The word that holds for an engine.
+    pub fn get(&self, engine: &BackEndName) -> Option<&DepartureWord> {
+        self.words.get(engine).map(|held| &held.word)
+    }
+
+    /// The engines with a word, and the revision that brought it.
+    pub fn revisions(&self) -> impl Iterator<Item = (&BackEndName, u64)> {
+        self.words.iter().map(|(engine, held)| (engine, held.revision))
+    }
+
+    fn say(&mut self, word: DepartureWord) {
+        if !self.is_news(&word) {
+            return;
+        }
+        if !self.words.contains_key(&word.engine) && self.words.len() >= MAX_WORDS {
+            self.forget_oldest();
+        }
+        self.revision += 1;
+        let held = HeldWord { revision: self.revision, word };
+        self.words.insert(held.word.engine.clone(), held);
+    }
+
+    fn forget(&mut self, engine: &BackEndName) {
+        if self.words.remove(engine).is_some() {
+            self.revision += 1;
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        let oldest = self.words.values().min_by_key(|held| held.revision);
+        if let Some(engine) = oldest.map(|held| held.word.engine.clone()) {
+            self.words.remove(&engine);
+        }
+    }
+}
--- a/crates/gateway-core/src/directory.rs
+++ b/crates/gateway-core/src/directory.rs
@@ -8,10 +8,14 @@
 //! its counts have begun anew, so they say nothing about which announcement is newer. A former life ends
 //! when a newer one is heard of and never comes back, and what is heard of it late ends nothing.
 //!
+//! What engines say of their end is also written down by the control replicas ([`crate::Departures`]), and counts here
+//! whether or not the announcement itself was heard.
+//!
 //! Two engines may claim one address: an engine that has ended and its successor, of which the first
 //! may be heard of last, since announcements can be held up by a cut. A name that was not known yet takes
 //! the address over; the other one gets it back by being announced on while the first is not.
 
+use crate::departures::DepartureWord;
 use serde::{Deserialize, Serialize};
 use stackpost_types::{BackEndName, Millis, ServiceName, Timestamp, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
@@ -94,6 +98,11 @@
     fn has_left(&self) -> bool {
         self.notice.state == EngineState::Gone && self.replaced.is_none()
     }
+
+    /// Whether no more is known of the engine than its name and that it leaves.
+    pub fn is_name_only(&self) -> bool {
+        self.notice.address.ip().is_unspecified()
+    }
 }
 
 /// Which engine has taken an address, and how often the one before has been announced since the last
@@ -272,11 +281,41 @@
         notice
     }
 
+    /// Takes in what the control replicas have written down of an engine's end. Returns whether its state is another one now.
+    pub fn depart(&mut self, now: Timestamp, word: &DepartureWord) -> bool {
+        let Some(known) = self.engines.get_mut(&word.engine) else {
+            return self.depart_unknown(now, word);
+        };
+        let before = known.notice.state;
+        if word.state == EngineState::Gone && !known.has_left() {
+            known.notice.state = EngineState::Gone;
+            known.announced_at = now;
+            known.replaced = None;
+        } else if word.state != EngineState::Gone && word.sequence >= known.notice.sequence {
+            known.notice.sequence = word.sequence;
+            if before != EngineState::Gone {
+                known.notice.state = word.state;
+            }
+        }
+        known.notice.state != before
+    }
+
+    fn depart_unknown(&mut self, now: Timestamp, word: &DepartureWord) -> bool {
+        if word.state == EngineState::Ready {
+            return false;
+        }
+        let (state, sequence) = (word.state, word.sequence);
+        self.insert(now, EngineNotice { state, sequence, ..unknown_engine(&word.engine) }, now);
+        true
+    }
+
     /// An engine that is announced for the first time at an address, or has it back, has taken the
     /// place of whichever had it before.
     fn replace_at_address(&mut self, now: Timestamp, notice: &EngineNotice) {
         let known = self.engines.get(&notice.engine);
-        let held_it = known.is_some_and(|record| record.replaced.is_none());
+        let held_it = known.is_some_and(|record| {
+            record.replaced.is_none() && record.notice.address == notice.address
+        });
         if notice.state == EngineState::Gone || held_it {
             return;
         }
@@ -308,11 +347,15 @@
     }
 
     /// All engines as notices of the present moment, but for those of which it was only concluded
-    /// that they have been replaced.
+    /// that they have been replaced, and those that are known by name only and have not left.
     pub fn notices(&self, now: Timestamp) -> Vec<EngineNotice> {
+        let is_notice = |record: &&EngineRecord| {
+            let is_whole = !record.is_name_only() || record.notice.state == EngineState::Gone;
+            record.replaced.is_none() && is_whole
+        };
         self.engines
             .values()
-            .filter(|record| record.replaced.is_none())
+            .filter(is_notice)
             .map(|record| EngineNotice {
                 age: now.since(record.announced_at),
                 ..record.notice.clone()
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -12,12 +12,14 @@
 //! - [`LoadShedding`]: who is let in while engines state that they take less than is asked.
 //! - [`RetryBudget`]: how many requests may be sent to a further engine.
 //! - [`RequestFingerprint`]: what a request asks, the same for every repeat of it.
+//! - [`Departures`]: what engines have said of their end, for the whole fleet.
 //! - [`Quarantine`]: requests under which engines have ended, for the whole fleet; [`CrashMemory`]: what
 //!   one router knows of them.
 //! - [`EventSplitter`]: whole events of a stream.
 
 mod config;
 mod crash_memory;
+mod departures;
 mod directory;
 mod engine_health;
 mod engine_load;
@@ -42,6 +44,7 @@
     Tenant,
 };
 pub use crash_memory::{CrashMemory, CrashReport};
+pub use departures::{DepartureChange, DepartureNews, DepartureWord, Departures, MAX_WORDS};
 pub use directory::{EngineDirectory, EngineNotice, EngineRecord, EngineState, Merge};
 pub use engine_load::{EngineLoad, EngineNews, Estimate, Placement, Work};
 pub use engine_permits::{EnginePermits, PermitOutlook, PermitScope};
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -201,6 +201,7 @@
                 self.send_sign(link);
             }
             FleetMessage::Engines(notices) => self.on_engines(link, notices),
+            FleetMessage::Departures(news) => self.on_departures(link, &news),
             FleetMessage::Allotted(allotments) => self.on_allotted(allotments),
             FleetMessage::Recall(keeps) => {
                 let mut wallet = self.router.wallet.borrow_mut();
@@ -239,6 +240,7 @@
             | FleetMessage::Alive
             | FleetMessage::RouterStatus(_)
             | FleetMessage::CrashReport(_)
+            | FleetMessage::DepartureWords(_)
             | FleetMessage::Farewell(_) => {}
         }
     }
@@ -254,7 +256,7 @@
         if status.leads {
             let leader_is_new = self.leader.replace(Some(link)) != Some(link);
             self.leader_contact.set(Some(heard));
-            self.router.on_leader_heard(status.document_version);
+            self.router.on_leader_heard(status.document_version, status.departures);
             if leader_is_new {
                 self.reported.borrow_mut().clear();
                 self.report();
@@ -340,6 +342,7 @@
     fn status(&self, link: LinkId) -> RouterStatus {
         RouterStatus {
             document_version: self.router.document_version(),
+            departures_known: self.router.departures_known(),
             accepts_unconfirmed: self.router.accepts_unconfirmed() && !self.router.in_touch(),
             started: self.started,
             echo: self.echoes.borrow().get(&link).copied(),
--- a/crates/gateway/src/fleet_link/engine_news.rs
+++ b/crates/gateway/src/fleet_link/engine_news.rs
@@ -1,9 +1,9 @@
 //! What control processes say of engines.
 
 use super::FleetLink;
-use stackpost_gateway_core::{EngineNotice, EngineState, Merge};
+use stackpost_gateway_core::{DepartureNews, DepartureWord, EngineNotice, EngineState, Merge};
 use stackpost_mesh::LinkId;
-use stackpost_types::{BackEndName, Timestamp};
+use stackpost_types::{BackEndName, Millis, Timestamp};
 use std::collections::BTreeSet;
 
 /// Engines of one message that come and get a line each; a router that starts hears of all engines at once.
@@ -24,12 +24,27 @@
             if notice.state == EngineState::Ready {
                 arrivals.push(notice);
             } else if before != Some(notice.state) {
-                self.on_departure(now, link, &notice);
+                let (state, sequence) = (notice.state, notice.sequence);
+                let word = DepartureWord { engine: notice.engine, state, sequence };
+                self.on_departure(now, link, &word, Some(notice.age));
             }
         }
         self.log_arrivals(link, &arrivals);
     }
 
+    /// Takes in what the control replicas have written down of engines' ends, and confirms it.
+    pub(super) fn on_departures(&self, link: LinkId, news: &DepartureNews) {
+        let now = self.router.now();
+        for word in &news.words {
+            let has_changed = self.router.directory.borrow_mut().depart(now, word);
+            if has_changed && word.state != EngineState::Ready {
+                self.on_departure(now, link, word, None);
+            }
+        }
+        self.router.on_departures_told(news);
+        self.send_sign(link);
+    }
+
     fn state_of(&self, engine: &BackEndName) -> Option<EngineState> {
         self.router.directory.borrow().get(engine).map(|record| record.notice.state)
     }
@@ -42,16 +57,26 @@
         }
     }
 
-    /// An engine takes no more work. Says how late this router hears of it, and what it sent there meanwhile.
-    fn on_departure(&self, now: Timestamp, link: LinkId, notice: &EngineNotice) {
-        let left_at = Timestamp(now.0.saturating_sub(notice.age.0));
-        let sent_since = self.router.picker.borrow().sent_since(&notice.engine, left_at);
-        self.router.metrics.on_departure(notice.age, sent_since);
+    /// An engine takes no more work. Says how late this router hears of it, and what it sent there meanwhile, if `age`
+    /// tells when the engine said so.
+    fn on_departure(
+        &self,
+        now: Timestamp,
+        link: LinkId,
+        word: &DepartureWord,
+        age: Option<Millis>,
+    ) {
+        let sent_since = age.map(|age| {
+            let left_at = Timestamp(now.0.saturating_sub(age.0));
+            let sent_since = self.router.picker.borrow().sent_since(&word.engine, left_at);
+            self.router.metrics.on_departure(age, sent_since);
+            sent_since
+        });
         log::info!(
-            engine = notice.engine.as_str(),
-            state = notice.state.as_str(),
-            sequence = notice.sequence,
-            age_ms = notice.age.0,
+            engine = word.engine.as_str(),
+            state = word.state.as_str(),
+            sequence = word.sequence,
+            age_ms = age.map(|age| age.0),
             sent_since = sent_since,
             peer = self.name_of(link).as_str();
             "engine goes"
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -11,8 +11,8 @@
 use stackpost_clock::{BootInstant, MachineClock};
 use stackpost_coordinator::{Document, DocumentCodec, DocumentDelta};
 use stackpost_gateway_core::{
-    CrashMemory, EngineDirectory, EnginePicker, EngineState, LoadShedding, Placement, RetryBudget,
-    RetryLimits, RouteTable, ServiceOutlook,
+    CrashMemory, DepartureNews, EngineDirectory, EnginePicker, EngineState, LoadShedding,
+    Placement, RetryBudget, RetryLimits, RouteTable, ServiceOutlook,
 };
 use stackpost_prepaid::{Demand, Outlook, Wallet};
 use stackpost_telemetry::{LineLimit, Meter};
@@ -79,6 +79,8 @@
     pub(crate) shedding: RefCell<LoadShedding>,
     refused_wishes: LineLimit,
     document: RefCell<Option<Document>>,
+    /// Revision of the engines' departures that this router has been told of whole.
+    departures_known: Cell<u64>,
     table: RefCell<Option<Rc<RouteTable>>>,
     confirmed: Cell<bool>,
     leader_heard_at: Cell<Option<Timestamp>>,
@@ -117,6 +119,7 @@
             shedding: RefCell::default(),
             refused_wishes: LineLimit::default(),
             document: RefCell::default(),
+            departures_known: Cell::new(0),
             table: RefCell::default(),
             confirmed: Cell::new(false),
             leader_heard_at: Cell::new(None),
@@ -297,14 +300,29 @@
         }
     }
 
-    /// Takes in that the leader has spoken and which configuration is in force.
-    pub(crate) fn on_leader_heard(&self, document_version: u64) {
+    /// Revision of the engines' departures that this router has been told of whole; zero if none.
+    pub(crate) fn departures_known(&self) -> u64 {
+        self.departures_known.get()
+    }
+
+    /// Takes in which departures have been told. What does not build on what is known leaves a gap, and is told again.
+    pub(crate) fn on_departures_told(&self, news: &DepartureNews) {
+        let known = self.departures_known.get();
+        if news.base <= known {
+            self.departures_known.set(known.max(news.revision));
+        }
+    }
+
+    /// Takes in that the leader has spoken, which configuration is in force and which departures are written down.
+    pub(crate) fn on_leader_heard(&self, document_version: u64, departures: u64) {
         if !self.in_touch() {
             log::info!(version = document_version; "in touch with the leader");
         }
         self.leader_heard_at.set(Some(self.now()));
         self.wallet.borrow_mut().on_contact(self.now());
-        if document_version > 0 && self.document_version() >= document_version {
+        let knows_departures = self.departures_known.get() >= departures;
+        let knows_document = document_version > 0 && self.document_version() >= document_version;
+        if knows_document && knows_departures {
             self.confirmed.set(true);
         }
     }
--- a/crates/gateway/tests/fleet/crashing_requests.rs
+++ b/crates/gateway/tests/fleet/crashing_requests.rs
@@ -61,12 +61,14 @@
             .into_iter()
             .partition::<Vec<_>, _>(|engine| engine.has_crashed.get());
         self.engines.replace(running);
-        ended.iter().for_each(|engine| self.fleet.control.engine_left(engine.name.id(), None));
+        for engine in &ended {
+            self.fleet.leave(engine.name.id()).await;
+        }
         self.all_known().await;
         for _ in ended {
             self.started.set(self.started.get() + 1);
             let engine = Engine::start(&format!("e{}", self.started.get())).await;
-            self.fleet.announce(&engine, 1, EngineState::Ready);
+            self.fleet.announce(&engine, 1, EngineState::Ready).await;
             self.engines.borrow_mut().push(engine);
         }
         self.all_known().await;
--- a/crates/gateway/tests/fleet/departure_lines.rs
+++ b/crates/gateway/tests/fleet/departure_lines.rs
@@ -12,10 +12,10 @@
     play(async {
         let fleet = Fleet::start().await;
         let engine = Engine::start(ENGINE).await;
-        fleet.announce(&engine, 7, EngineState::Ready);
+        fleet.announce(&engine, 7, EngineState::Ready).await;
         wait_until(|| !lines_with("engine comes", "engine", &[ENGINE]).is_empty()).await;
-        fleet.announce(&engine, 9, EngineState::Draining);
-        fleet.announce(&engine, 8, EngineState::Draining);
+        fleet.announce(&engine, 9, EngineState::Draining).await;
+        fleet.announce(&engine, 8, EngineState::Draining).await;
         wait_until(|| !lines_with("engine goes", "engine", &[ENGINE]).is_empty()).await;
     });
     let went = &lines_with("engine goes", "engine", &[ENGINE])[0];
--- a/crates/gateway/tests/fleet/innocent_requests.rs
+++ b/crates/gateway/tests/fleet/innocent_requests.rs
@@ -33,7 +33,7 @@
         let mut all = fleet.engines.to_vec();
         for number in 0..MORE_ENGINES {
             let engine = Engine::start(&format!("e{}", 3 + number)).await;
-            fleet.announce(&engine, 1, EngineState::Ready);
+            fleet.announce(&engine, 1, EngineState::Ready).await;
             all.push(engine);
         }
         wait_until(|| fleet.router.known_engines() == all.len()).await;
@@ -44,7 +44,9 @@
     async fn announce(&self, fleet: &Fleet) {
         for sequence in 2.. {
             tokio::time::sleep(HEARTBEAT).await;
-            self.all.iter().for_each(|one| fleet.announce(one, sequence, EngineState::Ready));
+            for engine in &self.all {
+                fleet.announce(engine, sequence, EngineState::Ready).await;
+            }
         }
     }
 }
--- a/crates/gateway/tests/fleet/main.rs
+++ b/crates/gateway/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod control_figures;
 mod crashing_requests;
 mod departure_lines;
+mod departures;
 mod innocent_requests;
 mod load_exchange;
 mod rate_lines;
--- a/crates/gateway/tests/fleet/requests.rs
+++ b/crates/gateway/tests/fleet/requests.rs
@@ -1,7 +1,7 @@
 //! Requests through a router on real sockets.
 
 use crate::support::*;
-use stackpost_coordinator::{NotAnEngine, PutReply};
+use stackpost_coordinator::{AnnouncementError, PutReply};
 use stackpost_gateway_core::{EngineNotice, EngineState};
 use stackpost_types::BackEndName;
 use std::time::Duration;
@@ -101,7 +101,7 @@
     play(async {
         let fleet = Fleet::start().await;
         let engine = fleet.engines[0].clone();
-        fleet.control.engine_left(fleet.engines[1].name.id(), None);
+        fleet.leave(fleet.engines[1].name.id()).await;
         wait_until(|| fleet.router.known_engines() == 1).await;
         engine.behaviour.set(Behaviour::Pause);
         let restart = async {
@@ -109,15 +109,17 @@
             engine.behaviour.set(Behaviour::Answer);
             let next = BackEndName::of_life(engine.name.id(), Some(7));
             let notice = fleet.notice(&engine, 1, EngineState::Ready);
-            fleet.control.announce(EngineNotice { engine: next, ..notice }).expect("an engine");
+            let next = EngineNotice { engine: next, ..notice };
+            fleet.control.announce(next).await.expect("an engine");
             // What control says later has come once the router knows this one and has forgotten it again.
             let other = fleet.notice(&fleet.engines[1], 1, EngineState::Ready);
             fleet
                 .control
                 .announce(EngineNotice { engine: "e3".into(), ..other })
+                .await
                 .expect("an engine");
             wait_until(|| fleet.router.known_engines() == 2).await;
-            fleet.control.engine_left("e3", None);
+            fleet.leave("e3").await;
             wait_until(|| fleet.router.known_engines() == 1).await;
             engine.restart();
         };
@@ -192,10 +194,10 @@
         let other_service = EngineNotice { service: "others".into(), ..genuine.clone() };
         let other_engine = EngineNotice { engine: "foreign".into(), ..other_service.clone() };
         for notice in [other_service, other_engine] {
-            let refused = fleet.control.announce(notice);
-            assert_eq!(refused, Err(NotAnEngine::UnknownService));
+            let refused = fleet.control.announce(notice).await;
+            assert_eq!(refused, Err(AnnouncementError::UnknownService));
         }
-        assert_eq!(fleet.control.announce(genuine), Ok(()));
+        assert_eq!(fleet.control.announce(genuine).await, Ok(()));
         for number in 0..6 {
             assert_eq!(fleet.ask("/once/1", &format!("f{number}")).await.status, 200);
         }
@@ -207,7 +209,7 @@
 fn an_engine_that_drains_gets_nothing_new() {
     play(async {
         let fleet = Fleet::start().await;
-        fleet.announce(&fleet.engines[0], 2, EngineState::Draining);
+        fleet.announce(&fleet.engines[0], 2, EngineState::Draining).await;
         wait_until(|| fleet.router.known_engines() == 1).await;
         for number in 0..6 {
             assert_eq!(fleet.ask("/once/1", &format!("d{number}")).await.status, 200);
--- a/crates/gateway/tests/fleet/rests.rs
+++ b/crates/gateway/tests/fleet/rests.rs
@@ -83,11 +83,9 @@
         }
         for number in 0..20 {
             // It goes on saying that it is ready, as one whose announcements are held up does.
-            fleet.announce(
-                &fleet.engines[0],
-                2 + number,
-                stackpost_gateway_core::EngineState::Ready,
-            );
+            fleet
+                .announce(&fleet.engines[0], 2 + number, stackpost_gateway_core::EngineState::Ready)
+                .await;
             fleet.ask("/once/1", &format!("after-{number}")).await;
         }
         assert_eq!(fleet.engines[0].runs.borrow().len(), 1);
@@ -173,7 +171,7 @@
 fn a_stream_under_way_at_an_engine_that_leaves_goes_on_to_its_end() {
     play(async {
         let fleet = Fleet::start().await;
-        fleet.control.engine_left(fleet.engines[1].name.id(), None);
+        fleet.leave(fleet.engines[1].name.id()).await;
         wait_until(|| fleet.router.known_engines() == 1).await;
         fleet.engines[0].leaves.set(true);
         let got = fleet.ask("/plain-stream/1", "stream").await;
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -56,7 +56,7 @@
 
 impl EntryMachine {
     /// Starts a router that looks for control at `control`.
-    async fn start(control: SocketAddr) -> Self {
+    pub async fn start(control: SocketAddr) -> Self {
         let clock = MachineClock::default();
         let router = router_at(clock.clone());
         let own = peer(PeerRole::Router, "router", free_address());
@@ -78,6 +78,48 @@
     }
 }
 
+/// A control process.
+pub struct ControlMachine {
+    pub control: ControlNode,
+    /// Where it accepts connections of the fleet.
+    pub address: SocketAddr,
+    /// What it tells of itself.
+    pub figures: MetricsRegistry,
+    pub folder: tempfile::TempDir,
+}
+
+impl ControlMachine {
+    /// Starts a control process of a new group, which votes together with `others`.
+    pub async fn start(others: &[&str]) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let address = free_address();
+        let name = MachineName::new(IpAddr::from(Ipv4Addr::LOCALHOST).to_string());
+        let others = others.iter().map(|other| MachineName::new(*other));
+        let config = ReplicaConfig {
+            name: name.clone(),
+            founders: Some(std::iter::once(name.clone()).chain(others).collect()),
+            fresh_identity: 5,
+            election_timeout: Millis(300),
+            heartbeat_interval: Millis(50),
+            lease_margin: Millis(50),
+            voters_wanted: 1,
+            zone: ZoneName::new("one"),
+            zones: 1,
+            seed: 1,
+            codec: Arc::new(TestDocuments),
+        };
+        let figures = MetricsRegistry::new().expect("a registry");
+        let metrics = ControlMetrics::new(&figures.meter());
+        let (replica, effects) =
+            ReplicaThread::start(config, folder.path(), metrics.clone()).expect("started");
+        let settings = ControlSettings { mesh_address: address, seeds: vec![address] };
+        let own = peer(PeerRole::Control, name.as_str(), address);
+        let control =
+            ControlNode::start(own, settings, replica, effects, metrics).await.expect("started");
+        Self { control, address, figures, folder }
+    }
+}
+
 /// The fleet.
 pub struct Fleet {
     pub router: Rc<Router>,
@@ -148,30 +190,8 @@
 impl Fleet {
     /// Starts everything and waits until the router is ready.
     pub async fn start() -> Self {
-        let folder = tempfile::tempdir().expect("a folder");
-        let mesh = free_address();
-        let name = MachineName::new(IpAddr::from(Ipv4Addr::LOCALHOST).to_string());
-        let config = ReplicaConfig {
-            name: name.clone(),
-            founders: Some(vec![name.clone()]),
-            fresh_identity: 5,
-            election_timeout: Millis(300),
-            heartbeat_interval: Millis(50),
-            lease_margin: Millis(50),
-            voters_wanted: 1,
-            zone: ZoneName::new("one"),
-            zones: 1,
-            seed: 1,
-            codec: Arc::new(TestDocuments),
-        };
-        let control_figures = MetricsRegistry::new().expect("a registry");
-        let metrics = ControlMetrics::new(&control_figures.meter());
-        let (replica, effects) =
-            ReplicaThread::start(config, folder.path(), metrics.clone()).expect("started");
-        let settings = ControlSettings { mesh_address: mesh, seeds: vec![mesh] };
-        let own = peer(PeerRole::Control, name.as_str(), mesh);
-        let control =
-            ControlNode::start(own, settings, replica, effects, metrics).await.expect("started");
+        let ControlMachine { control, address: mesh, figures: control_figures, folder } =
+            ControlMachine::start(&[]).await;
         let EntryMachine { router, link, server, callers, clock } = EntryMachine::start(mesh).await;
         let engines = [Engine::start("e1").await, Engine::start("e2").await];
         let control_address = mesh;
@@ -196,7 +216,7 @@
             tokio::time::sleep(LOOK).await;
         }
         for engine in &self.engines {
-            self.announce(engine, 1, EngineState::Ready);
+            self.announce(engine, 1, EngineState::Ready).await;
         }
         let router = self.router.clone();
         wait_until(|| router.is_ready() && router.in_touch()).await;
@@ -204,22 +224,18 @@
         wait_until(|| self.router.known_engines() == self.engines.len()).await;
     }
 
-    pub fn announce(&self, engine: &Engine, sequence: u64, state: EngineState) {
-        self.control.announce(self.notice(engine, sequence, state)).expect("an engine");
+    pub async fn announce(&self, engine: &Engine, sequence: u64, state: EngineState) {
+        self.control.announce(self.notice(engine, sequence, state)).await.expect("taken");
+    }
+
+    /// An engine leaves, and hears that this is known.
+    pub async fn leave(&self, id: &str) {
+        self.control.engine_left(id, None).await.expect("acknowledged");
     }
 
     /// What an engine says of itself.
     pub fn notice(&self, engine: &Engine, sequence: u64, state: EngineState) -> EngineNotice {
-        EngineNotice {
-            engine: engine.name.clone(),
-            sequence,
-            service: "engines".into(),
-            address: engine.address,
-            zone: "hall".into(),
-            slots: 8,
-            state,
-            age: Millis(0),
-        }
+        notice_of(engine, sequence, state)
     }
 
     pub fn behave(&self, first: Behaviour, second: Behaviour) {
@@ -252,6 +268,20 @@
     }
 }
 
+/// What an engine says of itself.
+pub fn notice_of(engine: &Engine, sequence: u64, state: EngineState) -> EngineNotice {
+    EngineNotice {
+        engine: engine.name.clone(),
+        sequence,
+        service: "engines".into(),
+        address: engine.address,
+        zone: "hall".into(),
+        slots: 8,
+        state,
+        age: Millis(0),
+    }
+}
+
 /// Asks the router that takes callers at `callers`, over a connection of its own.
 pub async fn ask_as_caller(callers: SocketAddr, path: &str, id: &str) -> Got {
     ask_at(callers, path, &[("id", id), ("key", KEY)]).await
