--- a/crates/gateway-core/src/directory.rs
+++ b/crates/gateway-core/src/directory.rs
@@ -336,6 +336,11 @@
         })
     }
 
+    /// Whether an engine says that it takes work.
+    pub fn takes_work(&self, engine: &BackEndName) -> bool {
+        self.get(engine).is_some_and(|record| record.notice.state == EngineState::Ready)
+    }
+
     /// One engine.
     pub fn get(&self, engine: &BackEndName) -> Option<&EngineRecord> {
         self.engines.get(engine)
--- a/crates/gateway-core/src/picker.rs
+++ b/crates/gateway-core/src/picker.rs
@@ -234,9 +234,16 @@
         self.hold_off.on_taken(engine, sent_at);
     }
 
-    /// Whether an engine has asked for nothing that speaks against a request that was chosen for it.
-    pub fn may_send(&self, now: Timestamp, engine: &BackEndName) -> bool {
-        !self.hold_off.is_resting(now, engine) && !self.hold_off.is_leaving(engine)
+    /// Whether a request that was chosen for an engine may still be sent: the engine has not left since, nor asked for rest.
+    pub fn may_send(
+        &self,
+        now: Timestamp,
+        directory: &EngineDirectory,
+        engine: &BackEndName,
+    ) -> bool {
+        directory.takes_work(engine)
+            && !self.hold_off.is_resting(now, engine)
+            && !self.hold_off.is_leaving(engine)
     }
 
     /// Whether an engine may be asked now, as far as it has said itself.
--- a/crates/gateway-core/tests/engines.rs
+++ b/crates/gateway-core/tests/engines.rs
@@ -152,6 +152,24 @@
     assert_eq!(pick(&picker, now, &directory, None, &["e2".into()]), None);
 }
 
+#[test]
+fn a_request_that_waited_is_not_sent_to_an_engine_that_has_left_since() {
+    let now = Timestamp(1_000);
+    let picker = EnginePicker::new("jetty".into());
+    let leaves = [
+        DepartureWord { engine: "e1".into(), state: EngineState::Gone, sequence: 0 },
+        DepartureWord { engine: "e1".into(), state: EngineState::Draining, sequence: 2 },
+    ];
+    for word in leaves {
+        let mut directory = directory(now, &["e1"]);
+        assert_eq!(pick(&picker, now, &directory, None, &[]).as_deref(), Some("e1"));
+        assert!(picker.may_send(now, &directory, &"e1".into()));
+        directory.depart(now, &word);
+        assert!(!picker.may_send(now, &directory, &"e1".into()), "{word:?}");
+    }
+    assert!(!picker.may_send(now, &directory(now, &[]), &"e1".into()), "it is forgotten");
+}
+
 #[test]
 fn a_subject_keeps_its_engine_until_that_is_overloaded() {
     let now = Timestamp(1_000);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -191,9 +191,9 @@
     if !connection.reused {
         router.congestion.on_connected(Instant::now().into_std(), begun.elapsed());
     }
-    // While the connection came up, the engine may have asked another request's answer for rest.
+    // While the request waited for a permit or a connection, the engine may have left, or asked for rest in another answer.
     if !router.may_send(hold.name()) {
-        log_end(payload, &hold, "connect", "the engine has asked for rest meanwhile");
+        log_end(payload, &hold, "connect", "the engine takes no more work meanwhile");
         hold.finish(AttemptEnd::Abandoned, None);
         return AttemptResult::Unreachable;
     }
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -220,9 +220,9 @@
         }
     }
 
-    /// Whether an engine has asked for nothing that speaks against sending it a request now.
+    /// Whether a request that was chosen for an engine may be sent to it now.
     pub(crate) fn may_send(&self, engine: &BackEndName) -> bool {
-        self.picker.borrow().may_send(self.now(), engine)
+        self.picker.borrow().may_send(self.now(), &self.directory.borrow(), engine)
     }
 
     /// What a request for a service can expect.
