A process that has just started knows how long others have known an engine's life

By reading, looking for departures that are acknowledged and end nothing: a leave that names no life is the former life's while the newest has been known for less than five seconds. That reckoning began anew with each process, and lives were told without it, so a control process that had just started took a leave for the former life's, answered 200, and the engine went on being used. Ages that reach back to before a process's start were cut off at its clock's zero as well. No run of real processes has hit it: engines of the deployments at hand have a new id in each life.

--- a/crates/bench/src/rates.rs
+++ b/crates/bench/src/rates.rs
@@ -89,6 +89,7 @@
         slots: 64,
         state: EngineState::Ready,
         age: Millis(0),
+        known_for: Millis(0),
     };
     directory.merge(Timestamp(1), notice);
     directory.get(&name).expect("it was announced").clone()
--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -11,7 +11,7 @@
 use stackpost_clock::BootInstant;
 use stackpost_gateway_core::{EngineDirectory, EngineNotice, EngineState};
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
-use stackpost_types::{MachineName, NodeId, Timestamp};
+use stackpost_types::{MachineName, Millis, NodeId, Timestamp};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -133,7 +133,7 @@
     }
 
     pub(crate) fn now(&self) -> Timestamp {
-        Timestamp(self.started.elapsed().as_millis() as u64 + 1_000)
+        Timestamp::PROCESS_START + Millis(self.started.elapsed().as_millis() as u64)
     }
 
     fn add_control_peer(&self, address: SocketAddr) {
@@ -371,10 +371,7 @@
         let refreshed: Vec<EngineNotice> = std::mem::take(&mut state.refreshed)
             .iter()
             .filter_map(|engine| state.directory.get(engine))
-            .map(|record| EngineNotice {
-                age: now.since(record.announced_at),
-                ..record.notice.clone()
-            })
+            .map(|record| record.to_notice(now))
             .collect();
         if !refreshed.is_empty() {
             let message = FleetMessage::Engines(refreshed);
--- a/crates/gateway-core/src/directory.rs
+++ b/crates/gateway-core/src/directory.rs
@@ -77,6 +77,8 @@
     pub state: EngineState,
     /// Time since it was announced, by the clock of whoever passes it on.
     pub age: Millis,
+    /// Time since this life was first heard of, by the clock of whoever passes it on; zero from the engine itself.
+    pub known_for: Millis,
 }
 
 /// An engine as this process knows it.
@@ -88,7 +90,7 @@
     pub announced_at: Timestamp,
     /// When the announcement before that was made; zero if there was none.
     announced_before: Timestamp,
-    /// When this process first heard of this life, by its own clock.
+    /// When the first process heard of this life, as far as is known here, by this process's clock.
     known_since: Timestamp,
     /// Set if it is taken for gone because another engine was announced at its address.
     replaced: Option<Replaced>,
@@ -99,6 +101,15 @@
         self.notice.state == EngineState::Gone && self.replaced.is_none()
     }
 
+    /// The newest announcement as a notice of the present moment.
+    pub fn to_notice(&self, now: Timestamp) -> EngineNotice {
+        EngineNotice {
+            age: now.since(self.announced_at),
+            known_for: now.since(self.known_since),
+            ..self.notice.clone()
+        }
+    }
+
     /// Whether no more is known of the engine than its name and that it leaves.
     pub fn is_name_only(&self) -> bool {
         self.notice.address.ip().is_unspecified()
@@ -196,7 +207,8 @@
 
     fn insert(&mut self, now: Timestamp, notice: EngineNotice, announced_at: Timestamp) {
         let known = self.engines.get(&notice.engine);
-        let known_since = known.map_or(now, |known| known.known_since);
+        let told_since = Timestamp(now.0.saturating_sub(notice.known_for.0));
+        let known_since = known.map_or(told_since, |known| known.known_since.min(told_since));
         let announced_before = known.map_or(Timestamp(0), |known| known.announced_at);
         let record =
             EngineRecord { notice, announced_at, announced_before, known_since, replaced: None };
@@ -358,14 +370,7 @@
             let is_whole = !record.is_name_only() || record.notice.state == EngineState::Gone;
             record.replaced.is_none() && is_whole
         };
-        self.engines
-            .values()
-            .filter(is_notice)
-            .map(|record| EngineNotice {
-                age: now.since(record.announced_at),
-                ..record.notice.clone()
-            })
-            .collect()
+        self.engines.values().filter(is_notice).map(|record| record.to_notice(now)).collect()
     }
 
     /// Engines that should be announcing themselves and have not of late.
@@ -420,5 +425,6 @@
         slots: 0,
         state: EngineState::Gone,
         age: Millis(0),
+        known_for: Millis(0),
     }
 }
--- a/crates/gateway-core/tests/engine_lives.rs
+++ b/crates/gateway-core/tests/engine_lives.rs
@@ -22,6 +22,7 @@
         slots: 64,
         state,
         age: Millis(0),
+        known_for: Millis(0),
     }
 }
 
@@ -103,6 +104,20 @@
     assert_eq!(unknown, BackEndName::of_life("e7", None));
 }
 
+/// A process that has just started knows lives from others, which have known them for long.
+#[test]
+fn a_leave_told_to_a_process_that_has_just_started_ends_the_life_that_leaves() {
+    let mut directory = EngineDirectory::default();
+    directory.merge(NOW, notice(1, 90, EngineState::Ready));
+    directory.merge(NOW + Millis(3_000), notice(2, 1, EngineState::Ready));
+    let later = NOW + Millis(60_000);
+    let mut newcomer = EngineDirectory::default();
+    for told in directory.notices(later) {
+        newcomer.merge(Timestamp::PROCESS_START, told);
+    }
+    assert_eq!(newcomer.life_that_leaves(Timestamp::PROCESS_START + Millis(50), ID), life(2));
+}
+
 #[test]
 fn two_announcements_show_that_an_engine_has_run_on() {
     let mut directory = EngineDirectory::default();
--- a/crates/gateway-core/tests/engine_permits.rs
+++ b/crates/gateway-core/tests/engine_permits.rs
@@ -32,6 +32,7 @@
             slots: 4,
             state: EngineState::Ready,
             age: Millis(0),
+            known_for: Millis(0),
         },
     );
     directory.get(&name).expect("it is known").clone()
--- a/crates/gateway-core/tests/engines.rs
+++ b/crates/gateway-core/tests/engines.rs
@@ -13,6 +13,7 @@
         slots: 64,
         state,
         age: Millis(0),
+        known_for: Millis(0),
     }
 }
 
--- a/crates/gateway-core/tests/hold_off.rs
+++ b/crates/gateway-core/tests/hold_off.rs
@@ -24,6 +24,7 @@
             slots: 1,
             state: EngineState::Ready,
             age: Millis(0),
+            known_for: Millis(0),
         },
     );
 }
--- a/crates/gateway-core/tests/placement.rs
+++ b/crates/gateway-core/tests/placement.rs
@@ -17,6 +17,7 @@
             slots: 64,
             state: EngineState::Ready,
             age: Millis(0),
+            known_for: Millis(0),
         };
         directory.merge(START, notice);
     }
--- a/crates/gateway-core/tests/slot_shares.rs
+++ b/crates/gateway-core/tests/slot_shares.rs
@@ -23,6 +23,7 @@
             slots,
             state: EngineState::Ready,
             age: Millis(0),
+            known_for: Millis(0),
         },
     );
     directory.get(&name).expect("it is known").clone()
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -130,9 +130,9 @@
         })
     }
 
-    /// The router's clock, which goes on while the machine is suspended. Zero stands for "never", so it starts a little later.
+    /// The router's clock, which goes on while the machine is suspended.
     pub fn now(&self) -> Timestamp {
-        Timestamp(self.clock.since(self.started).as_millis() as u64 + 1_000)
+        Timestamp::PROCESS_START + Millis(self.clock.since(self.started).as_millis() as u64)
     }
 
     /// Whether the platform should send callers here.
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -279,6 +279,7 @@
         slots: 8,
         state,
         age: Millis(0),
+        known_for: Millis(0),
     }
 }
 
--- a/crates/types/src/quantities.rs
+++ b/crates/types/src/quantities.rs
@@ -91,6 +91,10 @@
 pub struct Timestamp(pub u64);
 
 impl Timestamp {
+    /// What a process's clock shows at its start. Far from zero, which stands for "never", since ages that other
+    /// processes tell reach back to before the start.
+    pub const PROCESS_START: Self = Self(86_400_000);
+
     /// Time passed since `earlier`; zero if `earlier` is later.
     pub fn since(self, earlier: Self) -> Millis {
         Millis(self.0.saturating_sub(earlier.0))
