Tell routers again what they have not confirmed of engines, silence and one another

A router that missed a change kept the old state until its connection broke.

Change: each of them has a version per control process, as the configuration and departures have; routers say with their status how far they are, and what is not confirmed within 0.6 s is told again, from what is confirmed on. Messages are encoded once for all routers that build on the same version.

Test a_router_whose_queue_overflowed_is_told_again_what_it_missed: 1,300 engines announced in one step, 1,024 messages fit the queue.

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -7,7 +7,7 @@
 use crate::message::{ControlStatus, FleetMessage, RouterStatus};
 use crate::replica_api::{PutReply, ReadReply, ReplicaEffect, ReplicaEvent};
 use crate::replica_thread::{ReplicaHandle, ReplicaView};
-use crate::router_peers::{RouterSite, peers_of};
+use crate::router_news::{RouterList, SilentList};
 use stackpost_clock::BootInstant;
 use stackpost_gateway_core::{EngineDirectory, EngineNotice, EngineState};
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
@@ -61,7 +61,7 @@
         mesh.listen(settings.mesh_address).await?;
         let state = ControlState {
             directory: EngineDirectory::default(),
-            silent: BTreeSet::new(),
+            silent: SilentList::default(),
             departures_taken: 0,
             unwritten: UnwrittenWords::default(),
             refreshed: BTreeSet::new(),
@@ -73,7 +73,7 @@
             reads: HashMap::new(),
             packed: None,
             next_token: 1,
-            routers_changed: false,
+            routers: RouterList::default(),
         };
         let node = Self {
             mesh,
@@ -183,11 +183,11 @@
         log::info!(peer = peer.node.to_string().as_str(); "connected");
         let role = peer.role;
         self.state.borrow_mut().links.up(self.now(), link, peer);
-        let notices = self.state.borrow().directory.notices(self.now());
-        self.mesh.send(link, &FleetMessage::Engines(notices));
-        if role == PeerRole::Router {
-            let silent = self.state.borrow().silent.clone();
-            self.mesh.send(link, &FleetMessage::SilentEngines(silent));
+        if role == PeerRole::Control {
+            let notices = self.state.borrow().directory.notices(self.now());
+            self.mesh.send(link, &FleetMessage::Engines(notices));
+        } else {
+            self.tell_router(link, false);
             // Before the status: a router that has heard a leader lets callers in.
             let notice = self.replica.view().quarantine.notice();
             self.mesh.send(link, &FleetMessage::Quarantined(notice));
@@ -195,7 +195,7 @@
         self.mesh.send(link, &FleetMessage::ControlStatus(self.status()));
         match role {
             PeerRole::Control => self.tell_control_peers(),
-            PeerRole::Router => self.state.borrow_mut().routers_changed = true,
+            PeerRole::Router => self.state.borrow_mut().routers.is_outdated = true,
         }
     }
 
@@ -222,9 +222,9 @@
             }
             FleetMessage::Document(_)
             | FleetMessage::DocumentDelta(_)
-            | FleetMessage::RouterPeers(_)
-            | FleetMessage::Routers(_)
-            | FleetMessage::SilentEngines(_)
+            | FleetMessage::EngineChanges(_)
+            | FleetMessage::Routers { .. }
+            | FleetMessage::SilentEngines { .. }
             | FleetMessage::Borrow { .. }
             | FleetMessage::BorrowReply { .. }
             | FleetMessage::SettleLoan { .. }
@@ -240,36 +240,12 @@
 
     fn on_router_status(&self, link: LinkId, router: NodeId, status: RouterStatus) {
         if let Some(entry) = self.state.borrow_mut().links.get_mut(link) {
-            entry.document.confirm(status.document_version);
-            entry.departures.confirm(status.departures_known);
-        }
-        let view = self.replica.view();
-        if view.leads() || status.accepts_unconfirmed {
-            self.send_document(link, &view);
-            self.send_departures(link, &view);
+            entry.told.confirm(&status.versions);
         }
+        self.tell_router(link, status.accepts_unconfirmed);
         self.replica.send(ReplicaEvent::RouterReport { router, status });
     }
 
-    /// Sends the configuration to a router that does not have it.
-    fn send_document(&self, link: LinkId, view: &ReplicaView) {
-        let Some(document) = &view.document else {
-            return;
-        };
-        let now = self.now();
-        let mut state = self.state.borrow_mut();
-        let Some(entry) = state.links.get_mut(link) else {
-            return;
-        };
-        let Some(base) = entry.document.send(now, document.version) else {
-            return;
-        };
-        match state.delta(base, document) {
-            Some(delta) => self.mesh.send(link, &FleetMessage::DocumentDelta(delta)),
-            None => self.mesh.send(link, &FleetMessage::Document(state.packed(document))),
-        }
-    }
-
     fn on_effect(&self, effect: ReplicaEffect) {
         match effect {
             ReplicaEffect::SendRaft(machine, envelope) => {
@@ -317,12 +293,8 @@
             self.state.borrow_mut().remember_document(document);
         }
         log::info!(version = version, leads = view.leads(); "configuration in force");
-        if !view.leads() {
-            return;
-        }
-        let routers = self.state.borrow().links.one_each(self.now(), PeerRole::Router);
-        for link in routers {
-            self.send_document(link, &view);
+        if view.leads() {
+            self.tell_document();
         }
     }
 
@@ -342,7 +314,7 @@
             control_peers: state.links.count_machines(PeerRole::Control),
             engines_ready: in_state(EngineState::Ready),
             engines_draining: in_state(EngineState::Draining),
-            engines_silent: state.silent.len(),
+            engines_silent: state.silent.engines.len(),
             suspected: view.quarantine.suspects().count() - quarantined,
             quarantined,
         }
@@ -359,11 +331,13 @@
     }
 
     fn on_tick(&self) {
-        self.tell_router_peers();
+        self.tell_router_list();
         // Told again and again: a replica that had to open its data folder anew knows of nobody.
         self.tell_control_peers();
         self.take_over_departures();
         self.push_unwritten();
+        self.give_up_silent_engines();
+        self.tell_silent();
         let now = self.now();
         let status = FleetMessage::ControlStatus(self.status());
         let state = &mut *self.state.borrow_mut();
@@ -377,18 +351,6 @@
             let message = FleetMessage::Engines(refreshed);
             self.mesh.send_all(state.links.one_each(now, PeerRole::Control), &message);
         }
-        let silent = state.directory.silent_engines(now);
-        if silent != state.silent {
-            state.silent = silent;
-            let message = FleetMessage::SilentEngines(state.silent.clone());
-            self.mesh.send_all(state.links.one_each(now, PeerRole::Router), &message);
-        }
-        let given_up = state.directory.given_up(now);
-        let notices: Vec<EngineNotice> =
-            given_up.iter().map(|engine| state.directory.leave(now, engine)).collect();
-        if !notices.is_empty() {
-            self.mesh.send_all(state.links.one_to_everyone(now), &FleetMessage::Engines(notices));
-        }
         state.directory.forget_old(now);
     }
 
@@ -410,22 +372,6 @@
         self.replica.send(ReplicaEvent::ControlPeers(peers));
     }
 
-    /// Tells every router of a few others, which it may need when it can't reach control.
-    fn tell_router_peers(&self) {
-        let state = &mut *self.state.borrow_mut();
-        if !std::mem::take(&mut state.routers_changed) {
-            return;
-        }
-        let routers = state.router_sites();
-        let sites: Vec<RouterSite> = routers.keys().cloned().collect();
-        for (site, link) in &routers {
-            let peers = peers_of(&sites, site);
-            self.mesh.send(*link, &FleetMessage::RouterPeers(peers));
-        }
-        let all = sites.iter().map(|site| site.address).collect();
-        self.mesh.send_all(routers.into_values(), &FleetMessage::Routers(all));
-    }
-
     pub(crate) fn send_to_control(&self, machine: &MachineName, message: &FleetMessage) {
         let link = self.state.borrow().links.to_control(self.now(), machine);
         if let Some(link) = link {
--- a/crates/coordinator/src/control_state.rs
+++ b/crates/coordinator/src/control_state.rs
@@ -6,9 +6,10 @@
 use crate::message::Document;
 use crate::packed_document::PackedDocument;
 use crate::replica_api::{PutReply, ReadReply};
+use crate::router_news::{RouterList, SilentList};
 use crate::router_peers::RouterSite;
 use stackpost_gateway_core::EngineDirectory;
-use stackpost_mesh::{LinkId, PeerInfo, PeerRole};
+use stackpost_mesh::{LinkId, PeerRole};
 use stackpost_types::BackEndName;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -20,8 +21,7 @@
 /// What a control process knows.
 pub(crate) struct ControlState {
     pub directory: EngineDirectory,
-    /// Engines that have not been announced of late.
-    pub silent: BTreeSet<BackEndName>,
+    pub silent: SilentList,
     /// Revision of the departures that the directory has taken over.
     pub departures_taken: u64,
     pub unwritten: UnwrittenWords,
@@ -38,8 +38,7 @@
     pub puts: HashMap<u64, oneshot::Sender<PutReply>>,
     pub reads: HashMap<u64, oneshot::Sender<ReadReply>>,
     pub next_token: u64,
-    /// Whether a router has connected since the routers were told of one another.
-    pub routers_changed: bool,
+    pub routers: RouterList,
 }
 
 impl ControlState {
@@ -76,8 +75,7 @@
 
     /// The routers and a connection to each, by zone and address.
     pub fn router_sites(&self) -> BTreeMap<RouterSite, LinkId> {
-        let site =
-            |peer: &PeerInfo| RouterSite { zone: peer.zone.clone(), address: peer.listens_at };
-        self.links.peers(PeerRole::Router).map(|(link, peer)| (site(peer), link)).collect()
+        let routers = self.links.peers(PeerRole::Router).map(|(link, _)| link);
+        routers.filter_map(|link| Some((self.links.site(link)?, link))).collect()
     }
 }
--- a/crates/coordinator/src/departures.rs
+++ b/crates/coordinator/src/departures.rs
@@ -8,7 +8,6 @@
 use crate::replica_api::ReplicaEvent;
 use crate::replica_thread::ReplicaView;
 use stackpost_gateway_core::{DepartureWord, Departures};
-use stackpost_mesh::{LinkId, PeerRole};
 use stackpost_types::{BackEndName, Millis, Timestamp};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -98,23 +97,4 @@
             self.tell_departures();
         }
     }
-
-    /// Tells all routers of departures that they have not confirmed.
-    pub(crate) fn tell_departures(&self) {
-        let view = self.replica.view();
-        let routers = self.state.borrow().links.one_each(self.now(), PeerRole::Router);
-        routers.into_iter().for_each(|link| self.send_departures(link, &view));
-    }
-
-    /// Tells a router of departures that it has not confirmed.
-    pub(crate) fn send_departures(&self, link: LinkId, view: &ReplicaView) {
-        let now = self.now();
-        let mut state = self.state.borrow_mut();
-        let Some(entry) = state.links.get_mut(link) else {
-            return;
-        };
-        if let Some(base) = entry.departures.send(now, view.departures.revision()) {
-            self.mesh.send(link, &FleetMessage::Departures(view.departures.since(base)));
-        }
-    }
 }
--- a/crates/coordinator/src/engine_news.rs
+++ b/crates/coordinator/src/engine_news.rs
@@ -42,6 +42,7 @@
             sequence: notice.sequence,
         };
         self.take_in(notice);
+        self.tell_engines();
         self.acknowledge(word).await
     }
 
@@ -66,7 +67,7 @@
                     "engine announced"
                 );
                 let message = FleetMessage::Engines(vec![notice]);
-                self.mesh.send_all(state.links.one_to_everyone(now), &message);
+                self.mesh.send_all(state.links.one_each(now, PeerRole::Control), &message);
             }
         }
     }
@@ -127,31 +128,37 @@
             };
             let notice = state.directory.leave(now, &engine);
             let message = FleetMessage::Engines(vec![notice.clone()]);
-            self.mesh.send_all(state.links.one_to_everyone(now), &message);
+            self.mesh.send_all(state.links.one_each(now, PeerRole::Control), &message);
             notice
         };
+        self.tell_engines();
         let EngineNotice { engine, state, sequence, .. } = notice;
         self.acknowledge(DepartureWord { engine, state, sequence }).await
     }
 
-    /// Passes on to the routers what another control process says and they may not have heard.
+    /// Takes in what another control process says of engines.
     pub(crate) fn on_engines(&self, notices: Vec<EngineNotice>) {
         let now = self.now();
-        let state = &mut *self.state.borrow_mut();
-        let mut changed = Vec::new();
         for notice in notices {
-            match state.directory.merge(now, notice.clone()) {
-                Merge::Old => {}
-                Merge::Refreshed => self.on_still_announced(&notice.engine),
-                Merge::Changed => changed.push(notice),
+            let engine = notice.engine.clone();
+            let merge = self.state.borrow_mut().directory.merge(now, notice);
+            if merge == Merge::Refreshed {
+                self.on_still_announced(&engine);
             }
         }
-        if !changed.is_empty() {
-            self.mesh.send_all(
-                state.links.one_each(now, PeerRole::Router),
-                &FleetMessage::Engines(changed),
-            );
+        self.tell_engines();
+    }
+
+    /// Takes engines for gone that have not been announced for long.
+    pub(crate) fn give_up_silent_engines(&self) {
+        let now = self.now();
+        {
+            let state = &mut *self.state.borrow_mut();
+            for engine in state.directory.given_up(now) {
+                state.directory.leave(now, &engine);
+            }
         }
+        self.tell_engines();
     }
 
     /// A report may be old: a router that was cut off tells what it saw meanwhile.
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -23,6 +23,7 @@
 mod replica_log;
 mod replica_opening;
 mod replica_thread;
+mod router_news;
 mod router_peers;
 mod state;
 mod told;
@@ -34,13 +35,14 @@
 pub use document_delta::DocumentDelta;
 pub use engine_news::AnnouncementError;
 pub use links::{Link, Links};
-pub use message::{ClockEcho, ControlStatus, Document, FleetMessage, RouterStatus};
+pub use message::{ClockEcho, ControlStatus, Document, FleetMessage, RouterStatus, RouterVersions};
 pub use packed_document::PackedDocument;
 pub use replica::Replica;
 pub use replica_api::{
     PutReply, ReadReply, ReplicaConfig, ReplicaEffect, ReplicaError, ReplicaEvent,
 };
 pub use replica_thread::{ReplicaHandle, ReplicaThread, ReplicaView};
+pub use router_news::RouterTold;
 pub use router_peers::{PEERS_PER_ROUTER, RouterSite, peers_of};
 pub use state::{Command, FleetState, Outcome};
 pub use told::Told;
--- a/crates/coordinator/src/links.rs
+++ b/crates/coordinator/src/links.rs
@@ -5,7 +5,8 @@
 //! be lost goes over one that has been heard lately: a connection may fall silent for good without
 //! a reset, long before it is given up.
 
-use crate::told::Told;
+use crate::router_news::RouterTold;
+use crate::router_peers::RouterSite;
 use stackpost_mesh::{LinkId, PeerInfo, PeerRole};
 use stackpost_types::{MachineName, Millis, NodeId, Timestamp, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,10 +19,8 @@
 pub struct Link {
     /// The other end.
     pub peer: PeerInfo,
-    /// Versions of the configuration.
-    pub document: Told,
-    /// Revisions of the engines' departures.
-    pub departures: Told,
+    /// What has been told over it, if the other end is a router.
+    pub told: RouterTold,
     heard_at: Timestamp,
 }
 
@@ -34,8 +33,7 @@
 impl Links {
     /// A connection has come up.
     pub fn up(&mut self, now: Timestamp, link: LinkId, peer: PeerInfo) {
-        let (document, departures) = (Told::default(), Told::default());
-        let entry = Link { peer, document, departures, heard_at: now };
+        let entry = Link { peer, told: RouterTold::default(), heard_at: now };
         self.links.insert(link, entry);
     }
 
@@ -108,6 +106,12 @@
         links.filter(move |(_, peer)| peer.role == role)
     }
 
+    /// Where the process at the other end stands.
+    pub fn site(&self, link: LinkId) -> Option<RouterSite> {
+        let peer = &self.links.get(&link)?.peer;
+        Some(RouterSite { zone: peer.zone.clone(), address: peer.listens_at })
+    }
+
     /// How many machines with `role` are connected.
     pub fn count_machines(&self, role: PeerRole) -> usize {
         let machines: BTreeSet<&MachineName> =
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use stackpost_consensus::Envelope;
 use stackpost_gateway_core::{
-    CrashReport, DepartureNews, DepartureWord, EngineNotice, QuarantineNotice,
+    CrashReport, DepartureNews, DepartureWord, DirectoryNews, EngineNotice, QuarantineNotice,
 };
 use stackpost_prepaid::{AccountReport, Allotment, Contact, Outlook};
 use stackpost_types::{BackEndName, NodeId, TenantName, Timestamp, Tokens};
@@ -39,13 +39,26 @@
     pub control_peers: Vec<SocketAddr>,
 }
 
+/// How far a router is with what one control process tells it; zero where it has heard nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouterVersions {
+    /// Version of the configuration, whoever told it.
+    pub document: u64,
+    /// Revision of the engines' departures, whoever told them.
+    pub departures: u64,
+    /// Revision of that process's directory of engines.
+    pub engines: u64,
+    /// Version of its list of silent engines.
+    pub silent: u64,
+    /// Version of its list of routers.
+    pub routers: u64,
+}
+
 /// What a router tells the leader, some times a second.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouterStatus {
-    /// Version of its configuration; zero if it has none.
-    pub document_version: u64,
-    /// Revision of the engines' departures that it has been told of whole; zero if none.
-    pub departures_known: u64,
+    /// How far it is with what the control process tells it that this is sent to.
+    pub versions: RouterVersions,
     /// Whether it would take a configuration that no leader has confirmed.
     pub accepts_unconfirmed: bool,
     /// When its process started, by the clock of its machine.
@@ -79,10 +92,17 @@
     Document(PackedDocument),
     /// From a control replica to a router that holds the version it is based on.
     DocumentDelta(DocumentDelta),
-    /// From a control replica: to other ones what it has heard, to routers only what is new.
+    /// Between control replicas: what engines have announced.
     Engines(Vec<EngineNotice>),
+    /// From a control replica to a router: what is new in its directory of engines.
+    EngineChanges(DirectoryNews),
     /// From a control replica to routers: engines that it has not heard of late.
-    SilentEngines(BTreeSet<BackEndName>),
+    SilentEngines {
+        /// Rises with each change.
+        version: u64,
+        /// The engines.
+        engines: BTreeSet<BackEndName>,
+    },
     /// From a router to control.
     RouterStatus(RouterStatus),
     /// From the leader to a router: what it has been handed in all.
@@ -123,15 +143,20 @@
     },
     /// Between routers that have a connection: I am here.
     Alive,
-    /// From control to a router: where other routers accept connections of the fleet.
-    RouterPeers(Vec<SocketAddr>),
     /// From a router to the leader: engines that ended under requests, and suspected requests that ended
     /// well.
     CrashReport(CrashReport),
     /// From control to a router: requests that are let in no more.
     Quarantined(QuarantineNotice),
-    /// From control to a router: where every router that it hears accepts connections of the fleet, in order.
-    Routers(Vec<SocketAddr>),
+    /// From control to a router: where other routers accept connections of the fleet.
+    Routers {
+        /// Rises with each change.
+        version: u64,
+        /// Every router that the control process hears, in order.
+        all: Vec<SocketAddr>,
+        /// The ones to exchange loads and loans with.
+        peers: Vec<SocketAddr>,
+    },
     /// From control to a router: which engines have said that they leave, as it is written down.
     Departures(DepartureNews),
     /// From a control replica to the leader: what engines have said of their end, to be written down.
--- a/crates/gateway-core/src/directory.rs
+++ b/crates/gateway-core/src/directory.rs
@@ -94,6 +94,8 @@
     known_since: Timestamp,
     /// Set if it is taken for gone because another engine was announced at its address.
     replaced: Option<Replaced>,
+    /// The directory's revision that brought its state.
+    revision: u64,
 }
 
 impl EngineRecord {
@@ -146,10 +148,23 @@
     }
 }
 
+/// Changes of an [`EngineDirectory`], for a process that follows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DirectoryNews {
+    /// The revision after which the changes begin.
+    pub base: u64,
+    /// The revision up to which they go.
+    pub revision: u64,
+    /// The engines that have changed since.
+    pub notices: Vec<EngineNotice>,
+}
+
 /// All engines known to a process.
 #[derive(Clone, Debug)]
 pub struct EngineDirectory {
     engines: BTreeMap<BackEndName, EngineRecord>,
+    /// See [`Self::revision`].
+    revision: u64,
     /// Announcements in a row that bring back an engine that was taken for replaced.
     announcements_to_return: u32,
     /// Engines that have not been announced of late, by the word of control.
@@ -161,6 +176,7 @@
     fn default() -> Self {
         Self {
             engines: BTreeMap::new(),
+            revision: 0,
             announcements_to_return: ANNOUNCEMENTS_TO_RETURN,
             silent: BTreeSet::new(),
         }
@@ -201,17 +217,33 @@
             self.replace_at_address(now, &notice);
             self.end_former_lives(now, &notice.engine);
         }
-        self.insert(now, notice, announced_at);
+        self.insert(now, notice, announced_at, change);
         change
     }
 
-    fn insert(&mut self, now: Timestamp, notice: EngineNotice, announced_at: Timestamp) {
+    fn insert(
+        &mut self,
+        now: Timestamp,
+        notice: EngineNotice,
+        announced_at: Timestamp,
+        change: Merge,
+    ) {
+        self.revision += u64::from(change == Merge::Changed);
         let known = self.engines.get(&notice.engine);
         let told_since = Timestamp(now.0.saturating_sub(notice.known_for.0));
         let known_since = known.map_or(told_since, |known| known.known_since.min(told_since));
         let announced_before = known.map_or(Timestamp(0), |known| known.announced_at);
-        let record =
-            EngineRecord { notice, announced_at, announced_before, known_since, replaced: None };
+        let unchanged = known.filter(|_| change != Merge::Changed);
+        let revision = unchanged.map_or(self.revision, |known| known.revision);
+        let replaced = None;
+        let record = EngineRecord {
+            notice,
+            announced_at,
+            announced_before,
+            known_since,
+            replaced,
+            revision,
+        };
         self.engines.insert(record.notice.engine.clone(), record);
     }
 
@@ -283,13 +315,13 @@
     /// Notes that an engine has left and returns the notice to pass on. An engine that is not known
     /// here may be known elsewhere, so it is remembered as well.
     pub fn leave(&mut self, now: Timestamp, engine: &BackEndName) -> EngineNotice {
-        let mut notice = match self.engines.get(engine) {
-            Some(known) => known.notice.clone(),
-            None => unknown_engine(engine),
-        };
+        let known = self.engines.get(engine);
+        let is_known = known.is_some_and(EngineRecord::has_left);
+        let mut notice = known.map_or_else(|| unknown_engine(engine), |known| known.notice.clone());
         notice.state = EngineState::Gone;
         notice.age = Millis(0);
-        self.insert(now, notice.clone(), now);
+        let change = if is_known { Merge::Refreshed } else { Merge::Changed };
+        self.insert(now, notice.clone(), now, change);
         notice
     }
 
@@ -309,7 +341,12 @@
                 known.notice.state = word.state;
             }
         }
-        known.notice.state != before
+        let has_changed = known.notice.state != before;
+        if has_changed {
+            self.revision += 1;
+            known.revision = self.revision;
+        }
+        has_changed
     }
 
     fn depart_unknown(&mut self, now: Timestamp, word: &DepartureWord) -> bool {
@@ -317,7 +354,8 @@
             return false;
         }
         let (state, sequence) = (word.state, word.sequence);
-        self.insert(now, EngineNotice { state, sequence, ..unknown_engine(&word.engine) }, now);
+        let notice = EngineNotice { state, sequence, ..unknown_engine(&word.engine) };
+        self.insert(now, notice, now, Merge::Changed);
         true
     }
 
@@ -366,11 +404,23 @@
     /// All engines as notices of the present moment, but for those of which it was only concluded
     /// that they have been replaced, and those that are known by name only and have not left.
     pub fn notices(&self, now: Timestamp) -> Vec<EngineNotice> {
+        self.changes_since(now, 0).notices
+    }
+
+    /// Rises whenever an engine comes, changes its state or has its address back.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The same of the engines that have changed after revision `base`.
+    pub fn changes_since(&self, now: Timestamp, base: u64) -> DirectoryNews {
         let is_notice = |record: &&EngineRecord| {
             let is_whole = !record.is_name_only() || record.notice.state == EngineState::Gone;
-            record.replaced.is_none() && is_whole
+            record.revision > base && record.replaced.is_none() && is_whole
         };
-        self.engines.values().filter(is_notice).map(|record| record.to_notice(now)).collect()
+        let records = self.engines.values().filter(is_notice);
+        let notices = records.map(|record| record.to_notice(now)).collect();
+        DirectoryNews { base, revision: self.revision, notices }
     }
 
     /// Engines that should be announcing themselves and have not of late.
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -45,7 +45,9 @@
 };
 pub use crash_memory::{CrashMemory, CrashReport};
 pub use departures::{DepartureChange, DepartureNews, DepartureWord, Departures, MAX_WORDS};
-pub use directory::{EngineDirectory, EngineNotice, EngineRecord, EngineState, Merge};
+pub use directory::{
+    DirectoryNews, EngineDirectory, EngineNotice, EngineRecord, EngineState, Merge,
+};
 pub use engine_load::{EngineLoad, EngineNews, Estimate, Placement, Work};
 pub use engine_permits::{EnginePermits, PermitOutlook, PermitScope};
 pub use event_stream::{Event, EventSplitter};
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -9,7 +9,7 @@
 use crate::loans::{LoanCommand, Loans};
 use crate::machine_clock::machine_time;
 use crate::router::Router;
-use stackpost_coordinator::{ClockEcho, ControlStatus, FleetMessage, RouterStatus};
+use stackpost_coordinator::{ClockEcho, ControlStatus, FleetMessage, RouterStatus, RouterVersions};
 use stackpost_gateway_core::RouterLists;
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
 use stackpost_prepaid::{AccountReport, Allotment, Contact};
@@ -41,6 +41,8 @@
     leader: Cell<Option<LinkId>>,
     leader_contact: Cell<Option<Contact>>,
     echoes: RefCell<BTreeMap<LinkId, ClockEcho>>,
+    /// How far this router is with what each control process tells it.
+    versions: RefCell<BTreeMap<LinkId, RouterVersions>>,
     started: Contact,
     reported: RefCell<BTreeMap<TenantName, AccountReport>>,
     fully_reported_at: Cell<Instant>,
@@ -85,6 +87,7 @@
             leader: Cell::new(None),
             leader_contact: Cell::new(None),
             echoes: RefCell::default(),
+            versions: RefCell::default(),
             started,
             reported: RefCell::default(),
             fully_reported_at: Cell::new(Instant::now()),
@@ -178,6 +181,7 @@
                     log::info!(peer = peer.to_string().as_str(); "control disconnected");
                 }
                 self.echoes.borrow_mut().remove(&link);
+                self.versions.borrow_mut().remove(&link);
                 if self.leader.get() == Some(link) {
                     self.leader.set(None);
                 }
@@ -200,7 +204,7 @@
                 self.router.apply_delta(&delta);
                 self.send_sign(link);
             }
-            FleetMessage::Engines(notices) => self.on_engines(link, notices),
+            FleetMessage::EngineChanges(news) => self.on_engine_changes(link, news),
             FleetMessage::Departures(news) => self.on_departures(link, &news),
             FleetMessage::Allotted(allotments) => self.on_allotted(allotments),
             FleetMessage::Recall(keeps) => {
@@ -221,7 +225,8 @@
                 self.on_borrow_reply(link, token, granted);
             }
             FleetMessage::SettleLoan { token, used } => self.on_loan_settled(link, token, used),
-            FleetMessage::SilentEngines(engines) => {
+            FleetMessage::SilentEngines { version, engines } => {
+                self.versions_of(link, |versions| versions.silent = version);
                 self.on_silent_engines(link, engines);
             }
             FleetMessage::Quarantined(notice) => {
@@ -231,12 +236,14 @@
                 }
             }
             FleetMessage::Outlooks(outlooks) => *self.router.outlooks.borrow_mut() = outlooks,
-            FleetMessage::Routers(routers) => self.on_routers(link, routers),
-            FleetMessage::RouterPeers(peers) => {
+            FleetMessage::Routers { version, all, peers } => {
+                self.versions_of(link, |versions| versions.routers = version);
+                self.on_routers(link, all);
                 self.exchange.set_peers(&peers);
                 *self.peers.borrow_mut() = peers;
             }
             FleetMessage::Raft(_)
+            | FleetMessage::Engines(_)
             | FleetMessage::Alive
             | FleetMessage::RouterStatus(_)
             | FleetMessage::CrashReport(_)
@@ -335,14 +342,21 @@
             .collect()
     }
 
+    fn versions_of(&self, link: LinkId, change: impl FnOnce(&mut RouterVersions)) {
+        change(self.versions.borrow_mut().entry(link).or_default());
+    }
+
     fn send_sign(&self, link: LinkId) {
         self.mesh.send(link, &FleetMessage::RouterStatus(self.status(link)));
     }
 
     fn status(&self, link: LinkId) -> RouterStatus {
         RouterStatus {
-            document_version: self.router.document_version(),
-            departures_known: self.router.departures_known(),
+            versions: RouterVersions {
+                document: self.router.document_version(),
+                departures: self.router.departures_known(),
+                ..self.versions.borrow().get(&link).copied().unwrap_or_default()
+            },
             accepts_unconfirmed: self.router.accepts_unconfirmed() && !self.router.in_touch(),
             started: self.started,
             echo: self.echoes.borrow().get(&link).copied(),
--- a/crates/gateway/src/fleet_link/engine_news.rs
+++ b/crates/gateway/src/fleet_link/engine_news.rs
@@ -1,7 +1,9 @@
 //! What control processes say of engines.
 
 use super::FleetLink;
-use stackpost_gateway_core::{DepartureNews, DepartureWord, EngineNotice, EngineState, Merge};
+use stackpost_gateway_core::{
+    DepartureNews, DepartureWord, DirectoryNews, EngineNotice, EngineState, Merge,
+};
 use stackpost_mesh::LinkId;
 use stackpost_types::{BackEndName, Millis, Timestamp};
 use std::collections::BTreeSet;
@@ -10,8 +12,19 @@
 const MOST_ARRIVAL_LINES: usize = 4;
 
 impl FleetLink {
-    /// Takes in announcements that a control process passes on.
-    pub(super) fn on_engines(&self, link: LinkId, notices: Vec<EngineNotice>) {
+    /// Takes in what is new in the directory of a control process. What does not build on what this router has been told
+    /// leaves a gap, and is told again.
+    pub(super) fn on_engine_changes(&self, link: LinkId, news: DirectoryNews) {
+        let (base, revision) = (news.base, news.revision);
+        self.on_engines(link, news.notices);
+        self.versions_of(link, |versions| {
+            if base <= versions.engines {
+                versions.engines = versions.engines.max(revision);
+            }
+        });
+    }
+
+    fn on_engines(&self, link: LinkId, notices: Vec<EngineNotice>) {
         let now = self.router.now();
         let mut arrivals = Vec::new();
         for notice in notices {
--- a/crates/gateway/tests/fleet/departures.rs
+++ b/crates/gateway/tests/fleet/departures.rs
@@ -2,7 +2,8 @@
 
 use crate::support::*;
 use stackpost_coordinator::{AnnouncementError, NotWritten};
-use stackpost_gateway_core::EngineState;
+use stackpost_gateway_core::{EngineNotice, EngineState};
+use stackpost_types::BackEndName;
 
 /// A voter that never comes up.
 const ABSENT: &str = "127.0.0.9";
@@ -43,3 +44,24 @@
         wait_until(|| fleet.router.known_engines() == 1).await;
     });
 }
+
+/// More engines than a connection's queue holds, announced in one step of the runtime.
+const MANY: usize = 1_300;
+
+#[test]
+fn a_router_whose_queue_overflowed_is_told_again_what_it_missed() {
+    play(async {
+        let fleet = Fleet::start().await;
+        let template = notice_of(&fleet.engines[0], 1, EngineState::Ready);
+        for number in 0..MANY {
+            let (tens, ones) = ((number / 200) as u8, (number % 200) as u8);
+            let notice = EngineNotice {
+                engine: BackEndName::new(format!("many-{number}")),
+                address: ([127, 200, tens, ones], 9).into(),
+                ..template.clone()
+            };
+            fleet.control.announce(notice).await.expect("an engine");
+        }
+        wait_until(|| fleet.router.known_engines() == MANY + fleet.engines.len()).await;
+    });
+}
