An engine that was out of sight for three minutes is used again

By reading, departures in the other direction: an engine that control had not heard for 180 s was taken for gone as if it had left by its own word, which is never taken back, so one that had only been out of sight was refused for as long as it lived (within another 180 s). Callers would have had fewer engines. Now it is forgotten, at control and at routers, and is new when it is announced again; what has left by its own word stays gone. Test an_engine_that_was_out_of_sight_for_long_is_used_again (before: the announcement is old).

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -234,6 +234,7 @@
             | FleetMessage::Recall(_)
             | FleetMessage::Quarantined(_)
             | FleetMessage::Departures(_)
+            | FleetMessage::GivenUp(_)
             | FleetMessage::FarewellTaken => {}
         }
     }
--- a/crates/coordinator/src/engine_news.rs
+++ b/crates/coordinator/src/engine_news.rs
@@ -149,16 +149,15 @@
         self.tell_engines();
     }
 
-    /// Takes engines for gone that have not been announced for long.
+    /// Forgets engines that have not been announced for long, and tells routers to do so.
     pub(crate) fn give_up_silent_engines(&self) {
         let now = self.now();
-        {
-            let state = &mut *self.state.borrow_mut();
-            for engine in state.directory.given_up(now) {
-                state.directory.leave(now, &engine);
-            }
+        let state = &mut *self.state.borrow_mut();
+        let given_up = state.directory.give_up(now);
+        if !given_up.is_empty() {
+            let routers = state.links.one_each(now, PeerRole::Router);
+            self.mesh.send_all(routers, &FleetMessage::GivenUp(given_up));
         }
-        self.tell_engines();
     }
 
     /// A report may be old: a router that was cut off tells what it saw meanwhile.
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -159,6 +159,8 @@
     },
     /// From control to a router: which engines have said that they leave, as it is written down.
     Departures(DepartureNews),
+    /// From a control replica to routers: engines that have not been announced for so long that they are forgotten.
+    GivenUp(Vec<BackEndName>),
     /// From a control replica to the leader: what engines have said of their end, to be written down.
     DepartureWords(Vec<DepartureWord>),
 }
--- a/crates/gateway-core/src/directory.rs
+++ b/crates/gateway-core/src/directory.rs
@@ -442,17 +442,25 @@
         self.silent.contains(engine)
     }
 
-    /// Engines that have been silent for so long that they are taken for gone.
-    pub fn given_up(&self, now: Timestamp) -> Vec<BackEndName> {
+    /// Forgets engines that have been silent for so long that they are taken for gone, and returns them. One that was only
+    /// out of sight is new when it is announced again.
+    pub fn give_up(&mut self, now: Timestamp) -> Vec<BackEndName> {
         let is_given_up = |record: &&EngineRecord| {
             record.notice.state != EngineState::Gone
                 && now.since(record.announced_at) >= GIVE_UP_AFTER
         };
-        self.engines
-            .values()
-            .filter(is_given_up)
-            .map(|record| record.notice.engine.clone())
-            .collect()
+        let given_up = self.engines.values().filter(is_given_up);
+        let given_up: Vec<BackEndName> =
+            given_up.map(|record| record.notice.engine.clone()).collect();
+        given_up.iter().for_each(|engine| self.forget(engine));
+        given_up
+    }
+
+    /// Forgets an engine that another process has given up. One that has left is remembered.
+    pub fn forget(&mut self, engine: &BackEndName) {
+        if self.engines.get(engine).is_some_and(|record| !record.has_left()) {
+            self.engines.remove(engine);
+        }
     }
 
     /// Forgets engines that left long ago.
--- a/crates/gateway-core/tests/engines.rs
+++ b/crates/gateway-core/tests/engines.rs
@@ -239,13 +239,31 @@
     let now = start + Millis(6_000);
     directory.merge(now, notice("e2", 2, EngineState::Ready));
     assert_eq!(directory.silent_engines(now), [BackEndName::new("e1")].into());
-    assert!(directory.given_up(now).is_empty());
+    assert!(directory.give_up(now).is_empty());
     let late = start + Millis(185_500);
-    assert_eq!(directory.given_up(late), vec![BackEndName::new("e1")]);
+    assert_eq!(directory.give_up(late), vec![BackEndName::new("e1")]);
     directory.forget_old(late);
+    assert!(!directory.takes_work(&"e1".into()), "it is gone");
     assert!(directory.get(&BackEndName::new("e2")).is_some(), "only the gone are forgotten");
 }
 
+#[test]
+fn an_engine_that_was_out_of_sight_for_long_is_used_again() {
+    let start = Timestamp(1_000);
+    let later = start + Millis(200_000);
+    let mut control = directory(start, &["e1"]);
+    let mut router = EngineDirectory::following();
+    router.merge(start, notice("e1", 1, EngineState::Ready));
+    control.give_up(later).iter().for_each(|engine| router.forget(engine));
+    for directory in [&mut control, &mut router] {
+        assert_eq!(directory.merge(later, notice("e1", 2, EngineState::Ready)), Merge::Changed);
+    }
+    // One that has left by its own word is not.
+    router.leave(later, &"e1".into());
+    router.forget(&"e1".into());
+    assert_eq!(router.merge(later, notice("e1", 3, EngineState::Ready)), Merge::Old);
+}
+
 #[test]
 fn a_silent_engine_comes_after_the_others_unless_it_answers() {
     let now = Timestamp(7_000);
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -205,6 +205,10 @@
                 self.send_sign(link);
             }
             FleetMessage::EngineChanges(news) => self.on_engine_changes(link, news),
+            FleetMessage::GivenUp(engines) => {
+                let mut directory = self.router.directory.borrow_mut();
+                engines.iter().for_each(|engine| directory.forget(engine));
+            }
             FleetMessage::Departures(news) => self.on_departures(link, &news),
             FleetMessage::Allotted(allotments) => self.on_allotted(allotments),
             FleetMessage::Recall(keeps) => {
