A control process that does not vote acknowledges departures as well

Cause: an acknowledgement waited for the own replica, and a machine that stands by holds no log. Engines that called it would have waited 0.8 s and called another process; those that end without asking again would have lacked an acknowledgement.

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -9,7 +9,7 @@
 use crate::replica_thread::{ReplicaHandle, ReplicaView};
 use crate::router_news::{RouterList, SilentList};
 use stackpost_clock::BootInstant;
-use stackpost_gateway_core::{EngineDirectory, EngineNotice, EngineState};
+use stackpost_gateway_core::{EngineDirectory, EngineNotice, EngineState, KnownDepartures};
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
 use stackpost_types::{MachineName, Millis, NodeId, Timestamp};
 use std::cell::RefCell;
@@ -18,7 +18,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
 /// Time between two statuses.
@@ -46,6 +46,8 @@
     started: BootInstant,
     pub(crate) state: Rc<RefCell<ControlState>>,
     pub(crate) metrics: ControlMetrics,
+    /// Revision of the departures that are known to be written down.
+    pub(crate) departures_known: watch::Sender<u64>,
 }
 
 impl ControlNode {
@@ -62,7 +64,7 @@
         let state = ControlState {
             directory: EngineDirectory::default(),
             silent: SilentList::default(),
-            departures_taken: 0,
+            departures: KnownDepartures::default(),
             unwritten: UnwrittenWords::default(),
             refreshed: BTreeSet::new(),
             links: Links::default(),
@@ -82,6 +84,7 @@
             started: BootInstant::now(),
             state: Rc::new(RefCell::new(state)),
             metrics,
+            departures_known: watch::Sender::new(0),
         };
         node.add_seeds(&settings.seeds);
         tokio::task::spawn_local(node.clone().run(events, effects));
@@ -206,9 +209,11 @@
         match message {
             FleetMessage::Raft(envelope) => self.replica.send(ReplicaEvent::Raft(envelope)),
             FleetMessage::ControlStatus(status) => {
+                self.on_departures_confirmed(link, status.departures);
                 status.control_peers.into_iter().for_each(|peer| self.add_control_peer(peer));
             }
             FleetMessage::Engines(notices) => self.on_engines(notices),
+            FleetMessage::Departures(news) => self.on_departures(&news),
             FleetMessage::DepartureWords(words) => {
                 self.replica.send(ReplicaEvent::DepartureWords(words));
             }
@@ -233,7 +238,6 @@
             | FleetMessage::Allotted(_)
             | FleetMessage::Recall(_)
             | FleetMessage::Quarantined(_)
-            | FleetMessage::Departures(_)
             | FleetMessage::GivenUp(_)
             | FleetMessage::FarewellTaken => {}
         }
@@ -353,6 +357,7 @@
             self.mesh.send_all(state.links.one_each(now, PeerRole::Control), &message);
         }
         state.directory.forget_old(now);
+        state.departures.forget_old(now);
     }
 
     fn status(&self) -> ControlStatus {
@@ -361,7 +366,7 @@
         ControlStatus {
             leads: view.leads(),
             document_version: view.document_version(),
-            departures: view.departures.revision(),
+            departures: state.departures.revision(),
             clock: self.replica.now(),
             routers: state.links.count_machines(PeerRole::Router) as u32,
             control_peers: state.control_peers.iter().copied().chain([self.own_address]).collect(),
--- a/crates/coordinator/src/control_state.rs
+++ b/crates/coordinator/src/control_state.rs
@@ -8,7 +8,7 @@
 use crate::replica_api::{PutReply, ReadReply};
 use crate::router_news::{RouterList, SilentList};
 use crate::router_peers::RouterSite;
-use stackpost_gateway_core::EngineDirectory;
+use stackpost_gateway_core::{EngineDirectory, KnownDepartures};
 use stackpost_mesh::{LinkId, PeerRole};
 use stackpost_types::BackEndName;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -22,8 +22,8 @@
 pub(crate) struct ControlState {
     pub directory: EngineDirectory,
     pub silent: SilentList,
-    /// Revision of the departures that the directory has taken over.
-    pub departures_taken: u64,
+    /// Departures that are written down, by the own replica or by the leader's word.
+    pub departures: KnownDepartures,
     pub unwritten: UnwrittenWords,
     /// Engines announced since the last status.
     pub refreshed: BTreeSet<BackEndName>,
--- a/crates/coordinator/src/departures.rs
+++ b/crates/coordinator/src/departures.rs
@@ -1,17 +1,18 @@
 //! Engines' departures on their way into the replicated state, and from there to the directory and to routers.
 //!
-//! An engine's word that it leaves is acknowledged only once the replicated state holds it: whoever acknowledged may
+//! An engine's word that it leaves is acknowledged only once a majority of the replicas holds it: whoever acknowledged may
 //! be lost in that moment, and the engine calls nobody again.
 
 use crate::control_node::ControlNode;
 use crate::message::FleetMessage;
 use crate::replica_api::ReplicaEvent;
-use crate::replica_thread::ReplicaView;
-use stackpost_gateway_core::{DepartureWord, Departures};
+use stackpost_gateway_core::{DepartureNews, DepartureWord, KnownDepartures};
+use stackpost_mesh::LinkId;
 use stackpost_types::{BackEndName, Millis, Timestamp};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use thiserror::Error;
+use tokio::time::timeout;
 
 /// Longest wait for a word to be written down: engines give a call up after a second.
 const WRITE_LIMIT: Duration = Duration::from_millis(800);
@@ -36,27 +37,26 @@
     }
 
     /// What is still to be written down.
-    fn remaining(&mut self, now: Timestamp, held: &Departures) -> Vec<DepartureWord> {
-        self.words.retain(|_, (word, since)| held.is_news(word) && now.since(*since) < TRY_TIME);
+    fn remaining(&mut self, now: Timestamp, known: &KnownDepartures) -> Vec<DepartureWord> {
+        self.words.retain(|_, (word, since)| known.is_news(word) && now.since(*since) < TRY_TIME);
         self.words.values().map(|(word, _)| word.clone()).collect()
     }
 }
 
 impl ControlNode {
-    /// Has a word written down. Returns once the replicated state holds it, or a newer one of that engine.
+    /// Has a word written down. Returns once it is known to be, or a newer one of that engine.
     pub(crate) async fn write_down(&self, word: DepartureWord) -> Result<(), NotWritten> {
-        if self.replica.view().departures.covers(&word) {
-            return Ok(());
-        }
+        let mut known = self.departures_known.subscribe();
         self.write_down_later(word.clone());
-        let is_held = |view: &ReplicaView| view.departures.covers(&word);
-        let written = self.replica.wait_until(is_held, WRITE_LIMIT).await;
+        let is_held = |_: &u64| self.state.borrow().departures.covers(&word);
+        let waited = timeout(WRITE_LIMIT, known.wait_for(is_held)).await;
+        let written = waited.is_ok_and(|known| known.is_ok());
         if written { Ok(()) } else { Err(NotWritten) }
     }
 
     /// Has a word written down without waiting for it, if it is news.
     pub(crate) fn write_down_later(&self, word: DepartureWord) {
-        if self.replica.view().departures.is_news(&word) {
+        if self.state.borrow().departures.is_news(&word) {
             self.state.borrow_mut().unwritten.insert(self.now(), word);
             self.push_unwritten();
         }
@@ -64,37 +64,55 @@
 
     /// Hands words that are not written down yet to the leader. Its answer is the change of the replicated state.
     pub(crate) fn push_unwritten(&self) {
-        let view = self.replica.view();
-        let words = self.state.borrow_mut().unwritten.remaining(self.now(), &view.departures);
+        let words = {
+            let state = &mut *self.state.borrow_mut();
+            state.unwritten.remaining(self.now(), &state.departures)
+        };
         if words.is_empty() {
             return;
         }
-        if let Some(leader) = view.leader {
+        if let Some(leader) = self.replica.view().leader {
             self.send_to_control(&leader, &FleetMessage::DepartureWords(words.clone()));
         }
         // Only the leader proposes anything.
         self.replica.send(ReplicaEvent::DepartureWords(words));
     }
 
-    /// Takes over what the replicated state says into the directory, and tells routers if this replica leads.
+    /// Takes over what the own replica holds.
     pub(crate) fn take_over_departures(&self) {
         let view = self.replica.view();
-        {
-            let now = self.now();
+        let known = self.state.borrow().departures.revision();
+        if view.departures.revision() > known {
+            self.on_departures(&view.departures.since(known));
+        }
+    }
+
+    /// Takes in what is written down, and passes it on if this replica leads. A machine that stands by holds no log and hears
+    /// of it from the leader.
+    pub(crate) fn on_departures(&self, news: &DepartureNews) {
+        let now = self.now();
+        let revision = {
             let state = &mut *self.state.borrow_mut();
-            if view.departures.revision() == state.departures_taken {
-                return;
-            }
-            // A data folder that was opened anew begins at zero again.
-            let base = state.departures_taken.min(view.departures.revision());
-            let news = view.departures.since(base);
-            state.departures_taken = news.revision;
+            state.departures.take_in(now, news);
             for word in &news.words {
                 state.directory.depart(now, word);
             }
+            state.departures.revision()
+        };
+        self.departures_known.send_replace(revision);
+        if self.replica.view().leads() {
+            self.tell_departures();
+        }
+    }
+
+    /// Another control process says which departures it knows.
+    pub(crate) fn on_departures_confirmed(&self, link: LinkId, revision: u64) {
+        if let Some(entry) = self.state.borrow_mut().links.get_mut(link) {
+            entry.told.departures.confirm(revision);
         }
+        let view = self.replica.view();
         if view.leads() {
-            self.tell_departures();
+            self.send_departures(&[link], &view);
         }
     }
 }
--- a/crates/coordinator/src/replica_thread.rs
+++ b/crates/coordinator/src/replica_thread.rs
@@ -75,17 +75,6 @@
         reading(self.started)
     }
 
-    /// Waits until `condition` holds, no longer than `limit`. Returns whether it does.
-    pub async fn wait_until(
-        &self,
-        condition: impl FnMut(&ReplicaView) -> bool,
-        limit: Duration,
-    ) -> bool {
-        let mut view = self.view.clone();
-        let waited = tokio::time::timeout(limit, view.wait_for(condition)).await;
-        waited.is_ok_and(|held| held.is_ok())
-    }
-
     /// The replica as of its last round.
     pub fn view(&self) -> ReplicaView {
         self.view.borrow().clone()
--- a/crates/coordinator/src/router_news.rs
+++ b/crates/coordinator/src/router_news.rs
@@ -1,4 +1,4 @@
-//! What a control process tells routers. Messages may be lost, so each kind has a version, and what a router does not
+//! What a control process tells routers, and of departures other control processes. Messages may be lost, so each kind has a version, and what a router does not
 //! confirm in time is told again.
 
 use crate::control_node::ControlNode;
@@ -86,9 +86,10 @@
         self.send_document(&self.all_routers(), &self.replica.view());
     }
 
-    /// Tells all routers of departures that they have not confirmed.
+    /// Tells everyone of departures that they have not confirmed.
     pub(crate) fn tell_departures(&self) {
-        self.send_departures(&self.all_routers(), &self.replica.view());
+        let everyone = self.state.borrow().links.one_to_everyone(self.now());
+        self.send_departures(&everyone, &self.replica.view());
     }
 
     /// Tells all routers what is new of the engines.
@@ -162,7 +163,7 @@
         self.send_news(links, document.version, |told| &mut told.document, message);
     }
 
-    fn send_departures(&self, links: &[LinkId], view: &ReplicaView) {
+    pub(crate) fn send_departures(&self, links: &[LinkId], view: &ReplicaView) {
         let message =
             |_: &mut ControlState, base| FleetMessage::Departures(view.departures.since(base));
         self.send_news(links, view.departures.revision(), |told| &mut told.departures, message);
--- a/crates/gateway-core/src/departures.rs
+++ b/crates/gateway-core/src/departures.rs
@@ -9,12 +9,15 @@
 
 use crate::directory::EngineState;
 use serde::{Deserialize, Serialize};
-use stackpost_types::BackEndName;
+use stackpost_types::{BackEndName, Millis, Timestamp};
 use std::collections::BTreeMap;
 
 /// Words kept; the oldest go first. Several times the engines of a large fleet; with names about 400 KB.
 pub const MAX_WORDS: usize = 4_096;
 
+/// How long a process that follows keeps words that it is told of no more: longer than the replicas do.
+const FOLLOWED_TIME: Millis = Millis(360_000);
+
 /// What an engine says of its end.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DepartureWord {
@@ -146,3 +149,47 @@
         }
     }
 }
+
+/// The words that a process knows which follows what is written down, and how far it is.
+#[derive(Clone, Debug, Default)]
+pub struct KnownDepartures {
+    words: BTreeMap<BackEndName, (DepartureWord, Timestamp)>,
+    revision: u64,
+}
+
+impl KnownDepartures {
+    /// The revision up to which every change is known.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Takes in changes. What does not build on what is known counts, but leaves a gap that is to be told again.
+    pub fn take_in(&mut self, now: Timestamp, news: &DepartureNews) {
+        for word in &news.words {
+            if self.is_news(word) {
+                self.words.insert(word.engine.clone(), (word.clone(), now));
+            }
+        }
+        if news.base <= self.revision {
+            self.revision = self.revision.max(news.revision);
+        }
+    }
+
+    /// Whether a word would change anything.
+    pub fn is_news(&self, word: &DepartureWord) -> bool {
+        match self.words.get(&word.engine) {
+            Some((held, _)) => word.is_newer_than(held),
+            None => word.state != EngineState::Ready,
+        }
+    }
+
+    /// Whether a word is written down, or a newer one of the same engine.
+    pub fn covers(&self, word: &DepartureWord) -> bool {
+        self.words.contains_key(&word.engine) && !self.is_news(word)
+    }
+
+    /// Forgets words of long ago.
+    pub fn forget_old(&mut self, now: Timestamp) {
+        self.words.retain(|_, (_, since)| now.since(*since) < FOLLOWED_TIME);
+    }
+}
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -44,7 +44,9 @@
     Tenant,
 };
 pub use crash_memory::{CrashMemory, CrashReport};
-pub use departures::{DepartureChange, DepartureNews, DepartureWord, Departures, MAX_WORDS};
+pub use departures::{
+    DepartureChange, DepartureNews, DepartureWord, Departures, KnownDepartures, MAX_WORDS,
+};
 pub use directory::{
     DirectoryNews, EngineDirectory, EngineNotice, EngineRecord, EngineState, Merge,
 };
--- a/crates/gateway-core/tests/departures.rs
+++ b/crates/gateway-core/tests/departures.rs
@@ -193,3 +193,21 @@
         }
     }
 }
+
+#[test]
+fn a_follower_counts_news_with_a_gap_but_asks_for_what_is_missing() {
+    let mut departures = said(&[word("e1", 3, EngineState::Gone)]);
+    let mut known = KnownDepartures::default();
+    known.take_in(NOW, &departures.since(0));
+    departures.apply(DepartureChange::Said(vec![word("e2", 3, EngineState::Gone)]));
+    let before_last = departures.revision();
+    departures.apply(DepartureChange::Said(vec![word("e3", 3, EngineState::Gone)]));
+    known.take_in(NOW, &departures.since(before_last));
+    assert!(known.covers(&word("e3", 3, EngineState::Gone)));
+    assert_eq!(known.revision(), 1, "the second word is missing");
+    known.take_in(NOW, &departures.since(known.revision()));
+    assert!(known.covers(&word("e2", 3, EngineState::Gone)));
+    assert_eq!(known.revision(), departures.revision());
+    known.forget_old(NOW + Millis(400_000));
+    assert!(!known.covers(&word("e2", 3, EngineState::Gone)));
+}
