--- a/crates/gateway-core/src/departures.rs
+++ b/crates/gateway-core/src/departures.rs
@@ -7,7 +7,7 @@
 //! raises the revision by one, so equal revisions mean equal words. At most [`MAX_WORDS`] words are kept. Without I/O
 //! and clock, so that replicas that take in the same changes in the same order hold the same state.
 
-use crate::directory::EngineState;
+use crate::engine_notice::EngineState;
 use serde::{Deserialize, Serialize};
 use stackpost_types::{BackEndName, Millis, Timestamp};
 use std::collections::BTreeMap;
--- a/crates/gateway-core/src/directory.rs
+++ b/crates/gateway-core/src/directory.rs
@@ -16,10 +16,9 @@
 //! the address over; the other one gets it back by being announced on while the first is not.
 
 use crate::departures::DepartureWord;
-use serde::{Deserialize, Serialize};
-use stackpost_types::{BackEndName, Millis, ServiceName, Timestamp, ZoneName};
+use crate::engine_notice::{DirectoryNews, EngineNotice, EngineState, Merge};
+use stackpost_types::{BackEndName, Millis, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 
 /// How long an engine that has left is remembered, so that late notices do not revive it.
 const REMEMBER_GONE: Millis = Millis(180_000);
@@ -36,51 +35,6 @@
 /// held up; its sender's successor is heard of in between.
 const ANNOUNCEMENTS_TO_RETURN: u32 = 2;
 
-/// What an engine says about taking work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum EngineState {
-    /// It takes work.
-    Ready,
-    /// It finishes what it has.
-    Draining,
-    /// It has left.
-    Gone,
-}
-
-impl EngineState {
-    /// The state as it stands in logs.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Ready => "ready",
-            Self::Draining => "draining",
-            Self::Gone => "gone",
-        }
-    }
-}
-
-/// One announcement of an engine.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EngineNotice {
-    /// The engine: one life of it.
-    pub engine: BackEndName,
-    /// Rises with each announcement of the same engine.
-    pub sequence: u64,
-    /// The service it belongs to.
-    pub service: ServiceName,
-    /// Where it is reached.
-    pub address: SocketAddr,
-    /// The zone it stands in.
-    pub zone: ZoneName,
-    /// Requests it handles at once.
-    pub slots: u32,
-    /// Whether it takes work.
-    pub state: EngineState,
-    /// Time since it was announced, by the clock of whoever passes it on.
-    pub age: Millis,
-    /// Time since this life was first heard of, by the clock of whoever passes it on; zero from the engine itself.
-    pub known_for: Millis,
-}
-
 /// An engine as this process knows it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EngineRecord {
@@ -114,7 +68,7 @@
 
     /// Whether no more is known of the engine than its name and that it leaves.
     pub fn is_name_only(&self) -> bool {
-        self.notice.address.ip().is_unspecified()
+        self.notice.is_name_only()
     }
 }
 
@@ -126,39 +80,6 @@
     announcements: u32,
 }
 
-/// What a notice changed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Merge {
-    /// Nothing: it was old.
-    Old,
-    /// The engine is still what it was.
-    Refreshed,
-    /// The engine is new or has changed its state.
-    Changed,
-}
-
-impl Merge {
-    /// The change as it stands in logs and figures.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Old => "old",
-            Self::Refreshed => "refreshed",
-            Self::Changed => "changed",
-        }
-    }
-}
-
-/// Changes of an [`EngineDirectory`], for a process that follows.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DirectoryNews {
-    /// The revision after which the changes begin.
-    pub base: u64,
-    /// The revision up to which they go.
-    pub revision: u64,
-    /// The engines that have changed since.
-    pub notices: Vec<EngineNotice>,
-}
-
 /// All engines known to a process.
 #[derive(Clone, Debug)]
 pub struct EngineDirectory {
@@ -317,7 +238,8 @@
     pub fn leave(&mut self, now: Timestamp, engine: &BackEndName) -> EngineNotice {
         let known = self.engines.get(engine);
         let is_known = known.is_some_and(EngineRecord::has_left);
-        let mut notice = known.map_or_else(|| unknown_engine(engine), |known| known.notice.clone());
+        let mut notice =
+            known.map_or_else(|| EngineNotice::name_only(engine), |known| known.notice.clone());
         notice.state = EngineState::Gone;
         notice.age = Millis(0);
         let change = if is_known { Merge::Refreshed } else { Merge::Changed };
@@ -354,7 +276,7 @@
             return false;
         }
         let (state, sequence) = (word.state, word.sequence);
-        let notice = EngineNotice { state, sequence, ..unknown_engine(&word.engine) };
+        let notice = EngineNotice { state, sequence, ..EngineNotice::name_only(&word.engine) };
         self.insert(now, notice, now, Merge::Changed);
         true
     }
@@ -471,18 +393,3 @@
         });
     }
 }
-
-/// Stands for an engine of which only the name is known.
-fn unknown_engine(engine: &BackEndName) -> EngineNotice {
-    EngineNotice {
-        engine: engine.clone(),
-        sequence: 0,
-        service: ServiceName::new(""),
-        address: SocketAddr::from(([0, 0, 0, 0], 0)),
-        zone: ZoneName::new(""),
-        slots: 0,
-        state: EngineState::Gone,
-        age: Millis(0),
-        known_for: Millis(0),
-    }
-}
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -23,6 +23,7 @@
 mod directory;
 mod engine_health;
 mod engine_load;
+mod engine_notice;
 mod engine_permits;
 mod event_stream;
 mod fingerprint;
@@ -47,10 +48,9 @@
 pub use departures::{
     DepartureChange, DepartureNews, DepartureWord, Departures, KnownDepartures, MAX_WORDS,
 };
-pub use directory::{
-    DirectoryNews, EngineDirectory, EngineNotice, EngineRecord, EngineState, Merge,
-};
+pub use directory::{EngineDirectory, EngineRecord};
 pub use engine_load::{EngineLoad, EngineNews, Estimate, Placement, Work};
+pub use engine_notice::{DirectoryNews, EngineNotice, EngineState, Merge};
 pub use engine_permits::{EnginePermits, PermitOutlook, PermitScope};
 pub use event_stream::{Event, EventSplitter};
 pub use fingerprint::{RequestContent, RequestFingerprint};
--- a/crates/gateway-core/src/picker.rs
+++ b/crates/gateway-core/src/picker.rs
@@ -9,9 +9,10 @@
 //! announced for some time; it is used all the same if there is no better one. These are guesses. What an
 //! engine has asked for itself is none ([`HoldOff`]): such an engine is no candidate, whatever else there is.
 
-use crate::directory::{EngineDirectory, EngineRecord, EngineState};
+use crate::directory::{EngineDirectory, EngineRecord};
 use crate::engine_health::EngineHealth;
 use crate::engine_load::{EngineLoad, EngineNews, Placement, Work, follow};
+use crate::engine_notice::EngineState;
 use crate::hashing::mix;
 use crate::hold_off::{HoldOff, RestChange};
 use crate::placement::Harm;
