--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,10 +2,11 @@
 //!
 //! `refusals` measures overspend and false refusals against two baselines; `capacity` measures how
 //! memory, processor time and bytes grow with routers, engines, budgets and requests; `rates` measures the gateway before engines
-//! that state how many requests a second they take.
+//! that state how many requests a second they take; `departures` measures a release of all engines.
 
 mod baseline;
 mod capacity;
+mod departures;
 mod rates;
 mod refusals;
 
@@ -43,11 +44,18 @@
                 .arg(number("limited-percent", "100", "Engines in a hundred that state a rate"))
                 .arg(number("seconds", "15", "Simulated seconds")),
         )
+        .subcommand(
+            Command::new("departures")
+                .about("All engines are replaced within two minutes: what control tells routers")
+                .arg(number("routers", "8", "Routers"))
+                .arg(number("engines", "900", "Engines")),
+        )
         .get_matches();
     match matches.subcommand() {
         Some(("refusals", inner)) => refusals::run(inner),
         Some(("capacity", inner)) => capacity::run(inner),
         Some(("rates", inner)) => rates::run(inner),
+        Some(("departures", inner)) => departures::run(inner),
         _ => return ExitCode::FAILURE,
     }
     ExitCode::SUCCESS
--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -342,6 +342,7 @@
         self.take_over_departures();
         self.push_unwritten();
         self.give_up_silent_engines();
+        self.tell_engines();
         self.tell_silent();
         let now = self.now();
         let status = FleetMessage::ControlStatus(self.status());
--- a/crates/coordinator/src/engine_news.rs
+++ b/crates/coordinator/src/engine_news.rs
@@ -136,7 +136,8 @@
         self.acknowledge(DepartureWord { engine, state, sequence }).await
     }
 
-    /// Takes in what another control process says of engines.
+    /// Takes in what another control process says of engines. It has told the routers that it reaches, so others hear of it
+    /// with the next status.
     pub(crate) fn on_engines(&self, notices: Vec<EngineNotice>) {
         let now = self.now();
         for notice in notices {
@@ -146,7 +147,6 @@
                 self.on_still_announced(&engine);
             }
         }
-        self.tell_engines();
     }
 
     /// Forgets engines that have not been announced for long, and tells routers to do so.
