A departure that is written down already gets no line again

An engine that drains says so with every heartbeat; each was logged and counted as a new departure (by reading the change). Now the first one is, by each process that takes one in. Comments of the module say that control processes are told of departures, too.

--- a/crates/coordinator/src/engine_news.rs
+++ b/crates/coordinator/src/engine_news.rs
@@ -79,7 +79,7 @@
             self.write_down_later(word);
             return Ok(());
         }
-        if self.is_outdated(&word) {
+        if self.is_outdated(&word) || self.state.borrow().departures.covers(&word) {
             return Ok(());
         }
         let written = self.write_down(word.clone()).await;
--- a/crates/coordinator/src/links.rs
+++ b/crates/coordinator/src/links.rs
@@ -19,7 +19,7 @@
 pub struct Link {
     /// The other end.
     pub peer: PeerInfo,
-    /// What has been told over it, if the other end is a router.
+    /// What has been told over it: departures to control processes, all of it to routers.
     pub told: RouterTold,
     heard_at: Timestamp,
 }
--- a/crates/coordinator/src/router_news.rs
+++ b/crates/coordinator/src/router_news.rs
@@ -1,5 +1,5 @@
-//! What a control process tells routers, and of departures other control processes. Messages may be lost, so each kind has a version, and what a router does not
-//! confirm in time is told again.
+//! What a control process tells routers, and of departures other control processes, too. Messages may be lost, so each
+//! kind has a version, and what the other end does not confirm in time is told again.
 
 use crate::control_node::ControlNode;
 use crate::control_state::ControlState;
@@ -12,7 +12,7 @@
 use stackpost_types::{BackEndName, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// How far one router is with each kind.
+/// How far the other end of a connection is with each kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RouterTold {
     /// Versions of the configuration.
@@ -28,7 +28,7 @@
 }
 
 impl RouterTold {
-    /// The router says what it has.
+    /// A router says what it has.
     pub fn confirm(&mut self, versions: &RouterVersions) {
         self.document.confirm(versions.document);
         self.departures.confirm(versions.departures);
