Bench: say how the release is measured without sockets

The module's comment told of a simulated network and rounded the interval of confirmations; it names the constant now.

--- a/crates/bench/src/departures.rs
+++ b/crates/bench/src/departures.rs
@@ -1,6 +1,6 @@
 //! A release of all engines before a whole fleet: what control processes tell routers of it, how many bytes that is and what
-//! the replicated state holds afterwards. The directories, words, versions and messages are those of the gateway; the
-//! network is simulated, and each router confirms what it has been told twice a second.
+//! the replicated state holds afterwards. The directories, words, versions and messages are those of the gateway. There are
+//! no sockets: what is told arrives at once, and routers confirm it every [`CONFIRM_INTERVAL`] milliseconds.
 
 use clap::ArgMatches;
 use stackpost_coordinator::{Command, FleetMessage, FleetState, Told};
