Write contacts of routers to the log in one entry a round, of those that hold something

What callers saw: on the large site requests waited for grants that did not come in time, though half of a budget lay with nobody. Cause, by arithmetic on the code: the leader wrote one NoteContact entry for each router each 400 ms, 740 a second at 295 routers, each synced and sent to five replicas, and planned over an account of every router that it heard. Change: Command::NoteContacts carries all contacts of a round, of routers to which the ledger has allotted something; of others a contact bounds nothing. Routers without accounts are left out of the round. The new command stands at the end of the enum, so older logs open; control replicas have to be upgraded before the leader writes it, as with each new command.

--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -44,7 +44,7 @@
 pub use replica_thread::{ReplicaHandle, ReplicaThread, ReplicaView};
 pub use router_news::RouterTold;
 pub use router_peers::{PEERS_PER_ROUTER, RouterSite, peers_of};
-pub use state::{Command, FleetState, Outcome};
+pub use state::{Command, FleetState, Outcome, RouterContact};
 pub use told::Told;
 
 use stackpost_gateway_core::{ConfigError, RoutingConfig};
--- a/crates/coordinator/src/prepaid_planner.rs
+++ b/crates/coordinator/src/prepaid_planner.rs
@@ -1,7 +1,7 @@
 //! The leader's view of the routers' accounts, and what follows from it.
 
 use crate::message::{ClockEcho, RouterStatus};
-use crate::state::Command;
+use crate::state::{Command, RouterContact};
 use stackpost_prepaid::{
     AccountReport, Contact, GivenBack, LifeEnd, Outlook, PrepaidLedger, Rations, ShortBudget,
     SteadyTime, plan,
@@ -37,6 +37,17 @@
     accounts: BTreeMap<TenantName, AccountReport>,
 }
 
+impl RouterView {
+    fn take_contact(&mut self, router: &NodeId) -> Option<RouterContact> {
+        let contact = self.contact.take()?;
+        let gone = |(tenant, account): (&TenantName, &AccountReport)| {
+            (tenant.clone(), account.used + account.returned)
+        };
+        let gone = self.accounts.iter().map(gone).collect();
+        Some(RouterContact { router: router.clone(), contact, gone })
+    }
+}
+
 /// Gathers the routers' reports and plans rounds.
 #[derive(Default)]
 pub(crate) struct PrepaidPlanner {
@@ -137,6 +148,7 @@
         let reports: BTreeMap<NodeId, BTreeMap<TenantName, AccountReport>> = self
             .routers
             .iter()
+            .filter(|(_, view)| !view.accounts.is_empty())
             .map(|(router, view)| (router.clone(), view.accounts.clone()))
             .collect();
         commands.extend(returns(ledger, &reports));
@@ -150,7 +162,7 @@
         if !plan.grants.is_empty() {
             commands.push(Command::Grant(plan.grants));
         }
-        commands.extend(self.new_contacts(now));
+        commands.extend(self.new_contacts(now, ledger));
         commands
     }
 
@@ -226,25 +238,16 @@
         commands
     }
 
-    /// Contacts that the ledger should know, now and then.
-    fn new_contacts(&mut self, now: Timestamp) -> Vec<Command> {
+    /// Contacts that the ledger should know, now and then: those of routers that hold something.
+    fn new_contacts(&mut self, now: Timestamp, ledger: &PrepaidLedger) -> Option<Command> {
         if now < self.contacts_at {
-            return Vec::new();
+            return None;
         }
         self.contacts_at = now + CONTACT_INTERVAL;
-        let mut commands = Vec::new();
-        for (router, view) in &mut self.routers {
-            if let Some(contact) = view.contact.take() {
-                let gone = view
-                    .accounts
-                    .iter()
-                    .map(|(tenant, account)| (tenant.clone(), account.used + account.returned))
-                    .collect();
-                let router = router.clone();
-                commands.push(Command::NoteContact { router, contact, gone });
-            }
-        }
-        commands
+        let holders = self.routers.iter_mut().filter(|(router, _)| ledger.is_holder(router));
+        let contacts: Vec<RouterContact> =
+            holders.filter_map(|(router, view)| view.take_contact(router)).collect();
+        (!contacts.is_empty()).then_some(Command::NoteContacts(contacts))
     }
 }
 
--- a/crates/coordinator/src/state.rs
+++ b/crates/coordinator/src/state.rs
@@ -27,7 +27,7 @@
         /// What is known of its end.
         end: LifeEnd,
     },
-    /// Takes in when a router was last in touch.
+    /// Takes in when a router was last in touch; as versions before [`Command::NoteContacts`] wrote it.
     NoteContact {
         /// The router.
         router: NodeId,
@@ -40,6 +40,19 @@
     Quarantine(QuarantineChange),
     /// Changes what engines have said of their end.
     Departures(DepartureChange),
+    /// Takes in when routers were last in touch.
+    NoteContacts(Vec<RouterContact>),
+}
+
+/// When a router was last in touch.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RouterContact {
+    /// The router.
+    pub router: NodeId,
+    /// The contact.
+    pub contact: Contact,
+    /// What was gone of each of its allotments some time after.
+    pub gone: Vec<(TenantName, Tokens)>,
 }
 
 /// What applying a command did.
@@ -115,6 +128,11 @@
             Command::NoteContact { router, contact, gone } => {
                 self.ledger.note_contact(&router, contact, &gone);
             }
+            Command::NoteContacts(contacts) => {
+                for RouterContact { router, contact, gone } in contacts {
+                    self.ledger.note_contact(&router, contact, &gone);
+                }
+            }
             Command::Quarantine(change) => return self.change_quarantine(change),
             Command::Departures(change) => {
                 if self.departures.apply(change) {
--- a/crates/coordinator/tests/support/mod.rs
+++ b/crates/coordinator/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 use stackpost_consensus::Envelope;
 use stackpost_coordinator::*;
-use stackpost_gateway_core::{ClientLimits, ConfigError, RoutingConfig};
+use stackpost_gateway_core::{ClientLimits, ConfigError, RoutingConfig, Tenant};
 use stackpost_storage::MemoryDisk;
 use stackpost_types::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,6 +15,8 @@
 pub const FOUNDERS: usize = 3;
 pub const MACHINES: usize = 5;
 pub const ZONES: usize = 3;
+/// The tenant with a budget.
+pub const TENANT: &str = "ferry";
 /// Time between two ticks, in milliseconds.
 pub const TICK: u64 = 25;
 
@@ -44,7 +46,12 @@
                 header_timeout: Millis(1),
                 idle_timeout: Millis(1),
             },
-            tenants: None,
+            tenants: Some(vec![Tenant {
+                name: TENANT.into(),
+                keys: vec!["key".into()],
+                priority: None,
+                prepaid: Some(Tokens(1_000_000)),
+            }]),
         })
     }
 }
--- a/crates/prepaid/src/ledger.rs
+++ b/crates/prepaid/src/ledger.rs
@@ -208,6 +208,11 @@
         of_holder.and_then(|held| held.allotments.get(tenant)).copied().unwrap_or_default()
     }
 
+    /// Whether a router life has been handed anything.
+    pub fn is_holder(&self, router: &NodeId) -> bool {
+        self.holders.contains_key(router)
+    }
+
     /// All allotments of a holder.
     pub fn allotments(&self, holder: &NodeId) -> Vec<(TenantName, Allotment)> {
         let of_holder = self.holders.get(holder).map(|held| held.allotments.iter());
