--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -35,7 +35,9 @@
 pub use document_delta::DocumentDelta;
 pub use engine_news::AnnouncementError;
 pub use links::{Link, Links};
-pub use message::{ClockEcho, ControlStatus, Document, FleetMessage, RouterStatus, RouterVersions};
+pub use message::{
+    BorrowAnswer, ClockEcho, ControlStatus, Document, FleetMessage, RouterStatus, RouterVersions,
+};
 pub use packed_document::PackedDocument;
 pub use replica::Replica;
 pub use replica_api::{
@@ -43,7 +45,7 @@
 };
 pub use replica_thread::{ReplicaHandle, ReplicaThread, ReplicaView};
 pub use router_news::RouterTold;
-pub use router_peers::{PEERS_PER_ROUTER, RouterSite, peers_of};
+pub use router_peers::{PEERS_PER_ROUTER, peers_of};
 pub use state::{Command, FleetState, Outcome, RouterContact};
 pub use told::Told;
 
--- a/crates/coordinator/src/links.rs
+++ b/crates/coordinator/src/links.rs
@@ -6,7 +6,7 @@
 //! a reset, long before it is given up.
 
 use crate::router_news::RouterTold;
-use crate::router_peers::RouterSite;
+use stackpost_gateway_core::RouterSite;
 use stackpost_mesh::{LinkId, PeerInfo, PeerRole};
 use stackpost_types::{MachineName, Millis, NodeId, Timestamp, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -6,9 +6,10 @@
 use stackpost_consensus::Envelope;
 use stackpost_gateway_core::{
     CrashReport, DepartureNews, DepartureWord, DirectoryNews, EngineNotice, QuarantineNotice,
+    ZoneRouters,
 };
 use stackpost_prepaid::{AccountReport, Allotment, Contact, Outlook};
-use stackpost_types::{BackEndName, NodeId, TenantName, Timestamp, Tokens};
+use stackpost_types::{BackEndName, Millis, NodeId, TenantName, Timestamp, Tokens};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -81,6 +82,17 @@
     pub spoken: Timestamp,
 }
 
+/// What a router says to another one that wants to borrow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum BorrowAnswer {
+    /// What it may spend does not cover the request, and the leader has handed it nothing for it.
+    NotCovered,
+    /// The tokens are reserved.
+    Lent,
+    /// It ends, or it can't ask the leader; another router may have the tokens.
+    AskAnother,
+}
+
 /// A message between two processes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FleetMessage {
@@ -126,13 +138,15 @@
         tenant: TenantName,
         /// How many tokens.
         amount: Tokens,
+        /// How long the answer may take.
+        wait: Millis,
     },
     /// Answer to `Borrow`.
     BorrowReply {
         /// Names the loan.
         token: u64,
         /// Whether the tokens are reserved.
-        granted: bool,
+        answer: BorrowAnswer,
     },
     /// From the borrower: the request has ended.
     SettleLoan {
@@ -152,8 +166,8 @@
     Routers {
         /// Rises with each change.
         version: u64,
-        /// Every router that the control process hears, in order.
-        all: Vec<SocketAddr>,
+        /// Every router that the control process hears, by zone.
+        all: Vec<ZoneRouters>,
         /// The ones to exchange loads and loans with.
         peers: Vec<SocketAddr>,
     },
--- a/crates/coordinator/src/router_news.rs
+++ b/crates/coordinator/src/router_news.rs
@@ -5,9 +5,9 @@
 use crate::control_state::ControlState;
 use crate::message::{FleetMessage, RouterVersions};
 use crate::replica_thread::ReplicaView;
-use crate::router_peers::{RouterSite, peers_of};
+use crate::router_peers::peers_of;
 use crate::told::Told;
-use stackpost_gateway_core::EngineDirectory;
+use stackpost_gateway_core::{EngineDirectory, RouterSite, ZoneRouters};
 use stackpost_mesh::{LinkId, PeerRole};
 use stackpost_types::{BackEndName, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
@@ -193,7 +193,7 @@
             let sites = &state.routers.sites;
             let own = state.links.site(link);
             let peers = own.map_or_else(Vec::new, |own| peers_of(sites, &own));
-            let all = sites.iter().map(|site| site.address).collect();
+            let all = ZoneRouters::group(sites);
             FleetMessage::Routers { version, all, peers }
         };
         self.send_news(&[link], version, |told| &mut told.routers, message);
--- a/crates/coordinator/src/router_peers.rs
+++ b/crates/coordinator/src/router_peers.rs
@@ -1,23 +1,13 @@
 //! Which other routers a router is told of: to tell them what it sends to engines, and to borrow
 //! from them when it can't reach control.
 
+use stackpost_gateway_core::RouterSite;
 use std::net::SocketAddr;
 
-use stackpost_types::ZoneName;
-
 /// Other routers that each router is told of. More would cost each router more in datagrams than a
 /// fuller picture of the engines saves.
 pub const PEERS_PER_ROUTER: usize = 96;
 
-/// A router and where other routers find it.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct RouterSite {
-    /// Its zone.
-    pub zone: ZoneName,
-    /// Where it accepts connections of the fleet.
-    pub address: SocketAddr,
-}
-
 /// The routers that `own` is told of, out of all in `sorted`: those of its own zone first, which a
 /// cut between zones leaves in reach, each router beginning with another one.
 pub fn peers_of(sorted: &[RouterSite], own: &RouterSite) -> Vec<SocketAddr> {
--- a/crates/coordinator/tests/router_peers.rs
+++ b/crates/coordinator/tests/router_peers.rs
@@ -1,6 +1,7 @@
 //! Which other routers a router is told of.
 
-use stackpost_coordinator::{PEERS_PER_ROUTER, RouterSite, peers_of};
+use stackpost_coordinator::{PEERS_PER_ROUTER, peers_of};
+use stackpost_gateway_core::RouterSite;
 use stackpost_types::ZoneName;
 
 fn site(zone: &str, number: u16) -> RouterSite {
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`StatedRates`]: how many requests a second engines take, as they state it.
 //! - [`EnginePermits`]: whether a request may be sent to an engine, by its slots and its rate.
 //! - [`RouterLists`]: which routers are there, by what several control processes hear.
+//! - [`AccountOwners`]: which router of a zone keeps the zone's account of a tenant.
 //! - [`LoadShedding`]: who is let in while engines state that they take less than is asked.
 //! - [`RetryBudget`]: how many requests may be sent to a further engine.
 //! - [`RequestFingerprint`]: what a request asks, the same for every repeat of it.
@@ -17,6 +18,7 @@
 //!   one router knows of them.
 //! - [`EventSplitter`]: whole events of a stream.
 
+mod account_owners;
 mod config;
 mod crash_memory;
 mod departures;
@@ -40,6 +42,7 @@
 mod slot_shares;
 mod stated_rates;
 
+pub use account_owners::AccountOwners;
 pub use config::{
     ClientLimits, ConfigError, EngineProfile, Route, RouteKind, RoutingConfig, Service, Split,
     Tenant,
@@ -64,6 +67,6 @@
 };
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use route_table::{Admission, RouteTable, TenantMatch};
-pub use router_lists::RouterLists;
+pub use router_lists::{RouterLists, RouterSite, ZoneRouters};
 pub use slot_shares::SlotShares;
 pub use stated_rates::{RateChange, RateNews, RateStatement, StatedRates};
--- a/crates/gateway-core/src/router_lists.rs
+++ b/crates/gateway-core/src/router_lists.rs
@@ -4,16 +4,57 @@
 //! same ones for there. What a process said before its connection was lost counts a little longer: one that has just
 //! started hears few routers yet, and if all of them did, each router would take itself for the only one.
 
-use stackpost_types::{Millis, Timestamp};
+use serde::{Deserialize, Serialize};
+use stackpost_types::{Millis, Timestamp, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// Routers find a control process that has started within this time.
 const LOST_LISTS_KEPT: Millis = Millis(2_000);
 
+/// A router and where other routers find it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RouterSite {
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Where it accepts connections of the fleet.
+    pub address: SocketAddr,
+}
+
+/// The routers of one zone, as they travel in messages.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneRouters {
+    /// The zone.
+    pub zone: ZoneName,
+    /// Where its routers accept connections of the fleet.
+    pub addresses: Vec<SocketAddr>,
+}
+
+impl ZoneRouters {
+    /// Groups sites by zone.
+    pub fn group(sites: &[RouterSite]) -> Vec<Self> {
+        let mut zones: BTreeMap<&ZoneName, Vec<SocketAddr>> = BTreeMap::new();
+        for site in sites {
+            zones.entry(&site.zone).or_default().push(site.address);
+        }
+        let group = |(zone, addresses): (&ZoneName, Vec<SocketAddr>)| Self {
+            zone: zone.clone(),
+            addresses,
+        };
+        zones.into_iter().map(group).collect()
+    }
+
+    /// The single sites.
+    pub fn sites(&self) -> impl Iterator<Item = RouterSite> {
+        self.addresses
+            .iter()
+            .map(|address| RouterSite { zone: self.zone.clone(), address: *address })
+    }
+}
+
 #[derive(Clone, Debug)]
 struct List {
-    routers: Vec<SocketAddr>,
+    routers: Vec<RouterSite>,
     /// When the connection over which it came was lost.
     lost_at: Option<Timestamp>,
 }
@@ -32,7 +73,7 @@
 
 impl<L: Ord + Copy> RouterLists<L> {
     /// A control process tells which routers it hears.
-    pub fn on_told(&mut self, link: L, routers: Vec<SocketAddr>) {
+    pub fn on_told(&mut self, link: L, routers: Vec<RouterSite>) {
         self.lists.insert(link, List { routers, lost_at: None });
     }
 
@@ -43,9 +84,9 @@
         }
     }
 
-    /// The routers that are there, but for `own`, in order; `None` while nobody has told. Out of sight of all control processes what
+    /// The routers that are there, in order; `None` while nobody has told. Out of sight of all control processes what
     /// they said last stands.
-    pub fn others(&mut self, now: Timestamp, own: SocketAddr) -> Option<Vec<SocketAddr>> {
+    pub fn sites(&mut self, now: Timestamp) -> Option<BTreeSet<RouterSite>> {
         if self.lists.values().any(|list| list.lost_at.is_none()) {
             let is_old = |list: &List| {
                 list.lost_at.is_some_and(|lost_at| now.since(lost_at) >= LOST_LISTS_KEPT)
@@ -55,8 +96,13 @@
         if self.lists.is_empty() {
             return None;
         }
+        Some(self.lists.values().flat_map(|list| &list.routers).cloned().collect())
+    }
+
+    /// The addresses of the routers that are there, but for `own`, in order; `None` while nobody has told.
+    pub fn others(&mut self, now: Timestamp, own: SocketAddr) -> Option<Vec<SocketAddr>> {
         let there: BTreeSet<SocketAddr> =
-            self.lists.values().flat_map(|list| &list.routers).copied().collect();
+            self.sites(now)?.into_iter().map(|site| site.address).collect();
         Some(there.into_iter().filter(|router| *router != own).collect())
     }
 }
--- /dev/null
+++ b/crates/gateway-core/tests/account_owners.rs
@@ -0,0 +1,111 @@
+//! Which router keeps a zone's account of a tenant.
+
+use stackpost_gateway_core::{AccountOwners, RouterSite};
+use stackpost_types::{Millis, TenantName, Timestamp, ZoneName};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+const NOW: Timestamp = Timestamp(5_000);
+const ZONES: [&str; 3] = ["east", "north", "west"];
+const ROUTERS_PER_ZONE: u8 = 20;
+const TENANTS: usize = 40;
+
+fn site(zone: usize, router: u8) -> RouterSite {
+    let address = ([10, 0, zone as u8, router], 80).into();
+    RouterSite { zone: ZoneName::new(ZONES[zone]), address }
+}
+
+fn sites() -> BTreeSet<RouterSite> {
+    let zones = 0..ZONES.len();
+    zones.flat_map(|zone| (0..ROUTERS_PER_ZONE).map(move |router| site(zone, router))).collect()
+}
+
+fn owners_at(own: &RouterSite, sites: &BTreeSet<RouterSite>) -> AccountOwners {
+    let mut owners = AccountOwners::default();
+    owners.set_sites(own, sites);
+    owners
+}
+
+fn tenants() -> impl Iterator<Item = TenantName> {
+    (0..TENANTS).map(|number| TenantName::new(format!("tenant{number}")))
+}
+
+#[test]
+fn one_router_of_each_zone_keeps_the_account_and_all_others_ask_it() {
+    let sites = sites();
+    let views: Vec<(RouterSite, AccountOwners)> =
+        sites.iter().map(|own| (own.clone(), owners_at(own, &sites))).collect();
+    for tenant in tenants() {
+        for zone in ZONES {
+            let in_zone = || views.iter().filter(|(own, _)| own.zone.as_str() == zone);
+            let owner: Vec<SocketAddr> = in_zone()
+                .filter(|(_, view)| view.is_owner(NOW, &tenant))
+                .map(|(own, _)| own.address)
+                .collect();
+            assert_eq!(owner.len(), 1, "{tenant} in {zone}");
+            for (own, view) in in_zone().filter(|(own, _)| own.address != owner[0]) {
+                let asked = view.lenders_in_zone(NOW, &tenant);
+                assert_eq!(asked[0], owner[0], "{own:?}");
+                assert!(!asked.contains(&own.address));
+            }
+        }
+    }
+}
+
+#[test]
+fn the_accounts_are_spread_over_the_routers() {
+    let sites = sites();
+    let most = sites
+        .iter()
+        .map(|own| {
+            let view = owners_at(own, &sites);
+            tenants().filter(|tenant| view.is_owner(NOW, tenant)).count()
+        })
+        .max();
+    assert!(most <= Some(3 * TENANTS / usize::from(ROUTERS_PER_ZONE)), "{most:?} at one router");
+}
+
+#[test]
+fn a_router_that_does_not_answer_is_passed_over_for_a_while() {
+    let sites = sites();
+    for tenant in tenants() {
+        let view = |own: &RouterSite| owners_at(own, &sites);
+        let second = |own: &RouterSite| view(own).lenders_in_zone(NOW, &tenant).get(1).copied();
+        let asker = sites.iter().find(|own| second(own).is_some()).expect("two others are asked");
+        let mut owners = view(asker);
+        let asked = owners.lenders_in_zone(NOW, &tenant);
+        owners.on_no_answer(NOW, asked[0]);
+        assert_eq!(owners.lenders_in_zone(NOW, &tenant)[0], asked[1]);
+        assert_eq!(owners.lenders_in_zone(NOW + Millis(1_000), &tenant), asked);
+    }
+}
+
+#[test]
+fn a_router_alone_keeps_every_account() {
+    let own = site(0, 1);
+    let nothing_known = AccountOwners::default();
+    let unlisted = owners_at(&own, &BTreeSet::new());
+    for tenant in tenants() {
+        assert!(nothing_known.is_owner(NOW, &tenant));
+        assert!(unlisted.is_owner(NOW, &tenant));
+    }
+}
+
+#[test]
+fn out_of_touch_the_owner_of_each_other_zone_is_asked() {
+    let sites = sites();
+    let own = site(1, 3);
+    let view = owners_at(&own, &sites);
+    for tenant in tenants() {
+        let elsewhere = view.lenders_elsewhere(NOW, &tenant);
+        let zones: Vec<&str> = elsewhere
+            .iter()
+            .map(|lender| sites.iter().find(|site| site.address == *lender).expect("known"))
+            .map(|site| site.zone.as_str())
+            .collect();
+        assert_eq!(zones, ["west", "east"], "the zone after the own one first");
+        let at_lender = owners_at(&site(2, 0), &sites);
+        let in_west = at_lender.lenders_in_zone(NOW, &tenant).first().copied();
+        assert_eq!(in_west.unwrap_or(site(2, 0).address), elsewhere[0], "the owner there");
+    }
+}
--- a/crates/gateway-core/tests/router_lists.rs
+++ b/crates/gateway-core/tests/router_lists.rs
@@ -1,20 +1,24 @@
 //! Which routers a router takes for there, while control processes come and go.
 
-use stackpost_gateway_core::RouterLists;
-use stackpost_types::Timestamp;
+use stackpost_gateway_core::{RouterLists, RouterSite, ZoneRouters};
+use stackpost_types::{Timestamp, ZoneName};
 use std::net::SocketAddr;
 
 fn address(router: u8) -> SocketAddr {
     ([10, 0, 1, router], 80).into()
 }
 
+fn site(zone: &str, router: u8) -> RouterSite {
+    RouterSite { zone: ZoneName::new(zone), address: address(router) }
+}
+
 fn others(lists: &mut RouterLists<u8>, now: u64) -> Vec<u8> {
     let others = lists.others(Timestamp(now), address(1)).unwrap_or_default();
     others.iter().map(|other| (1..9).find(|one| address(*one) == *other).expect("known")).collect()
 }
 
 fn told(lists: &mut RouterLists<u8>, link: u8, routers: &[u8]) {
-    lists.on_told(link, routers.iter().map(|router| address(*router)).collect());
+    lists.on_told(link, routers.iter().map(|router| site("east", *router)).collect());
 }
 
 #[test]
@@ -42,3 +46,12 @@
     told(&mut lists, 2, &[1, 2]);
     assert_eq!(others(&mut lists, 62_000), [2], "the third one is gone");
 }
+
+#[test]
+fn sites_survive_being_grouped_by_zone() {
+    let sites = [site("east", 1), site("east", 3), site("west", 2)];
+    let grouped = ZoneRouters::group(&sites);
+    assert_eq!(grouped.len(), 2);
+    let single: Vec<RouterSite> = grouped.iter().flat_map(ZoneRouters::sites).collect();
+    assert_eq!(single, sites);
+}
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -6,17 +6,18 @@
 use crate::router::Router;
 use hyper::StatusCode;
 use stackpost_gateway_core::RateChange;
-use stackpost_prepaid::{Demand, Outlook};
-use stackpost_types::{BackEndName, Millis, TenantName};
+use stackpost_prepaid::Outlook;
+use stackpost_types::{BackEndName, Millis, TenantName, Tokens};
 use std::time::Duration;
 
 /// A request is refused because its tenant's budget does not cover it here and now. `step` is what
-/// refused it: the precedence of other requests, or the wallet after the wait for tokens.
+/// refused it: the owner of the zone's account, the end of a budget that is kept for cheap requests, or the own wallet
+/// after the wait for tokens.
 pub(crate) fn unpaid(
     router: &Router,
     request: &str,
     tenant: &TenantName,
-    demand: Demand,
+    tokens: Tokens,
     step: &str,
 ) {
     let balance = router.wallet.borrow().balance(router.now(), tenant);
@@ -30,8 +31,7 @@
         request = request,
         tenant = tenant.as_str(),
         step = step,
-        tokens = demand.amount.0,
-        priority = demand.priority,
+        tokens = tokens.0,
         hand = balance.hand.0,
         reserve = balance.reserve.0,
         spendable = balance.spendable.0,
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -10,7 +10,7 @@
 use crate::machine_clock::machine_time;
 use crate::router::Router;
 use stackpost_coordinator::{ClockEcho, ControlStatus, FleetMessage, RouterStatus, RouterVersions};
-use stackpost_gateway_core::RouterLists;
+use stackpost_gateway_core::{RouterLists, RouterSite, ZoneRouters};
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
 use stackpost_prepaid::{AccountReport, Allotment, Contact};
 use stackpost_types::{BackEndName, Digest, NodeId, PeerError, TenantName};
@@ -50,14 +50,18 @@
     farewell_taken: Notify,
     /// Other routers, to be dialed only when this one needs them.
     peers: RefCell<Vec<SocketAddr>>,
-    peers_dialed_at: Cell<Option<Instant>>,
-    peer_links: RefCell<BTreeSet<LinkId>>,
+    /// Connections to other routers, and where these accept connections.
+    peer_links: RefCell<BTreeMap<LinkId, SocketAddr>>,
+    /// When this router began to dial others to borrow from them.
+    lenders_dialed: RefCell<BTreeMap<SocketAddr, Instant>>,
     loans: Loans,
     exchange: Rc<LoadExchange>,
     /// Where this router accepts connections of the fleet.
-    listens_at: SocketAddr,
+    site: RouterSite,
     /// The routers that each control process hears.
     router_lists: RefCell<RouterLists<LinkId>>,
+    /// The routers that are there, as taken over last.
+    sites: RefCell<BTreeSet<RouterSite>>,
     /// Engines that each control process has not heard of late.
     silent: RefCell<BTreeMap<LinkId, BTreeSet<BackEndName>>>,
     /// What routers that stopped out of touch have spent, to be passed on to the leader.
@@ -73,6 +77,7 @@
         seeds: &[SocketAddr],
     ) -> Result<Rc<Self>, PeerError> {
         let listens_at = own.listens_at;
+        let site = RouterSite { zone: own.zone.clone(), address: listens_at };
         let node = own.node.clone();
         let started = machine_time(&router.clock);
         let (mesh, events) = Mesh::new(own);
@@ -94,12 +99,13 @@
             sign_at: Cell::new(Instant::now()),
             farewell_taken: Notify::new(),
             peers: RefCell::default(),
-            peers_dialed_at: Cell::new(None),
             peer_links: RefCell::default(),
+            lenders_dialed: RefCell::default(),
             loans: Loans::default(),
             exchange,
-            listens_at,
+            site,
             router_lists: RefCell::default(),
+            sites: RefCell::default(),
             silent: RefCell::default(),
             custody: RefCell::default(),
             stopped: Cell::new(false),
@@ -115,16 +121,27 @@
         seeds.iter().for_each(|seed| self.mesh.dial(*seed));
     }
 
-    fn on_routers(&self, link: LinkId, routers: Vec<SocketAddr>) {
+    fn on_routers(&self, link: LinkId, zones: &[ZoneRouters]) {
+        let routers = zones.iter().flat_map(ZoneRouters::sites).collect();
         self.router_lists.borrow_mut().on_told(link, routers);
         self.take_over_routers();
     }
 
     fn take_over_routers(&self) {
-        let others = self.router_lists.borrow_mut().others(self.router.now(), self.listens_at);
-        if let Some(others) = others {
-            self.router.permits.set_others(self.router.now(), &others);
+        let now = self.router.now();
+        let Some(sites) = self.router_lists.borrow_mut().sites(now) else {
+            return;
+        };
+        if *self.sites.borrow() == sites {
+            return;
         }
+        let others: BTreeSet<SocketAddr> = sites.iter().map(|site| site.address).collect();
+        let others: Vec<SocketAddr> =
+            others.into_iter().filter(|other| *other != self.site.address).collect();
+        self.router.permits.set_others(now, &others);
+        self.router.account_owners.borrow_mut().set_sites(&self.site, &sites);
+        self.forget_lenders(&others);
+        *self.sites.borrow_mut() = sites;
     }
 
     async fn run(
@@ -144,10 +161,12 @@
                 _ = reports.tick() => {
                     self.report();
                     self.take_over_routers();
+                    self.ask_for_loans();
                     self.deliver_custody();
                 }
                 _ = forget.tick() => {
                     self.forget_old();
+                    self.router.give_back_unowned();
                     self.router.compare_old_rates();
                     self.router.crash_memory.borrow_mut().tell_again(self.router.now());
                     self.report_crashes();
@@ -162,10 +181,10 @@
         }
     }
 
-    fn on_event(&self, event: LinkEvent<FleetMessage>) {
+    fn on_event(self: &Rc<Self>, event: LinkEvent<FleetMessage>) {
         match event {
             LinkEvent::Up { link, peer, .. } if peer.role == PeerRole::Router => {
-                self.peer_links.borrow_mut().insert(link);
+                self.peer_links.borrow_mut().insert(link, peer.listens_at);
                 self.ask_for_loans();
             }
             LinkEvent::Up { link, peer, .. } => {
@@ -190,7 +209,7 @@
         }
     }
 
-    fn on_message(&self, link: LinkId, message: FleetMessage) {
+    fn on_message(self: &Rc<Self>, link: LinkId, message: FleetMessage) {
         match message {
             FleetMessage::ControlStatus(status) => self.on_status(link, status),
             FleetMessage::Document(packed) => {
@@ -222,11 +241,11 @@
             }
             FleetMessage::FarewellTaken => self.farewell_taken.notify_one(),
             FleetMessage::Custody(router, spent) => self.on_custody(link, router, spent),
-            FleetMessage::Borrow { token, tenant, amount } => {
-                self.lend(link, token, tenant, amount);
+            FleetMessage::Borrow { token, tenant, amount, wait } => {
+                self.lend(link, token, tenant, amount, wait);
             }
-            FleetMessage::BorrowReply { token, granted } => {
-                self.on_borrow_reply(link, token, granted);
+            FleetMessage::BorrowReply { token, answer } => {
+                self.on_borrow_reply(link, token, answer);
             }
             FleetMessage::SettleLoan { token, used } => self.on_loan_settled(link, token, used),
             FleetMessage::SilentEngines { version, engines } => {
@@ -242,7 +261,7 @@
             FleetMessage::Outlooks(outlooks) => *self.router.outlooks.borrow_mut() = outlooks,
             FleetMessage::Routers { version, all, peers } => {
                 self.versions_of(link, |versions| versions.routers = version);
-                self.on_routers(link, all);
+                self.on_routers(link, &all);
                 self.exchange.set_peers(&peers);
                 *self.peers.borrow_mut() = peers;
             }
@@ -301,12 +320,14 @@
             links.into_iter().filter(|link| Some(*link) != leader).for_each(|link| {
                 self.send_sign(link);
             });
-            self.mesh.send_all(self.peer_links.borrow().clone(), &FleetMessage::Alive);
+            let peers: Vec<LinkId> = self.peer_links.borrow().keys().copied().collect();
+            self.mesh.send_all(peers, &FleetMessage::Alive);
         }
         let Some(leader) = leader.filter(|_| !self.stopped.get()) else {
             return;
         };
         let complete = self.fully_reported_at.get().elapsed() >= FULL_REPORT_INTERVAL;
+        let complete = complete && self.router.wallet.borrow().has_accounts();
         let accounts = self.changed_accounts(complete);
         if complete || !accounts.is_empty() || sign_due {
             let contact = self.leader_contact.get().filter(|_| complete);
--- a/crates/gateway/src/fleet_link/farewell.rs
+++ b/crates/gateway/src/fleet_link/farewell.rs
@@ -13,6 +13,9 @@
 /// Times that a farewell kept for another router is sent to the leader.
 const CUSTODY_DELIVERIES: u32 = 5;
 
+/// Other routers that a farewell is left with.
+const KEEPERS: usize = 12;
+
 /// What another router left here when it stopped.
 pub(super) struct Custody {
     spent: BTreeMap<TenantName, Tokens>,
@@ -43,8 +46,8 @@
         if let Some(leader) = self.leader.get().filter(|_| self.router.in_touch()) {
             return self.mesh.send(leader, &FleetMessage::Farewell(used.clone()));
         }
-        self.dial_peers();
-        let links = self.peer_links.borrow().clone();
+        self.dial_keepers();
+        let links: Vec<LinkId> = self.peer_links.borrow().keys().copied().collect();
         self.mesh.send_all(links.clone(), &FleetMessage::Custody(self.node.clone(), used.clone()));
         for (router, custody) in self.custody.borrow().iter() {
             let message = FleetMessage::Custody(router.clone(), custody.spent.clone());
@@ -52,6 +55,12 @@
         }
     }
 
+    fn dial_keepers(&self) {
+        for peer in self.peers.borrow().iter().take(KEEPERS) {
+            self.mesh.dial(*peer);
+        }
+    }
+
     pub(super) fn on_custody(
         &self,
         link: LinkId,
--- a/crates/gateway/src/fleet_link/loan_exchange.rs
+++ b/crates/gateway/src/fleet_link/loan_exchange.rs
@@ -1,49 +1,85 @@
 //! The messages by which routers lend to one another; [`crate::loans`] decides whom to ask.
 
 use super::FleetLink;
-use crate::loans::{Loan, LoanCommand};
-use stackpost_coordinator::FleetMessage;
+use crate::loans::{LenderLinks, Loan, LoanCommand, LoanRequest};
+use crate::reservation;
+use stackpost_coordinator::{BorrowAnswer, FleetMessage};
 use stackpost_mesh::LinkId;
-use stackpost_types::{TenantName, Tokens};
+use stackpost_types::{Millis, TenantName, Tokens};
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::time::sleep;
 
-/// Time in which connections to other routers come up, if they come up at all.
-const PEERS_COME_UP: Duration = Duration::from_millis(400);
+/// Time in which a connection to another router comes up, if it comes up at all.
+const LINK_COMES_UP: Duration = Duration::from_millis(60);
 
-/// Other routers that a router may ask for loans.
-const LENDERS: usize = 12;
+impl LenderLinks for FleetLink {
+    fn link_to(&self, router: SocketAddr) -> Option<LinkId> {
+        let links = self.peer_links.borrow();
+        links.iter().rev().find(|(_, address)| **address == router).map(|(link, _)| *link)
+    }
+
+    fn is_coming_up(&self, router: SocketAddr) -> bool {
+        let dialed_at = self.lenders_dialed.borrow().get(&router).copied();
+        dialed_at.is_some_and(|at| at.elapsed() < LINK_COMES_UP)
+    }
+}
 
 impl FleetLink {
-    pub(super) fn on_loan_command(&self, command: LoanCommand) {
+    pub(super) fn on_loan_command(self: &Rc<Self>, command: LoanCommand) {
         match command {
-            LoanCommand::Ask { tenant, amount, reply } => {
-                self.loans.ask(tenant, amount, reply);
-                self.dial_peers();
+            LoanCommand::Ask(request) => {
+                self.dial_lenders(&request);
+                self.loans.ask(request);
                 self.ask_for_loans();
             }
             LoanCommand::Settle { loan, used } => self.settle(loan, used),
         }
     }
 
-    pub(super) fn dial_peers(&self) {
-        if self.peers_dialed_at.get().is_none() {
-            self.peers_dialed_at.set(Some(Instant::now()));
+    /// Connects to lenders to which there is no connection yet, and looks again when it should be there.
+    fn dial_lenders(self: &Rc<Self>, request: &LoanRequest) {
+        let mut dialed = self.lenders_dialed.borrow_mut();
+        let is_new = |lender: &&SocketAddr| {
+            !dialed.contains_key(*lender) && self.link_to(**lender).is_none()
+        };
+        let new: Vec<SocketAddr> = request.lenders.iter().filter(is_new).copied().collect();
+        for lender in &new {
+            self.mesh.dial(*lender);
+            dialed.insert(*lender, Instant::now());
         }
-        for peer in self.peers.borrow().iter().take(LENDERS) {
-            self.mesh.dial(*peer);
+        if !new.is_empty() {
+            let link = self.clone();
+            tokio::task::spawn_local(async move {
+                sleep(LINK_COMES_UP).await;
+                link.ask_for_loans();
+            });
         }
     }
 
-    /// Sends what requests want to ask. Connections may still be coming up.
+    /// Dials routers that are not there any more no longer.
+    pub(super) fn forget_lenders(&self, others: &[SocketAddr]) {
+        self.lenders_dialed.borrow_mut().retain(|lender, _| {
+            let is_there = others.contains(lender);
+            if !is_there {
+                self.mesh.forget(*lender);
+            }
+            is_there
+        });
+    }
+
+    /// Sends what requests want to ask, and passes over lenders that have not answered.
     pub(super) fn ask_for_loans(&self) {
-        let peers = self.peer_links.borrow();
-        let dialed_just_now =
-            self.peers_dialed_at.get().is_some_and(|at| at.elapsed() < PEERS_COME_UP);
-        let expected = self.peers.borrow().len().min(LENDERS);
-        let more_may_come = dialed_just_now && peers.len() < expected;
-        for question in self.loans.questions(self.router.now(), &peers, more_may_come) {
+        let now = self.router.now();
+        for lender in self.loans.forget_ended(now) {
+            log::info!(lender = lender.to_string().as_str(); "no answer from a lender");
+            self.router.account_owners.borrow_mut().on_no_answer(now, lender);
+        }
+        for question in self.loans.questions(now, self) {
             let (token, tenant, amount) = (question.token, question.tenant, question.amount);
-            self.mesh.send(question.to, &FleetMessage::Borrow { token, tenant, amount });
+            let message = FleetMessage::Borrow { token, tenant, amount, wait: question.wait };
+            self.mesh.send(question.to, &message);
         }
     }
 
@@ -51,8 +87,8 @@
         self.mesh.send(loan.lender, &FleetMessage::SettleLoan { token: loan.token, used });
     }
 
-    pub(super) fn on_borrow_reply(&self, lender: LinkId, token: u64, granted: bool) {
-        if let Some(unwanted) = self.loans.on_reply(self.router.now(), lender, token, granted) {
+    pub(super) fn on_borrow_reply(&self, lender: LinkId, token: u64, answer: BorrowAnswer) {
+        if let Some(unwanted) = self.loans.on_reply(self.router.now(), lender, token, answer) {
             self.settle(unwanted, Tokens::ZERO);
         }
         if self.loans.is_wanted() {
@@ -60,25 +96,50 @@
         }
     }
 
-    pub(super) fn lend(&self, borrower: LinkId, token: u64, tenant: TenantName, amount: Tokens) {
-        let now = self.router.now();
-        let reserved = self.router.wallet.borrow_mut().retry_reserve(now, &tenant, amount);
-        let granted = reserved.is_ok() && !self.stopped.get();
-        if reserved.is_err() {
-            // In touch, the leader hears of it and this router can lend when it is asked again.
-            self.router.wallet_short.notify_one();
-        }
-        if granted {
+    /// Lends, at once or when the leader has handed out more.
+    pub(super) fn lend(
+        self: &Rc<Self>,
+        borrower: LinkId,
+        token: u64,
+        tenant: TenantName,
+        amount: Tokens,
+        wait: Millis,
+    ) {
+        let link = self.clone();
+        tokio::task::spawn_local(async move {
+            let answer = match link.stopped.get() {
+                true => BorrowAnswer::AskAnother,
+                false => reservation::lend(&link.router, &tenant, amount, wait).await,
+            };
+            link.on_lending_ended(borrower, token, tenant, amount, answer);
+        });
+    }
+
+    fn on_lending_ended(
+        &self,
+        borrower: LinkId,
+        token: u64,
+        tenant: TenantName,
+        amount: Tokens,
+        answer: BorrowAnswer,
+    ) {
+        if answer == BorrowAnswer::Lent {
+            let can_be_told = self.peer_links.borrow().contains_key(&borrower);
+            if self.stopped.get() || !can_be_told {
+                self.router.wallet.borrow_mut().settle(&tenant, amount, Tokens::ZERO);
+                return;
+            }
             self.loans.on_lent(borrower, token, tenant, amount);
-        } else if reserved.is_ok() {
-            self.router.wallet.borrow_mut().settle(&tenant, amount, Tokens::ZERO);
         }
-        self.mesh.send(borrower, &FleetMessage::BorrowReply { token, granted });
+        self.mesh.send(borrower, &FleetMessage::BorrowReply { token, answer });
     }
 
     pub(super) fn on_loan_settled(&self, borrower: LinkId, token: u64, used: Tokens) {
         if let Some((tenant, amount)) = self.loans.on_settled(borrower, token) {
             self.router.wallet.borrow_mut().settle(&tenant, amount, used);
+            if used < amount {
+                self.router.wallet_grown.notify_waiters();
+            }
         }
     }
 
@@ -87,5 +148,6 @@
         for (tenant, amount) in self.loans.on_down(link) {
             self.router.wallet.borrow_mut().settle(&tenant, amount, amount);
         }
+        self.ask_for_loans();
     }
 }
--- a/crates/gateway/src/loans.rs
+++ b/crates/gateway/src/loans.rs
@@ -1,18 +1,23 @@
 //! Tokens reserved at another router.
 //!
-//! Out of touch, a router whose own reserve does not cover a request asks other routers, one after
-//! the other, to reserve the tokens in their wallets. The lender counts them as its own use at once,
-//! so every bound on what the lender can have spent holds unchanged, and the ledger need not know.
-//! What was really used is told afterwards; if that word is lost, the lender keeps the most.
+//! A router that does not keep its zone's account of a tenant asks those that do, one after the other, to reserve
+//! tokens in their wallets. Out of touch it asks owners in other zones as well. The lender counts the tokens as its own
+//! use at once, so every bound on what the lender can have spent holds unchanged, and the ledger need not know. What
+//! was really used is told afterwards; if that word is lost, the lender keeps the most.
 
+use stackpost_coordinator::BorrowAnswer;
 use stackpost_mesh::LinkId;
 use stackpost_types::{Millis, TenantName, Timestamp, Tokens};
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
 use tokio::sync::{mpsc, oneshot};
 
 /// A router that has lent nothing is not asked for as much or more again for so long.
 const REFUSAL_KEPT: Millis = Millis(100);
+/// A lender that has said nothing for so long when the request gives up does not answer; less may be the request's own
+/// haste.
+const NO_ANSWER_AFTER: Millis = Millis(60);
 
 /// A reservation at another router.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,18 +28,37 @@
     pub token: u64,
 }
 
+/// What a request's wish came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LoanOutcome {
+    /// The tokens are reserved.
+    Lent(Loan),
+    /// The lender could not cover the request, and the leader has handed it nothing for it.
+    NotCovered,
+    /// No lender could be asked, or none that could has anything.
+    NobodyLends,
+}
+
+/// A request's wish.
+#[derive(Debug)]
+pub struct LoanRequest {
+    /// The tenant.
+    pub tenant: TenantName,
+    /// How many tokens.
+    pub amount: Tokens,
+    /// Whom to ask, in this order.
+    pub lenders: Vec<SocketAddr>,
+    /// Until when it waits.
+    pub until: Timestamp,
+    /// Where the outcome goes.
+    pub reply: oneshot::Sender<LoanOutcome>,
+}
+
 /// What requests want of other routers.
 #[derive(Debug)]
 pub enum LoanCommand {
     /// Reserve tokens somewhere.
-    Ask {
-        /// The tenant.
-        tenant: TenantName,
-        /// How many.
-        amount: Tokens,
-        /// Where the loan goes; `None` if nobody lends.
-        reply: oneshot::Sender<Option<Loan>>,
-    },
+    Ask(LoanRequest),
     /// The request has ended.
     Settle {
         /// Its loan.
@@ -44,13 +68,29 @@
     },
 }
 
+/// The connections to other routers.
+pub trait LenderLinks {
+    /// The connection to a router, if there is one.
+    fn link_to(&self, router: SocketAddr) -> Option<LinkId>;
+    /// Whether a connection to a router is expected within moments.
+    fn is_coming_up(&self, router: SocketAddr) -> bool;
+}
+
+/// A question that has not been answered.
+struct Outstanding {
+    lender: SocketAddr,
+    link: LinkId,
+    asked_at: Timestamp,
+}
+
 /// A request that waits for a loan.
 struct PendingAsk {
     tenant: TenantName,
     amount: Tokens,
-    reply: oneshot::Sender<Option<Loan>>,
-    asked: BTreeSet<LinkId>,
-    outstanding: Option<LinkId>,
+    lenders: VecDeque<SocketAddr>,
+    until: Timestamp,
+    reply: oneshot::Sender<LoanOutcome>,
+    outstanding: Option<Outstanding>,
 }
 
 /// A question to be sent to another router.
@@ -64,6 +104,8 @@
     pub tenant: TenantName,
     /// How many tokens.
     pub amount: Tokens,
+    /// How long the answer may take.
+    pub wait: Millis,
 }
 
 /// What a router would not lend.
@@ -75,8 +117,6 @@
 /// Both sides of the loans of one router.
 #[derive(Default)]
 pub struct Loans {
-    /// Who has lent of each tenant's budget last.
-    last_lenders: RefCell<BTreeMap<TenantName, LinkId>>,
     /// The newest refusal of each router for each tenant.
     refused: RefCell<BTreeMap<(LinkId, TenantName), RefusedLoan>>,
     pending: RefCell<BTreeMap<u64, PendingAsk>>,
@@ -87,63 +127,78 @@
 
 impl Loans {
     /// Takes in a request's wish; questions follow from [`Self::questions`].
-    pub fn ask(&self, tenant: TenantName, amount: Tokens, reply: oneshot::Sender<Option<Loan>>) {
+    pub fn ask(&self, request: LoanRequest) {
         let mut token = self.next_token.borrow_mut();
         *token += 1;
-        let ask = PendingAsk { tenant, amount, reply, asked: BTreeSet::new(), outstanding: None };
+        let LoanRequest { tenant, amount, lenders, until, reply } = request;
+        let ask =
+            PendingAsk { tenant, amount, lenders: lenders.into(), until, reply, outstanding: None };
         self.pending.borrow_mut().insert(*token, ask);
     }
 
-    /// The questions to send now. A request that has asked everyone in `peers` gets nothing, unless
-    /// there may be more to come.
-    pub fn questions(
-        &self,
-        now: Timestamp,
-        peers: &BTreeSet<LinkId>,
-        more_may_come: bool,
-    ) -> Vec<Question> {
+    /// The questions to send now. A request whose lenders have all been asked or can't be is told so.
+    pub fn questions(&self, now: Timestamp, links: &impl LenderLinks) -> Vec<Question> {
         let mut questions = Vec::new();
-        let mut refused = Vec::new();
+        let mut ended = Vec::new();
         let mut pending = self.pending.borrow_mut();
-        pending.retain(|_, ask| !ask.reply.is_closed());
         for (token, ask) in pending.iter_mut().filter(|(_, ask)| ask.outstanding.is_none()) {
-            match self.next_lender(now, ask, peers) {
-                Some(peer) => {
-                    ask.asked.insert(peer);
-                    ask.outstanding = Some(peer);
+            match self.next_lender(now, ask, links) {
+                NextLender::Ask(lender, link) => {
+                    ask.outstanding = Some(Outstanding { lender, link, asked_at: now });
                     let (tenant, amount) = (ask.tenant.clone(), ask.amount);
-                    questions.push(Question { to: peer, token: *token, tenant, amount });
+                    let wait = ask.until.since(now);
+                    questions.push(Question { to: link, token: *token, tenant, amount, wait });
                 }
-                None if more_may_come => {}
-                None => refused.push(*token),
+                NextLender::Wait => {}
+                NextLender::None => ended.push(*token),
             }
         }
-        for ask in refused.into_iter().filter_map(|token| pending.remove(&token)) {
+        for ask in ended.into_iter().filter_map(|token| pending.remove(&token)) {
             // The request may have given up meanwhile.
-            let _ = ask.reply.send(None);
+            let _ = ask.reply.send(LoanOutcome::NobodyLends);
         }
         questions
     }
 
-    /// Whom to ask next: first who has lent last, and nobody who has just refused as much.
     fn next_lender(
         &self,
         now: Timestamp,
-        ask: &PendingAsk,
-        peers: &BTreeSet<LinkId>,
-    ) -> Option<LinkId> {
+        ask: &mut PendingAsk,
+        links: &impl LenderLinks,
+    ) -> NextLender {
+        while let Some(lender) = ask.lenders.front().copied() {
+            match links.link_to(lender) {
+                Some(link) if self.has_refused(now, link, ask) => {}
+                Some(link) => {
+                    ask.lenders.pop_front();
+                    return NextLender::Ask(lender, link);
+                }
+                None if links.is_coming_up(lender) => return NextLender::Wait,
+                None => {}
+            }
+            ask.lenders.pop_front();
+        }
+        NextLender::None
+    }
+
+    fn has_refused(&self, now: Timestamp, link: LinkId, ask: &PendingAsk) -> bool {
         let refused = self.refused.borrow();
-        let has_refused = |peer: LinkId| {
-            refused.get(&(peer, ask.tenant.clone())).is_some_and(|refusal| {
-                refusal.amount <= ask.amount && now.since(refusal.at) < REFUSAL_KEPT
-            })
-        };
-        let last_lenders = self.last_lenders.borrow();
-        let last = last_lenders.get(&ask.tenant).filter(|last| peers.contains(last));
-        last.into_iter()
-            .chain(peers)
-            .copied()
-            .find(|peer| !ask.asked.contains(peer) && !has_refused(*peer))
+        refused.get(&(link, ask.tenant.clone())).is_some_and(|refusal| {
+            refusal.amount <= ask.amount && now.since(refusal.at) < REFUSAL_KEPT
+        })
+    }
+
+    /// Forgets requests that have given up. Returns the lenders that have not answered them.
+    pub fn forget_ended(&self, now: Timestamp) -> Vec<SocketAddr> {
+        let mut without_answer = Vec::new();
+        self.pending.borrow_mut().retain(|_, ask| {
+            let has_ended = ask.reply.is_closed();
+            let outstanding = ask.outstanding.as_ref().filter(|_| has_ended);
+            let silent = outstanding.filter(|asked| now.since(asked.asked_at) >= NO_ANSWER_AFTER);
+            without_answer.extend(silent.map(|asked| asked.lender));
+            !has_ended
+        });
+        without_answer
     }
 
     /// Takes in an answer. Returns the loan if nobody wants it any more.
@@ -152,23 +207,33 @@
         now: Timestamp,
         lender: LinkId,
         token: u64,
-        granted: bool,
+        answer: BorrowAnswer,
     ) -> Option<Loan> {
         let loan = Loan { lender, token };
-        let mut pending = self.pending.borrow_mut();
-        if !granted {
-            if let Some(ask) = pending.get_mut(&token) {
-                ask.outstanding = None;
-                let refusal = RefusedLoan { amount: ask.amount, at: now };
-                self.refused.borrow_mut().insert((lender, ask.tenant.clone()), refusal);
+        match answer {
+            BorrowAnswer::Lent => match self.end(token, LoanOutcome::Lent(loan)) {
+                Ok(()) => None,
+                Err(NobodyWaits) => Some(loan),
+            },
+            BorrowAnswer::NotCovered => {
+                // Nothing was set aside, so nothing is to be undone if nobody waits.
+                let _ = self.end(token, LoanOutcome::NotCovered);
+                None
+            }
+            BorrowAnswer::AskAnother => {
+                if let Some(ask) = self.pending.borrow_mut().get_mut(&token) {
+                    ask.outstanding = None;
+                    let refusal = RefusedLoan { amount: ask.amount, at: now };
+                    self.refused.borrow_mut().insert((lender, ask.tenant.clone()), refusal);
+                }
+                None
             }
-            return None;
         }
-        let Some(ask) = pending.remove(&token) else {
-            return Some(loan);
-        };
-        self.last_lenders.borrow_mut().insert(ask.tenant, lender);
-        ask.reply.send(Some(loan)).err().map(|_| loan)
+    }
+
+    fn end(&self, token: u64, outcome: LoanOutcome) -> Result<(), NobodyWaits> {
+        let ask = self.pending.borrow_mut().remove(&token).ok_or(NobodyWaits)?;
+        ask.reply.send(outcome).map_err(|_| NobodyWaits)
     }
 
     /// Notes what was lent.
@@ -184,12 +249,11 @@
     /// A connection is gone. Returns what was lent over it and will never be settled.
     pub fn on_down(&self, link: LinkId) -> Vec<(TenantName, Tokens)> {
         for ask in self.pending.borrow_mut().values_mut() {
-            if ask.outstanding == Some(link) {
+            if ask.outstanding.as_ref().is_some_and(|outstanding| outstanding.link == link) {
                 ask.outstanding = None;
             }
         }
         self.refused.borrow_mut().retain(|(peer, _), _| *peer != link);
-        self.last_lenders.borrow_mut().retain(|_, lender| *lender != link);
         let mut lent = self.lent.borrow_mut();
         let gone: Vec<(LinkId, u64)> =
             lent.keys().filter(|(borrower, _)| *borrower == link).copied().collect();
@@ -202,6 +266,16 @@
     }
 }
 
+/// The request has given up.
+struct NobodyWaits;
+
+/// What a request that waits does next.
+enum NextLender {
+    Ask(SocketAddr, LinkId),
+    Wait,
+    None,
+}
+
 /// The way from requests to the loans.
 #[derive(Default)]
 pub struct LoanDesk {
@@ -216,11 +290,18 @@
         receiver
     }
 
-    /// Asks other routers; `None` if nobody lends.
-    pub async fn ask(&self, tenant: &TenantName, amount: Tokens) -> Option<Loan> {
+    /// Asks `lenders`, one after the other.
+    pub async fn ask(
+        &self,
+        tenant: &TenantName,
+        amount: Tokens,
+        lenders: Vec<SocketAddr>,
+        until: Timestamp,
+    ) -> LoanOutcome {
         let (reply, answer) = oneshot::channel();
-        self.send(LoanCommand::Ask { tenant: tenant.clone(), amount, reply });
-        answer.await.ok().flatten()
+        let tenant = tenant.clone();
+        self.send(LoanCommand::Ask(LoanRequest { tenant, amount, lenders, until, reply }));
+        answer.await.unwrap_or(LoanOutcome::NobodyLends)
     }
 
     /// Tells the lender what was used.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,11 +6,11 @@
 use crate::body::GatewayBody;
 use crate::choose::longest_permit_wait;
 use crate::deadline::Deadline;
-use crate::decision_log::{self, BreakPoint};
+use crate::decision_log::BreakPoint;
 use crate::dialect::{CallerRequest, EngineAddressing};
 use crate::refusal::Refusal;
 use crate::relay::{self, LargeAnswer};
-use crate::reservation::Reservation;
+use crate::reservation::{Order, Reservation};
 use crate::router::Router;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -19,8 +19,7 @@
 use hyper::http::request;
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use stackpost_gateway_core::{Admission, AttemptEnd, Route, RouteTable, Tenant};
-use stackpost_prepaid::Demand;
-use stackpost_types::{BackEndName, Digest, Millis, ServiceName, TenantName};
+use stackpost_types::{BackEndName, Digest, Millis, ServiceName};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -224,17 +223,15 @@
         let Some(tenant) = self.tenant.as_ref().filter(|tenant| tenant.prepaid.is_some()) else {
             return Ok(None);
         };
-        let demand = Demand { amount: generation.most(), priority: self.route.priority };
-        if !self.router.may_draw(&tenant.name, demand) {
-            self.log_unpaid(&tenant.name, demand, "precedence");
-            return Err(self.out_of_reach(Refusal::BudgetExhausted));
-        }
+        let order = Order {
+            request: &self.payload.caller.id,
+            generation,
+            tokens_per_event: self.tokens_per_event(),
+        };
         let wait = Duration::from_millis(self.route.objective.0 * TOKEN_WAIT_PERCENT / 100);
         let wait_until = self.deadline.timer().min(self.arrived + wait);
-        let per_event = self.tokens_per_event();
-        Reservation::make(&self.router, &tenant.name, generation, per_event, wait_until)
+        Reservation::make(&self.router, &tenant.name, order, wait_until)
             .await
-            .inspect_err(|_| self.log_unpaid(&tenant.name, demand, "wallet"))
             .map_err(|refusal| self.out_of_reach(refusal))
             .map(Some)
     }
@@ -249,10 +246,6 @@
         }
     }
 
-    fn log_unpaid(&self, tenant: &TenantName, demand: Demand, step: &str) {
-        decision_log::unpaid(&self.router, &self.payload.caller.id, tenant, demand, step);
-    }
-
     fn tokens_per_event(&self) -> u64 {
         let service = self.table.config().services.get(&self.service);
         let engine = service.and_then(|service| service.engine.as_ref());
--- a/crates/gateway/src/reservation.rs
+++ b/crates/gateway/src/reservation.rs
@@ -1,11 +1,14 @@
-//! Tokens set aside for one request.
+//! Tokens set aside for one request, or for one of another router.
 
+use crate::decision_log;
 use crate::dialect::Generation;
-use crate::loans::Loan;
+use crate::loans::{Loan, LoanOutcome};
 use crate::refusal::Refusal;
 use crate::router::Router;
-use stackpost_types::{TenantName, Tokens};
+use stackpost_coordinator::BorrowAnswer;
+use stackpost_types::{Millis, TenantName, Tokens};
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep_until, timeout_at};
@@ -34,27 +37,20 @@
 }
 
 impl Reservation {
-    /// Sets aside the most that `generation` can cost. If the wallet holds too little, the leader
-    /// is asked, and the request waits until `wait_until` at most.
+    /// Sets aside the most that `generation` can cost: at the router that keeps the zone's account of the tenant, or
+    /// here if that is this one. If too little is held, the request waits until `wait_until` at most.
     pub async fn make(
         router: &Rc<Router>,
         tenant: &TenantName,
-        generation: Generation,
-        tokens_per_event: u64,
+        order: Order<'_>,
         wait_until: Instant,
     ) -> Result<Self, Refusal> {
-        let most = generation.most();
-        let now = router.now();
-        let first = router.wallet.borrow_mut().reserve(now, tenant, most);
-        let loan = match first {
-            Ok(()) => None,
-            Err(_) => wait_for_tokens(router, tenant, most, wait_until).await?,
-        };
+        let loan = order.set_aside(router, tenant, wait_until).await?;
         Ok(Self {
             router: router.clone(),
             tenant: tenant.clone(),
-            generation,
-            tokens_per_event,
+            generation: order.generation,
+            tokens_per_event: order.tokens_per_event,
             events: Cell::new(0),
             loan,
             usage: Cell::new(Usage::None),
@@ -109,41 +105,136 @@
     }
 }
 
+/// What a request wants to be set aside.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Order<'a> {
+    /// The request's id, for logs.
+    pub request: &'a str,
+    /// What it generates.
+    pub generation: Generation,
+    /// Tokens that one event of its answer holds.
+    pub tokens_per_event: u64,
+}
+
+impl Order<'_> {
+    async fn set_aside(
+        &self,
+        router: &Router,
+        tenant: &TenantName,
+        wait_until: Instant,
+    ) -> Result<Option<Loan>, Refusal> {
+        let amount = self.generation.most();
+        let lenders = router.token_lenders(tenant);
+        if !lenders.is_empty() {
+            match borrow(router, tenant, amount, lenders, wait_until).await {
+                LoanOutcome::Lent(loan) => return Ok(Some(loan)),
+                LoanOutcome::NotCovered => {
+                    self.log_unpaid(router, tenant, "owner");
+                    return Err(Refusal::BudgetExhausted);
+                }
+                LoanOutcome::NobodyLends => {}
+            }
+        }
+        if !router.may_draw(tenant, amount) {
+            self.log_unpaid(router, tenant, "scarce");
+            return Err(Refusal::BudgetExhausted);
+        }
+        let first = router.wallet.borrow_mut().reserve(router.now(), tenant, amount);
+        if first.is_ok() {
+            return Ok(None);
+        }
+        let waited = wait_for_tokens(router, tenant, amount, wait_until).await;
+        waited.inspect_err(|_| self.log_unpaid(router, tenant, "wallet"))
+    }
+
+    fn log_unpaid(&self, router: &Router, tenant: &TenantName, step: &str) {
+        decision_log::unpaid(router, self.request, tenant, self.generation.most(), step);
+    }
+}
+
 /// Time after which routers that had nothing to lend are asked again: one that is in touch may have
 /// got something from the leader.
 const ASK_AGAIN_AFTER: Duration = Duration::from_millis(110);
 /// Longest time between two tries while a request waits for tokens.
 const RETRY_INTERVAL: Duration = Duration::from_millis(60);
+/// Part of a borrower's wait, in percent, after which the lender answers whatever it has: the rest is for the way.
+const ANSWER_AFTER_PERCENT: u64 = 85;
 
+async fn borrow(
+    router: &Router,
+    tenant: &TenantName,
+    amount: Tokens,
+    lenders: Vec<SocketAddr>,
+    wait_until: Instant,
+) -> LoanOutcome {
+    let wait = wait_until.saturating_duration_since(Instant::now());
+    let until = router.now() + Millis(wait.as_millis() as u64);
+    let asking = router.loan_desk.ask(tenant, amount, lenders, until);
+    timeout_at(wait_until, asking).await.unwrap_or(LoanOutcome::NotCovered)
+}
+
+/// Waits until the wallet covers a request, or out of touch until another router lends.
 async fn wait_for_tokens(
     router: &Router,
     tenant: &TenantName,
-    most: Tokens,
+    amount: Tokens,
     wait_until: Instant,
 ) -> Result<Option<Loan>, Refusal> {
     loop {
         if Instant::now() >= wait_until {
             return Err(Refusal::BudgetExhausted);
         }
-        // Out of touch the leader can't hand out more, but other routers may have some.
-        if !router.in_touch() {
-            let loan = timeout_at(wait_until, router.loan_desk.ask(tenant, most)).await;
-            if let Some(loan) = loan.ok().flatten() {
+        if router.in_touch() {
+            wait_for_leader(router, wait_until).await;
+        } else {
+            // Out of touch the leader can't hand out more, but other routers may have some.
+            let lenders = router.token_lenders_elsewhere(tenant);
+            let outcome = borrow(router, tenant, amount, lenders, wait_until).await;
+            if let LoanOutcome::Lent(loan) = outcome {
                 return Ok(Some(loan));
             }
             sleep_until(wait_until.min(Instant::now() + ASK_AGAIN_AFTER)).await;
-            if router.wallet.borrow_mut().retry_reserve(router.now(), tenant, most).is_ok() {
-                return Ok(None);
-            }
-            continue;
         }
-        let grown = router.wallet_grown.notified();
-        router.wallet_short.notify_one();
-        let next_try = wait_until.min(Instant::now() + RETRY_INTERVAL);
-        // Whether it was rung or not, the wallet decides.
-        let _ = timeout_at(next_try, grown).await;
-        if router.wallet.borrow_mut().retry_reserve(router.now(), tenant, most).is_ok() {
+        if covers(router, tenant, amount) {
             return Ok(None);
         }
     }
 }
+
+/// Tells the leader that a request waits, and waits until the wallet has grown, or for a while.
+async fn wait_for_leader(router: &Router, wait_until: Instant) {
+    let grown = router.wallet_grown.notified();
+    router.wallet_short.notify_one();
+    let next_try = wait_until.min(Instant::now() + RETRY_INTERVAL);
+    // Whether it was rung or not, the wallet decides.
+    let _ = timeout_at(next_try, grown).await;
+}
+
+fn covers(router: &Router, tenant: &TenantName, amount: Tokens) -> bool {
+    router.wallet.borrow_mut().retry_reserve(router.now(), tenant, amount).is_ok()
+}
+
+/// Sets tokens aside for a request of another router, which waits so long.
+pub(crate) async fn lend(
+    router: &Router,
+    tenant: &TenantName,
+    amount: Tokens,
+    wait: Millis,
+) -> BorrowAnswer {
+    if !router.may_draw(tenant, amount) {
+        return BorrowAnswer::NotCovered;
+    }
+    let first = router.wallet.borrow_mut().reserve(router.now(), tenant, amount);
+    if first.is_ok() {
+        return BorrowAnswer::Lent;
+    }
+    let wait = Duration::from_millis(wait.0 * ANSWER_AFTER_PERCENT / 100);
+    let wait_until = Instant::now() + wait;
+    while router.in_touch() && Instant::now() < wait_until {
+        wait_for_leader(router, wait_until).await;
+        if covers(router, tenant, amount) {
+            return BorrowAnswer::Lent;
+        }
+    }
+    if router.in_touch() { BorrowAnswer::NotCovered } else { BorrowAnswer::AskAnother }
+}
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -11,14 +11,15 @@
 use stackpost_clock::{BootInstant, MachineClock};
 use stackpost_coordinator::{Document, DocumentCodec, DocumentDelta};
 use stackpost_gateway_core::{
-    CrashMemory, DepartureNews, EngineDirectory, EnginePicker, EngineState, LoadShedding,
-    Placement, RetryBudget, RetryLimits, RouteTable, ServiceOutlook,
+    AccountOwners, CrashMemory, DepartureNews, EngineDirectory, EnginePicker, EngineState,
+    LoadShedding, Placement, RetryBudget, RetryLimits, RouteTable, ServiceOutlook,
 };
-use stackpost_prepaid::{Demand, Outlook, Wallet};
+use stackpost_prepaid::{Outlook, Wallet};
 use stackpost_telemetry::{LineLimit, Meter};
 use stackpost_types::{BackEndName, Millis, ServiceName, TenantName, Timestamp, Tokens, ZoneName};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -65,6 +66,8 @@
     /// Budgets that are going to run out, by the leader's word.
     pub(crate) outlooks: RefCell<BTreeMap<TenantName, Outlook>>,
     pub(crate) loan_desk: LoanDesk,
+    /// Which routers keep the accounts of tenants.
+    pub(crate) account_owners: RefCell<AccountOwners>,
     /// Rung when the wallet has grown.
     pub(crate) wallet_grown: Notify,
     /// Rung when a request does not fit the wallet.
@@ -111,6 +114,7 @@
             crash_news: Notify::new(),
             outlooks: RefCell::default(),
             loan_desk: LoanDesk::default(),
+            account_owners: RefCell::default(),
             wallet_grown: Notify::new(),
             wallet_short: Notify::new(),
             load_changed: Notify::new(),
@@ -165,10 +169,33 @@
         self.document_version()
     }
 
-    /// Whether a request may draw on its tenant's budget, as far as other requests need that more.
-    pub(crate) fn may_draw(&self, tenant: &TenantName, demand: Demand) -> bool {
+    /// Whether a request may draw on its tenant's budget, as far as the end of it is kept for cheaper ones.
+    pub(crate) fn may_draw(&self, tenant: &TenantName, amount: Tokens) -> bool {
         let outlook = self.outlooks.borrow().get(tenant).copied();
-        self.wallet.borrow_mut().admits(self.now(), tenant, demand, outlook)
+        self.wallet.borrow_mut().admits(tenant, amount, outlook)
+    }
+
+    /// Routers to ask for tokens of a tenant before this one draws on its own wallet; none if it keeps its zone's
+    /// account.
+    pub(crate) fn token_lenders(&self, tenant: &TenantName) -> Vec<SocketAddr> {
+        let mut lenders = self.account_owners.borrow().lenders_in_zone(self.now(), tenant);
+        if !lenders.is_empty() && !self.in_touch() {
+            lenders.extend(self.token_lenders_elsewhere(tenant));
+        }
+        lenders
+    }
+
+    /// Routers of other zones that keep an account of a tenant.
+    pub(crate) fn token_lenders_elsewhere(&self, tenant: &TenantName) -> Vec<SocketAddr> {
+        self.account_owners.borrow().lenders_elsewhere(self.now(), tenant)
+    }
+
+    /// Gives back what is held of budgets whose accounts other routers keep. Out of touch nobody else could use it.
+    pub(crate) fn give_back_unowned(&self) {
+        if self.in_touch() {
+            let (now, owners) = (self.now(), self.account_owners.borrow());
+            self.wallet.borrow_mut().give_back_others(|tenant| owners.is_owner(now, tenant));
+        }
     }
 
     /// Notes that a request is about to be sent to an engine.
--- a/crates/gateway/tests/fleet/main.rs
+++ b/crates/gateway/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! A small fleet on loopback sockets: control, routers and stand-ins for engines.
 
 mod break_off_lines;
+mod budgets;
 mod control_figures;
 mod crashing_requests;
 mod departure_lines;
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -59,7 +59,8 @@
     pub async fn start(control: SocketAddr) -> Self {
         let clock = MachineClock::default();
         let router = router_at(clock.clone());
-        let own = peer(PeerRole::Router, "router", free_address());
+        let address = free_address();
+        let own = peer(PeerRole::Router, &address.to_string(), address);
         let link = FleetLink::start(own, router.clone(), &[control]).await.expect("started");
         let callers = free_address();
         let server = serve_callers(router.clone(), callers).await.expect("started");
@@ -76,6 +77,11 @@
     pub async fn ask(&self, path: &str, id: &str) -> Got {
         ask_as_caller(self.callers, path, id).await
     }
+
+    /// Asks for a generation, which costs tokens.
+    pub async fn generate(&self, id: &str) -> Got {
+        generate_at(self.callers, id).await
+    }
 }
 
 /// A control process.
@@ -255,7 +261,7 @@
 
     /// Asks for a generation, which costs tokens.
     pub async fn generate(&self, id: &str) -> Got {
-        self.ask_with("/stream/1", &[("id", id), ("key", KEY), ("generation", "1")]).await
+        generate_at(self.callers, id).await
     }
 
     pub async fn ask_with(&self, path: &str, headers: &[(&str, &str)]) -> Got {
@@ -288,6 +294,10 @@
     ask_at(callers, path, &[("id", id), ("key", KEY)]).await
 }
 
+async fn generate_at(callers: SocketAddr, id: &str) -> Got {
+    ask_at(callers, "/stream/1", &[("id", id), ("key", KEY), ("generation", "1")]).await
+}
+
 async fn ask_at(callers: SocketAddr, path: &str, headers: &[(&str, &str)]) -> Got {
     let stream = TcpStream::connect(callers).await.expect("connected");
     let (mut sender, connection) =
--- a/crates/prepaid/src/lib.rs
+++ b/crates/prepaid/src/lib.rs
@@ -10,7 +10,6 @@
 
 mod ledger;
 mod policy;
-mod precedence;
 mod rate;
 mod rations;
 mod wallet;
@@ -20,7 +19,6 @@
     SteadyTime,
 };
 pub use policy::{AccountReport, Outlook, Plan, Recall, ShortBudget, plan};
-pub use precedence::DemandByPriority;
 pub use rate::DemandRate;
 pub use rations::{Rations, ration};
-pub use wallet::{Balance, Demand, Shortfall, Wallet};
+pub use wallet::{Balance, Shortfall, Wallet};
--- a/crates/prepaid/src/wallet.rs
+++ b/crates/prepaid/src/wallet.rs
@@ -2,7 +2,6 @@
 
 use crate::ledger::{Allotment, RESERVE_LOCK};
 use crate::policy::{AccountReport, Outlook};
-use crate::precedence::DemandByPriority;
 use crate::rate::DemandRate;
 use stackpost_types::{Millis, TenantName, Timestamp, Tokens};
 use std::collections::BTreeMap;
@@ -19,15 +18,6 @@
     pub missing: Tokens,
 }
 
-/// What a request wants of a budget.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Demand {
-    /// The most that it can cost.
-    pub amount: Tokens,
-    /// Its rank; zero is the most urgent.
-    pub priority: u32,
-}
-
 /// What a router holds of one tenant's budget at one moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Balance {
@@ -56,7 +46,6 @@
     /// Mean of the amounts asked for of late.
     mean: Tokens,
     demand: DemandRate,
-    by_priority: DemandByPriority,
 }
 
 impl Account {
@@ -131,30 +120,21 @@
         self.retry_reserve(now, tenant, amount)
     }
 
-    /// Whether a request may draw on a budget with this outlook. One that may not still counts as
-    /// demand, so that the outlook does not brighten only because it was refused; but not once the
-    /// budget is scarce, when nothing is handed out by demand any more.
+    /// Whether a request may draw on a budget with this outlook: the end of a budget serves cheap requests only. One that
+    /// may not still counts in the mean by which requests are cheap, but not as demand, since nothing of a scarce budget
+    /// is handed out by demand.
     pub fn admits(
         &mut self,
-        now: Timestamp,
         tenant: &TenantName,
-        demand: Demand,
+        amount: Tokens,
         outlook: Option<Outlook>,
     ) -> bool {
         let account = self.accounts.entry(tenant.clone()).or_default();
-        let Demand { amount, priority } = demand;
         account.is_scarce = outlook == Some(Outlook::Scarce);
-        account.by_priority.note(priority, amount);
-        let admitted = match outlook {
-            None => true,
-            Some(Outlook::Lasts(time)) => account.by_priority.admits(priority, time),
-            Some(Outlook::Scarce) => amount <= account.mean.scaled(CHEAP_PERMILLE, 1_000),
-        };
+        let is_cheap = amount <= account.mean.scaled(CHEAP_PERMILLE, 1_000);
+        let admitted = !account.is_scarce || is_cheap;
         if !admitted {
             account.note_amount(amount);
-            if outlook != Some(Outlook::Scarce) {
-                account.demand.note(now, amount);
-            }
         }
         admitted
     }
@@ -205,6 +185,16 @@
         account.allotment.returned += of_hand;
     }
 
+    /// Gives back what is held unused of every tenant for which `keeps` does not hold.
+    pub fn give_back_others(&mut self, keeps: impl Fn(&TenantName) -> bool) {
+        let unneeded = |(tenant, account): (&TenantName, &Account)| {
+            let is_held = !account.unused().is_zero();
+            (is_held && !keeps(tenant)).then(|| tenant.clone())
+        };
+        let tenants: Vec<TenantName> = self.accounts.iter().filter_map(unneeded).collect();
+        tenants.iter().for_each(|tenant| self.give_back_above(tenant, Tokens::ZERO));
+    }
+
     /// What is held of `tenant`'s budget, for logs.
     pub fn balance(&self, now: Timestamp, tenant: &TenantName) -> Balance {
         let silent_for = now.since(self.contact);
@@ -226,6 +216,11 @@
         self.accounts.get(tenant).map(Account::hand_left).unwrap_or_default()
     }
 
+    /// Whether this router has had to do with any budget.
+    pub fn has_accounts(&self) -> bool {
+        !self.accounts.is_empty()
+    }
+
     /// What the ledger's leader needs to know. A request that still waits asks again and is named
     /// in the next report, too.
     pub fn report(&mut self, now: Timestamp) -> Vec<(TenantName, AccountReport)> {
--- a/crates/prepaid/tests/budget_ends.rs
+++ b/crates/prepaid/tests/budget_ends.rs
@@ -80,8 +80,7 @@
     /// A request comes to a router; one that is covered costs `amount`.
     fn ask(&mut self, machine: usize, amount: u64) {
         let wallet = &mut self.wallets[machine];
-        let demand = Demand { amount: Tokens(amount), priority: 1 };
-        wallet.admits(self.now, &tenant(), demand, self.outlook);
+        wallet.admits(&tenant(), Tokens(amount), self.outlook);
         if wallet.retry_reserve(self.now, &tenant(), Tokens(amount)).is_ok() {
             wallet.settle(&tenant(), Tokens(amount), Tokens(amount));
             self.served.push(amount);
@@ -285,6 +284,35 @@
     assert!(used <= all_but_last + Tokens(LIMIT * 3 / 1_000), "no more than the last part");
 }
 
+/// Requests were refused for the sake of more urgent ones up to fifteen seconds before a budget would have ended; much of
+/// what was kept back was never asked for.
+#[test]
+fn a_budget_that_is_about_to_end_serves_every_request_until_it_is_scarce() {
+    let mut wallet = Wallet::default();
+    for amount in [12_000, 1_100, 2_400] {
+        let almost_over = Some(Outlook::Lasts(Millis(500)));
+        assert!(wallet.admits(&tenant(), Tokens(amount), almost_over));
+        assert!(wallet.reserve(Timestamp(1_000), &tenant(), Tokens(amount)).is_err());
+    }
+    assert!(!wallet.admits(&tenant(), Tokens(12_000), Some(Outlook::Scarce)));
+    assert!(wallet.admits(&tenant(), Tokens(1_100), Some(Outlook::Scarce)));
+}
+
+#[test]
+fn the_leader_tells_how_long_a_budget_lasts() {
+    let mut ledger = PrepaidLedger::default();
+    ledger.set_limits(&[(tenant(), Tokens(LIMIT))]);
+    let outlook_at = |rate: u64| {
+        let report = AccountReport { rate: Tokens(rate), ..AccountReport::default() };
+        let reports = BTreeMap::from([(node(0, 1), BTreeMap::from([(tenant(), report)]))]);
+        plan(&ledger, &reports, ROUND, &mut Rations::default()).outlooks.get(&tenant()).copied()
+    };
+    // 983,000 tokens can be handed out by demand: 1.7 in 100 are kept for the end.
+    assert_eq!(outlook_at(0), None);
+    assert_eq!(outlook_at(10_000), None, "98 s");
+    assert_eq!(outlook_at(50_000), Some(Outlook::Lasts(Millis(19_000))));
+}
+
 /// A pool of `pool` tokens, and two routers with `reports` that hold nothing.
 fn plan_for(pool: u64, reports: [AccountReport; 2]) -> Plan {
     let mut ledger = PrepaidLedger::default();
