Shrink reserves faster than what a budget has left, and ration only its very end

Cause: what routers hold at such a loss counts as spent (nobody knows how long they lived), and that was 0.4 of what was left in reserves however little that was. A budget counted as scarce, served by rations, as soon as hands held less than 1.5% of the limit: with the 1.7% kept for the end that began at 96.8%. Change: the reserve covers 7 s of demand while a budget lasts 14 s or more, and falls with the square of what is left below that: what a cut leaves unspent of a budget that runs out is spent after the cut, what a loss takes is gone. Scarce begins when hands hold less than 0.2%.

--- a/crates/prepaid/src/policy.rs
+++ b/crates/prepaid/src/policy.rs
@@ -28,10 +28,8 @@
 /// Part of what is left of a budget, in thousandths, that the hands may hold together. What lies in one hand is slow to
 /// come by for a request at another.
 const HANDS_PERMILLE: u64 = 300;
-/// Part of what is left of a budget, in thousandths, that the reserves may hold together. What routers hold when all
-/// machines lose power is lost to the tenant. A budget that lasts loses nothing by it, one that runs out does, and what
-/// a cut leaves unspent of such a budget is spent after it.
-const RESERVES_PERMILLE: u64 = 400;
+/// A budget that lasts so long at the demand of late is held for the whole [`RESERVE_TIME`].
+const FULL_RESERVE_FROM: Millis = Millis(14_000);
 
 /// Part of every limit, in thousandths, that is handed out last, in small amounts and for cheap
 /// requests only. No reserve is made of it, so no fault strands it: a tenant near the end of its
@@ -44,7 +42,7 @@
 const WITHHELD_PERMILLE: u64 = 5;
 /// A budget is scarce when only its last part is left and the routers hold less than this part of
 /// the limit, in thousandths.
-const SCARCE_HELD_PERMILLE: u64 = 15;
+const SCARCE_HELD_PERMILLE: u64 = 2;
 /// A budget that lasts longer is not worth a word.
 const LONGEST_OUTLOOK: Millis = Millis(60_000);
 /// Outlooks are told in steps of this, so that they change seldom.
@@ -399,8 +397,17 @@
 /// Some time of its own demand, but no more than the router's fair part of all that is left.
 fn target(share: &Share<'_>, total: Tokens, rate: Tokens) -> Target {
     let own = share.report.rate;
-    let part = |permille| total.scaled(permille, 1_000).scaled(own.0, rate.0.max(1));
-    let hand = own.scaled(HAND_TIME.0, 1_000).min(part(HANDS_PERMILLE));
-    let reserve = own.scaled(RESERVE_TIME.0, 1_000).min(part(RESERVES_PERMILLE));
-    Target { hand, held: hand + reserve }
+    let fair = total.scaled(HANDS_PERMILLE, 1_000).scaled(own.0, rate.0.max(1));
+    let hand = own.scaled(HAND_TIME.0, 1_000).min(fair);
+    Target { hand, held: hand + reserve(own, total, rate) }
+}
+
+/// What the reserve of a router with the demand `own` should hold of a budget that has `total` left. What routers hold
+/// when all machines lose power is lost to the tenant. A budget that lasts loses nothing by that; one that runs out
+/// does, and what a cut leaves unspent of it is spent after the cut. So reserves shrink faster than what is left.
+fn reserve(own: Tokens, total: Tokens, rate: Tokens) -> Tokens {
+    let lasting = rate.scaled(FULL_RESERVE_FROM.0, 1_000).max(Tokens(1));
+    let left = total.min(lasting);
+    let full = own.scaled(RESERVE_TIME.0, 1_000);
+    full.scaled(left.0, lasting.0).scaled(left.0, lasting.0)
 }
--- a/crates/prepaid/tests/budget_ends.rs
+++ b/crates/prepaid/tests/budget_ends.rs
@@ -358,3 +358,16 @@
     let handed: Tokens = plan.grants.iter().map(|grant| grant.to_hand).sum();
     assert!(handed <= Tokens(30_000), "{handed} of 100,000 lie in hands");
 }
+
+/// Reserves were a fixed part of what was left, so a loss of all power near the end of a budget took most of the rest.
+#[test]
+fn the_less_is_left_the_smaller_a_part_of_it_lies_in_reserves() {
+    let busy = AccountReport { rate: Tokens(25_000), ..AccountReport::default() };
+    let part_in_reserves = |pool: u64| {
+        let plan = plan_for(pool, [busy, busy]);
+        let reserved: Tokens = plan.grants.iter().map(|grant| grant.amount - grant.to_hand).sum();
+        reserved.scaled(1_000, pool)
+    };
+    let (lasts_long, runs_out) = (part_in_reserves(700_000), part_in_reserves(200_000));
+    assert!(runs_out + runs_out <= lasts_long, "{runs_out} and {lasts_long} in thousand");
+}
