Look at the quarantine again after the wait for tokens

Cause, by reading: a copy that waits for the owner of the account to reserve tokens passed the quarantine before the wait and was sent after it.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -161,6 +161,8 @@
     context.refuse_if_shed()?;
     context.refuse_if_rates_are_spent()?;
     context.reservation = context.reserve().await?;
+    // The wait for tokens may have outlasted the news that the request ends engines.
+    context.refuse_if_quarantined()?;
     context.run().await
 }
 
