Commit what the directory knows to be newer than a committed departure

Cause: one process receives Ready (3) before another one receives the Draining (2) that preceded it. The log commits Draining 2; the first process rightly ignores it, since Ready 3 is newer. The next Draining (4) reaches the second process, where the log's Draining 2 seems to cover it, so it is acknowledged without being committed, and the first process never learns of it.

Change: a process that learns of a committed departure while its directory holds a newer, different announcement has that announcement committed too. Then Draining 4 differs from the committed state and is committed.

The property's model got the same step; its assertions are unchanged.

--- a/crates/coordinator/src/departures.rs
+++ b/crates/coordinator/src/departures.rs
@@ -100,15 +100,18 @@
     /// holds no log and receives them from the leader.
     pub(crate) fn on_departures(&self, delta: &DepartureDelta) {
         let now = self.now();
-        let revision = {
+        let (revision, newer) = {
             let state = &mut *self.state.borrow_mut();
             state.departures.merge_delta(now, delta);
             for departure in &delta.records {
                 state.directory.apply_departure(now, departure);
             }
-            state.departures.revision()
+            let directory = &state.directory;
+            let newer = delta.records.iter().filter_map(|one| directory.newer_announcement(one));
+            (state.departures.revision(), newer.collect::<Vec<_>>())
         };
         self.committed_departures_revision.send_replace(revision);
+        newer.into_iter().for_each(|announced| self.submit_departure(announced));
         if self.replica.view().is_leader() {
             self.broadcast_departures();
         }
--- a/crates/gateway-core/src/directory.rs
+++ b/crates/gateway-core/src/directory.rs
@@ -281,6 +281,18 @@
         has_changed
     }
 
+    /// What the engine has announced since a committed departure, if that is another state. It
+    /// takes effect elsewhere only once it is committed as well: a process that has not received
+    /// the announcement would take the engine's next departure for the committed one.
+    pub fn newer_announcement(&self, departure: &DepartureRecord) -> Option<DepartureRecord> {
+        let known = self.engines.get(&departure.engine)?;
+        let (state, sequence) = (known.notice.state, known.notice.sequence);
+        let is_comparable = state != EngineState::Gone && departure.state != EngineState::Gone;
+        let is_newer = sequence > departure.sequence && state != departure.state;
+        let engine = departure.engine.clone();
+        (is_comparable && is_newer).then_some(DepartureRecord { engine, state, sequence })
+    }
+
     fn add_unknown_departure(&mut self, now: Timestamp, departure: &DepartureRecord) -> bool {
         if departure.state == EngineState::Ready {
             return false;
--- a/crates/gateway-core/tests/departures.rs
+++ b/crates/gateway-core/tests/departures.rs
@@ -161,6 +161,39 @@
     })
 }
 
+/// Applies the committed records to every directory, and commits what a directory knows to be newer,
+/// until nothing changes.
+fn replicate(departures: &mut Departures, directories: &mut [EngineDirectory]) {
+    loop {
+        let records = departures.since(0).records;
+        let mut newer = Vec::new();
+        for directory in directories.iter_mut() {
+            for departure in &records {
+                directory.apply_departure(NOW, departure);
+                newer.extend(directory.newer_announcement(departure));
+            }
+        }
+        if !departures.apply(DepartureChange::Announced(newer)) {
+            return;
+        }
+    }
+}
+
+/// One process receives `Ready` before another one receives the `Draining` that preceded it.
+#[test]
+fn a_departure_after_a_reordered_announcement_reaches_every_process() {
+    let mut directories = [(); 2].map(|()| EngineDirectory::default());
+    let mut departures = Departures::default();
+    directories[1].merge(NOW, notice("e1", 3, EngineState::Ready));
+    for sequence in [2, 4] {
+        directories[0].merge(NOW, notice("e1", sequence, EngineState::Draining));
+        let record = departure("e1", sequence, EngineState::Draining);
+        departures.apply(DepartureChange::Announced(vec![record]));
+        replicate(&mut departures, &mut directories);
+    }
+    assert_eq!(state_of(&directories[1], "e1"), Some(EngineState::Draining));
+}
+
 proptest! {
     /// An engine's announcements are in order, but reach the processes in any order, some more than
     /// once. Once each was received and committed, every directory has the last state, whether its
@@ -193,11 +226,7 @@
                 departures
                     .apply(DepartureChange::Announced(vec![departure("e1", sequence, state)]));
             }
-            for directory in &mut processes {
-                for departure in departures.since(0).records {
-                    directory.apply_departure(NOW, &departure);
-                }
-            }
+            replicate(&mut departures, &mut processes);
         }
         let last = *engine_states.last().expect("there is at least one state");
         let mut new_process = EngineDirectory::default();
