Do not count an interruption on an engine that ran on as its crash

Cause: an interruption on an engine that still accepts connections is kept for 5 s as an unconfirmed crash, and confirmed by the engine's next incarnation with the time of the confirmation. The control process rejects sightings at engines that have announced themselves twice since; with that time, and since it took no engine that had ended since for having run, it could not.

Change: a confirmed sighting carries the time of the interruption in the report, and an incarnation that has ended counts as having run after its announcements. What a router counts by itself is unchanged (two seconds while connected).

--- a/crates/gateway-core/src/crash_tracker.rs
+++ b/crates/gateway-core/src/crash_tracker.rs
@@ -64,7 +64,10 @@
 
 #[derive(Clone, Debug)]
 struct TrackedSighting {
+    /// When the crash became known here. Its effect at this router is limited from then on.
     at: Timestamp,
+    /// When the request was interrupted; an engine that has run later was not ended by it.
+    interrupted_at: Timestamp,
     sighting: CrashSighting,
     reported: bool,
     /// Whether this router saw the crash, rather than another one that reported it.
@@ -151,6 +154,10 @@
 
     /// Records that an engine crashed while it ran a request.
     pub fn on_engine_crash(&mut self, now: Timestamp, sighting: CrashSighting) {
+        self.track(now, now, sighting);
+    }
+
+    fn track(&mut self, now: Timestamp, interrupted_at: Timestamp, sighting: CrashSighting) {
         self.remove_expired(now);
         if self.succeeded_recently(now, &sighting.request) {
             return;
@@ -161,6 +168,7 @@
         self.cleared.remove(&sighting.request);
         self.tracked.push_back(TrackedSighting {
             at: now,
+            interrupted_at,
             sighting,
             reported: false,
             observed_locally: true,
@@ -183,6 +191,7 @@
             }
             self.tracked.push_back(TrackedSighting {
                 at,
+                interrupted_at: at,
                 sighting,
                 reported: true,
                 observed_locally: false,
@@ -227,7 +236,7 @@
             unconfirmed.into_iter().partition(is_older);
         self.unconfirmed = remaining;
         let is_confirmed = !ended.is_empty();
-        ended.into_iter().for_each(|(_, sighting)| self.on_engine_crash(now, sighting));
+        ended.into_iter().for_each(|(at, sighting)| self.track(now, at, sighting));
         is_confirmed
     }
 
@@ -279,8 +288,9 @@
     /// The report of what has not been sent to the leader, if anything. Counts as sent.
     pub fn take_report(&mut self, now: Timestamp) -> Option<CrashReport> {
         let unreported = self.tracked.iter().filter(|tracked| !tracked.reported);
-        let seen: Vec<_> =
-            unreported.map(|tracked| (tracked.sighting.clone(), now.since(tracked.at))).collect();
+        let seen: Vec<_> = unreported
+            .map(|tracked| (tracked.sighting.clone(), now.since(tracked.interrupted_at)))
+            .collect();
         self.tracked.iter_mut().for_each(|tracked| tracked.reported = true);
         let cleared: Vec<_> = std::mem::take(&mut self.cleared).into_iter().collect();
         let has_unsent = !seen.is_empty() || !cleared.is_empty();
--- a/crates/gateway-core/src/directory.rs
+++ b/crates/gateway-core/src/directory.rs
@@ -158,7 +158,11 @@
         let reported_since = Timestamp(now.0.saturating_sub(notice.known_for.0));
         let known_since =
             known.map_or(reported_since, |known| known.known_since.min(reported_since));
-        let previously_announced_at = known.map_or(Timestamp(0), |known| known.announced_at);
+        // A departure is no announcement that shows that the engine was running.
+        let previously_announced_at = known.map_or(Timestamp(0), |known| match notice.state {
+            EngineState::Gone => known.previously_announced_at,
+            EngineState::Ready | EngineState::Draining => known.announced_at,
+        });
         let unchanged = known.filter(|_| change != MergeOutcome::Changed);
         let revision = unchanged.map_or(self.revision, |known| known.revision);
         let replaced = None;
@@ -322,12 +326,10 @@
         }
     }
 
-    /// Whether an engine has certainly run later than `time`: it has announced itself twice since.
-    /// A single announcement may have been delayed.
+    /// Whether an incarnation of an engine has certainly run later than `time`, even if it has ended
+    /// since: it has announced itself twice. A single announcement may have been delayed.
     pub fn has_run_after(&self, engine: &BackEndName, time: Timestamp) -> bool {
-        self.engines.get(engine).is_some_and(|record| {
-            record.notice.state != EngineState::Gone && record.previously_announced_at > time
-        })
+        self.engines.get(engine).is_some_and(|record| record.previously_announced_at > time)
     }
 
     /// Whether an engine accepts requests by its latest known state.
