Evacuate a zone on an operator's order

Change: POST /-/evacuate/ZONE/start and /end. An order is a command of the replicated log; it is acknowledged once a majority holds it, by the leader, to which other processes redirect. The last committed order for a zone is in force. The leader sends the evacuated zones to every router until confirmed, before its status, so that a router admits requests only once it knows them. A router counts an engine of such a zone as not in service, in the one place that the choice, the loans of permits and the last look before sending ask. Running requests go on. A zone that neither settings nor engines name: 400. GET /-/evacuations answers the zones.

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -101,15 +101,20 @@
 
     /// Proposes a configuration to the replica and waits for its reply.
     pub async fn put_document(&self, bytes: Arc<[u8]>) -> PutReply {
+        let reply = self.commit_order(|token| ReplicaEvent::Put { token, bytes }).await;
+        self.metrics.on_put(&reply);
+        reply
+    }
+
+    /// Passes an operator's order to the replica and waits for its reply.
+    pub(crate) async fn commit_order(&self, event: impl FnOnce(u64) -> ReplicaEvent) -> PutReply {
         let (sender, reply) = oneshot::channel();
         let token = self.new_token();
         self.state.borrow_mut().puts.insert(token, sender);
-        self.replica.send(ReplicaEvent::Put { token, bytes });
+        self.replica.send(event(token));
         let reply = timeout(REPLY_TIMEOUT, reply).await;
         self.state.borrow_mut().puts.remove(&token);
-        let reply = reply.ok().and_then(Result::ok).unwrap_or(PutReply::Unconfirmed);
-        self.metrics.on_put(&reply);
-        reply
+        reply.ok().and_then(Result::ok).unwrap_or(PutReply::Unconfirmed)
     }
 
     /// Reads the latest configuration.
@@ -220,6 +225,9 @@
             }
             FleetMessage::RouterStatus(status) => self.on_router_status(link, peer, status),
             FleetMessage::CrashReport(report) => self.on_crash_report(report),
+            FleetMessage::EvacuationsConfirmed(revision) => {
+                self.on_evacuations_confirmed(link, revision);
+            }
             FleetMessage::FinalUsage(spent) => {
                 self.replica.send(ReplicaEvent::RouterFinalUsage { router: peer, spent });
             }
@@ -240,6 +248,7 @@
             | FleetMessage::Recall(_)
             | FleetMessage::Quarantined(_)
             | FleetMessage::ExpiredEngines(_)
+            | FleetMessage::Evacuations(_)
             | FleetMessage::FinalUsageAck => {}
         }
     }
@@ -284,10 +293,12 @@
             }
             ReplicaEffect::QuarantineChanged => self.broadcast_quarantine(),
             ReplicaEffect::DeparturesChanged => self.sync_departures(),
+            ReplicaEffect::EvacuationsChanged => self.on_evacuations_changed(),
             ReplicaEffect::RoleChanged(is_leader) => {
                 log::info!(leads = is_leader; "role changed");
                 self.broadcast_quarantine();
                 self.broadcast_departures();
+                self.broadcast_evacuations();
                 self.on_tick();
             }
         }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -16,6 +16,7 @@
 mod departures;
 mod document_delta;
 mod engine_updates;
+mod evacuations;
 mod links;
 mod message;
 mod packed_document;
@@ -36,6 +37,7 @@
 pub use departures::NotCommitted;
 pub use document_delta::DocumentDelta;
 pub use engine_updates::AnnouncementError;
+pub use evacuations::UnknownZone;
 pub use links::{Link, Links};
 pub use message::{
     BorrowResult, ClockEcho, ControlStatus, Document, FleetMessage, RouterStatus, RouterVersions,
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 use stackpost_consensus::Envelope;
 use stackpost_gateway_core::{
-    CrashReport, DepartureDelta, DepartureRecord, DirectoryDelta, EngineNotice, QuarantineNotice,
-    ZoneRouters,
+    CrashReport, DepartureDelta, DepartureRecord, DirectoryDelta, EngineNotice, Evacuations,
+    QuarantineNotice, ZoneRouters,
 };
 use stackpost_prepaid::{AccountReport, Allotment, BootTimestamp, BudgetForecast};
 use stackpost_types::{BackEndName, Millis, NodeId, TenantName, Timestamp, Tokens};
@@ -179,4 +179,8 @@
     ExpiredEngines(Vec<BackEndName>),
     /// From a control process to the leader: departures of engines to be committed.
     DepartureNotices(Vec<DepartureRecord>),
+    /// From the leader to a router: the evacuated zones.
+    Evacuations(Evacuations),
+    /// From a router: the revision of the evacuated zones that it knows.
+    EvacuationsConfirmed(u64),
 }
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -13,7 +13,7 @@
 use crate::state::{ApplyOutcome, Command, FleetState};
 use crate::voters::{VoterStatus, VoterStep, VoterView, next_step};
 use stackpost_consensus::{Config, Entry, Payload, Raft, Ready, Role, Snapshot, Voters};
-use stackpost_gateway_core::{DepartureChange, DepartureRecord, QuarantineChange};
+use stackpost_gateway_core::{DepartureChange, DepartureRecord, EvacuationOrder, QuarantineChange};
 use stackpost_storage::{Disk, LogStore};
 use stackpost_types::{BackEndName, MachineName, Millis, NodeId, Timestamp, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
@@ -121,6 +121,7 @@
             ReplicaEvent::Tick => self.tick(now),
             ReplicaEvent::Raft(envelope) => self.raft.step(now, envelope),
             ReplicaEvent::Put { token, bytes } => self.put(now, token, bytes),
+            ReplicaEvent::Evacuate { token, order } => self.evacuate(now, token, order),
             ReplicaEvent::Read { token } => self.read(now, token),
             ReplicaEvent::RouterReport { router, status } => {
                 if let Some(echo) = status.echo {
@@ -252,7 +253,18 @@
         }
         let limits = config.prepaid_limits();
         let document = Document { version: config.version, bytes };
-        match self.propose(&Command::PutDocument { document, limits }) {
+        self.put_command(now, token, &Command::PutDocument { document, limits });
+    }
+
+    /// Proposes the order even if it changes nothing: only its commit shows that no newer order is
+    /// in force.
+    fn evacuate(&mut self, now: Timestamp, token: u64, order: EvacuationOrder) {
+        self.put_command(now, token, &Command::Evacuate(order));
+    }
+
+    /// Proposes a command whose commit is replied to.
+    fn put_command(&mut self, now: Timestamp, token: u64, command: &Command) {
+        match self.propose(command) {
             Some((term, index)) => self.puts.push(PendingPut { token, term, index, since: now }),
             None => self.reply_put(token, PutReply::NotLeader(self.raft.leader().cloned())),
         }
@@ -438,6 +450,7 @@
         }
         self.effects.push(ReplicaEffect::QuarantineChanged);
         self.effects.push(ReplicaEffect::DeparturesChanged);
+        self.effects.push(ReplicaEffect::EvacuationsChanged);
         Ok(())
     }
 
@@ -464,6 +477,9 @@
         if outcome == ApplyOutcome::DeparturesChanged {
             self.effects.push(ReplicaEffect::DeparturesChanged);
         }
+        if outcome == ApplyOutcome::EvacuationsChanged {
+            self.effects.push(ReplicaEffect::EvacuationsChanged);
+        }
         self.reply_to_puts(&entry);
         self.notify_routers(affected, closed);
         if entry.index - self.raft.snapshot_index() >= SNAPSHOT_ENTRIES {
--- a/crates/coordinator/src/replica_api.rs
+++ b/crates/coordinator/src/replica_api.rs
@@ -3,7 +3,7 @@
 use crate::DocumentCodec;
 use crate::message::{Document, RouterStatus};
 use stackpost_consensus::Envelope;
-use stackpost_gateway_core::{DepartureRecord, QuarantineChange};
+use stackpost_gateway_core::{DepartureRecord, EvacuationOrder, QuarantineChange};
 use stackpost_prepaid::{Allotment, BudgetForecast};
 use stackpost_storage::StoreError;
 use stackpost_types::{BackEndName, MachineName, Millis, NodeId, TenantName, Tokens, ZoneName};
@@ -68,6 +68,13 @@
         /// The document as it was received.
         bytes: Arc<[u8]>,
     },
+    /// An operator evacuates a zone or ends its evacuation.
+    Evacuate {
+        /// Identifies the reply.
+        token: u64,
+        /// The order.
+        order: EvacuationOrder,
+    },
     /// An operator reads the configuration.
     Read {
         /// Identifies the reply.
@@ -97,16 +104,16 @@
     ControlPeers(BTreeMap<MachineName, ZoneName>),
 }
 
-/// Reply to a `Put`.
+/// Reply to a `Put` or an `Evacuate`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PutReply {
-    /// The document, or one with a higher version, is in force.
+    /// The document, or one with a higher version, or the order is in force.
     Accepted,
     /// The document is invalid and was rejected.
     Invalid(String),
     /// Another machine leads; its name, if known.
     NotLeader(Option<MachineName>),
-    /// The document may or may not come into force.
+    /// The document or the order may or may not come into force.
     Unconfirmed,
 }
 
@@ -126,7 +133,7 @@
 pub enum ReplicaEffect {
     /// Send a message of the replicated log.
     SendRaft(MachineName, Envelope),
-    /// Reply to a `Put`.
+    /// Reply to a `Put` or an `Evacuate`.
     PutReply(u64, PutReply),
     /// Reply to a `Read`.
     ReadReply(u64, ReadReply),
@@ -144,6 +151,8 @@
     QuarantineChanged,
     /// The engines' departures have changed.
     DeparturesChanged,
+    /// The evacuated zones have changed.
+    EvacuationsChanged,
     /// The role has changed; true for a leader.
     RoleChanged(bool),
 }
--- a/crates/coordinator/src/replica_thread.rs
+++ b/crates/coordinator/src/replica_thread.rs
@@ -5,7 +5,7 @@
 use crate::replica::Replica;
 use crate::replica_api::{ReplicaConfig, ReplicaEffect, ReplicaError, ReplicaEvent};
 use stackpost_clock::BootInstant;
-use stackpost_gateway_core::{Departures, Quarantine};
+use stackpost_gateway_core::{Departures, Evacuations, Quarantine};
 use stackpost_storage::{DiskError, FileDisk, StoreError};
 use stackpost_types::{MachineName, ServiceName, Timestamp};
 use std::collections::BTreeSet;
@@ -41,6 +41,8 @@
     pub quarantine: Arc<Quarantine>,
     /// The committed departures of engines.
     pub departures: Arc<Departures>,
+    /// The evacuated zones.
+    pub evacuations: Arc<Evacuations>,
 }
 
 impl ReplicaView {
@@ -176,12 +178,21 @@
             if departures_are_new {
                 view.departures = Arc::new(departures.clone());
             }
+            let evacuations = &replica.state().evacuations;
+            let evacuations_are_new = view.evacuations.revision() != evacuations.revision();
+            if evacuations_are_new {
+                view.evacuations = Arc::new(evacuations.clone());
+            }
             let role_is_new = view.leader.as_ref() != leader;
             view.leader = leader.cloned();
             view.lease_until = lease_until;
             view.term = replica.term();
             view.applied = replica.applied();
-            document_is_new || quarantine_is_new || departures_are_new || role_is_new
+            document_is_new
+                || quarantine_is_new
+                || departures_are_new
+                || evacuations_are_new
+                || role_is_new
         });
     }
 
--- a/crates/coordinator/src/router_updates.rs
+++ b/crates/coordinator/src/router_updates.rs
@@ -26,6 +26,8 @@
     pub silent: DeliveryTracker,
     /// Versions of the list of routers.
     pub routers: DeliveryTracker,
+    /// Revisions of the evacuated zones, confirmed by a message of their own.
+    pub evacuations: DeliveryTracker,
 }
 
 impl PeerDelivery {
@@ -79,6 +81,7 @@
         if view.is_leader() || accepts_unconfirmed {
             self.send_document(&[link], &view);
             self.send_departures(&[link], &view);
+            self.send_evacuations(&[link], &view);
         }
     }
 
@@ -132,7 +135,7 @@
     /// Sends the update to `version` on the links that need it and on which it is not already in
     /// flight. `message` creates the update from a base version and is called once for all links
     /// with the same base.
-    fn send_updates(
+    pub(crate) fn send_updates(
         &self,
         links: &[LinkId],
         version: u64,
--- a/crates/coordinator/src/state.rs
+++ b/crates/coordinator/src/state.rs
@@ -2,7 +2,10 @@
 
 use crate::message::Document;
 use serde::{Deserialize, Serialize};
-use stackpost_gateway_core::{DepartureChange, Departures, Quarantine, QuarantineChange, Suspect};
+use stackpost_gateway_core::{
+    DepartureChange, Departures, EvacuationOrder, Evacuations, Quarantine, QuarantineChange,
+    Suspect,
+};
 use stackpost_prepaid::{BootTimestamp, Charge, Grant, IncarnationEnd, PrepaidLedger, TokenReturn};
 use stackpost_types::{BackEndName, NodeId, TenantName, Tokens};
 
@@ -43,6 +46,8 @@
     Departures(DepartureChange),
     /// Records the last contacts of routers with the leader.
     RecordContacts(Vec<RouterContact>),
+    /// Evacuates a zone or ends its evacuation.
+    Evacuate(EvacuationOrder),
 }
 
 /// A router's last contact with the leader.
@@ -69,6 +74,8 @@
     QuarantineChanged,
     /// The engines' departures have changed.
     DeparturesChanged,
+    /// The evacuated zones have changed.
+    EvacuationsChanged,
 }
 
 /// The state that is replicated between the control replicas.
@@ -84,6 +91,17 @@
     /// The engines' departures. Replicated because an engine whose departure was acknowledged does
     /// not repeat it.
     pub departures: Departures,
+    /// The evacuated zones.
+    pub evacuations: Evacuations,
+}
+
+/// The state as written by versions without evacuations.
+#[derive(Deserialize)]
+struct StateWithoutEvacuations {
+    document: Option<Document>,
+    ledger: PrepaidLedger,
+    quarantine: Quarantine,
+    departures: Departures,
 }
 
 /// The state as written by versions without departures.
@@ -140,6 +158,11 @@
                     return ApplyOutcome::DeparturesChanged;
                 }
             }
+            Command::Evacuate(order) => {
+                if self.evacuations.apply(order) {
+                    return ApplyOutcome::EvacuationsChanged;
+                }
+            }
         }
         ApplyOutcome::Done
     }
@@ -189,13 +212,16 @@
     }
 
     fn from_earlier_version(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        let departures = Departures::default();
+        if let Ok(state) = postcard::from_bytes::<StateWithoutEvacuations>(bytes) {
+            let StateWithoutEvacuations { document, ledger, quarantine, departures } = state;
+            return Ok(Self { document, ledger, quarantine, departures, ..Self::default() });
+        }
         if let Ok(state) = postcard::from_bytes::<StateWithoutDepartures>(bytes) {
             let StateWithoutDepartures { document, ledger, quarantine } = state;
-            return Ok(Self { document, ledger, quarantine, departures });
+            return Ok(Self { document, ledger, quarantine, ..Self::default() });
         }
         let StateWithoutQuarantine { document, ledger } = postcard::from_bytes(bytes)?;
-        Ok(Self { document, ledger, quarantine: Quarantine::default(), departures })
+        Ok(Self { document, ledger, ..Self::default() })
     }
 }
 
--- a/crates/coordinator/tests/departures.rs
+++ b/crates/coordinator/tests/departures.rs
@@ -130,8 +130,8 @@
     assert_eq!(state.apply(Command::Departures(change)), ApplyOutcome::DeparturesChanged);
     let now = state.to_snapshot();
     assert_eq!(FleetState::from_snapshot(&now), Ok(state));
-    // Empty departures are encoded as two numbers at the end: the number of records, and the
-    // revision.
-    let without_departures = &earlier[..earlier.len() - 2];
+    // At the end, empty departures and empty evacuations are encoded as two numbers each: how many
+    // there are, and the revision.
+    let without_departures = &earlier[..earlier.len() - 4];
     assert_eq!(FleetState::from_snapshot(without_departures), Ok(FleetState::default()));
 }
--- a/crates/coordinator/tests/support/mod.rs
+++ b/crates/coordinator/tests/support/mod.rs
@@ -88,6 +88,8 @@
     next_version: u64,
     pending: BTreeMap<u64, PendingRequest>,
     pub acknowledged: u64,
+    /// Tokens of the puts and orders that were replied to with `Accepted`.
+    pub accepted: BTreeSet<u64>,
     next_token: u64,
     is_started: bool,
 }
@@ -97,6 +99,8 @@
     Put(u64),
     /// A read, with the highest version that was acknowledged when it was sent.
     Read(u64),
+    /// An order to evacuate a zone or to end its evacuation.
+    Evacuate,
 }
 
 pub fn name(machine: usize) -> MachineName {
@@ -122,6 +126,7 @@
             next_version: 1,
             pending: BTreeMap::new(),
             acknowledged: 0,
+            accepted: BTreeSet::new(),
             next_token: 1,
             is_started: false,
         };
@@ -239,6 +244,7 @@
         match effect {
             ReplicaEffect::SendRaft(to, envelope) => self.send_message(machine, &to, envelope),
             ReplicaEffect::PutReply(token, PutReply::Accepted) => {
+                self.accepted.insert(token);
                 if let Some(PendingRequest::Put(version)) = self.pending.remove(&token) {
                     self.acknowledged = self.acknowledged.max(version);
                 }
--- a/crates/gateway-core/src/directory.rs
+++ b/crates/gateway-core/src/directory.rs
@@ -19,7 +19,7 @@
 
 use crate::departures::DepartureRecord;
 use crate::engine_notice::{DirectoryDelta, EngineNotice, EngineState, MergeOutcome};
-use stackpost_types::{BackEndName, Millis, Timestamp};
+use stackpost_types::{BackEndName, Millis, Timestamp, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Time for which an engine that has left is remembered, so that late notices do not revive it.
@@ -93,6 +93,8 @@
     announcements_to_reclaim: u32,
     /// Engines that the control processes report as silent.
     silent: BTreeSet<BackEndName>,
+    /// Zones whose engines an operator has taken out of service.
+    evacuated_zones: BTreeSet<ZoneName>,
 }
 
 impl Default for EngineDirectory {
@@ -103,6 +105,7 @@
             revision: 0,
             announcements_to_reclaim: ANNOUNCEMENTS_TO_RECLAIM,
             silent: BTreeSet::new(),
+            evacuated_zones: BTreeSet::new(),
         }
     }
 }
@@ -332,9 +335,31 @@
         self.engines.get(engine).is_some_and(|record| record.previously_announced_at > time)
     }
 
-    /// Whether an engine accepts requests by its latest known state.
+    /// Whether an engine may be sent requests: it is ready by its latest known state, and its zone
+    /// is not evacuated.
     pub fn accepts_requests(&self, engine: &BackEndName) -> bool {
-        self.get(engine).is_some_and(|record| record.notice.state == EngineState::Ready)
+        self.get(engine).is_some_and(|record| self.is_in_service(record))
+    }
+
+    /// The same for a record of this directory.
+    pub fn is_in_service(&self, record: &EngineRecord) -> bool {
+        record.notice.state == EngineState::Ready
+            && !self.evacuated_zones.contains(&record.notice.zone)
+    }
+
+    /// The engines that may be sent requests.
+    pub fn in_service(&self) -> impl Iterator<Item = &EngineRecord> {
+        self.engines.values().filter(|record| self.is_in_service(record))
+    }
+
+    /// Sets the zones whose engines an operator has taken out of service.
+    pub fn set_evacuated_zones(&mut self, zones: BTreeSet<ZoneName>) {
+        self.evacuated_zones = zones;
+    }
+
+    /// Whether an engine of a zone is known.
+    pub fn has_engine_in(&self, zone: &ZoneName) -> bool {
+        self.engines.values().any(|record| record.notice.zone == *zone)
     }
 
     /// One engine.
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`RetryBudget`]: how many requests may be sent to a further engine.
 //! - [`RequestFingerprint`]: identifies a request by its content; the same for every retry of it.
 //! - [`Departures`]: engines that drain or have left, for the whole fleet.
+//! - [`Evacuations`]: zones whose engines an operator has taken out of service.
 //! - [`Quarantine`]: requests under which engines have crashed, for the whole fleet;
 //!   [`CrashTracker`]: the same as known to one router.
 //! - [`EventSplitter`]: splits a byte stream into whole server-sent events.
@@ -31,6 +32,7 @@
 mod engine_load;
 mod engine_notice;
 mod engine_permits;
+mod evacuations;
 mod event_stream;
 mod fingerprint;
 mod hashing;
@@ -59,6 +61,7 @@
 pub use engine_load::{EngineLoad, EngineLoadUpdate, GenerationWork, Placement, PlacementEstimate};
 pub use engine_notice::{DirectoryDelta, EngineNotice, EngineState, MergeOutcome};
 pub use engine_permits::{EnginePermits, PermitAvailability, PermitScope};
+pub use evacuations::{EvacuationOrder, Evacuations};
 pub use event_stream::{Event, EventSplitter};
 pub use fingerprint::{RequestContent, RequestFingerprint};
 pub use load_shedding::{LoadShedder, RequestClass};
--- a/crates/gateway-core/src/picker.rs
+++ b/crates/gateway-core/src/picker.rs
@@ -14,7 +14,6 @@
 use crate::directory::{EngineDirectory, EngineRecord};
 use crate::engine_health::EngineHealth;
 use crate::engine_load::{EngineLoad, EngineLoadUpdate, GenerationWork, Placement, track_median};
-use crate::engine_notice::EngineState;
 use crate::hashing::mix;
 use crate::placement::PlacementCost;
 use stackpost_types::{BackEndName, Digest, Millis, ServiceName, Timestamp, Tokens, ZoneName};
@@ -214,7 +213,7 @@
         service: &ServiceName,
     ) -> ServiceAvailability {
         let mut soonest: Option<(Timestamp, &BackEndName)> = None;
-        for record in ready_engines(directory, service) {
+        for record in engines_in_service(directory, service) {
             let engine = &record.notice.engine;
             match self.backoff.available_from(engine) {
                 Some(from) if from <= now => return ServiceAvailability::Available,
@@ -402,7 +401,7 @@
         directory: &'a EngineDirectory,
         query: &PickQuery<'_>,
     ) -> Vec<Candidate<'a>> {
-        ready_engines(directory, query.service)
+        engines_in_service(directory, query.service)
             .filter(|record| self.backoff.is_available(now, &record.notice.engine))
             .filter(|record| !query.tried.contains(&record.notice.engine))
             .filter(|record| (query.has_room)(record))
@@ -503,14 +502,13 @@
     }
 }
 
-/// The engines of a service whose state is ready.
-fn ready_engines<'a>(
+/// The engines of a service that may be sent requests.
+fn engines_in_service<'a>(
     directory: &'a EngineDirectory,
     service: &ServiceName,
 ) -> impl Iterator<Item = &'a EngineRecord> {
     let of_service = move |record: &&EngineRecord| record.notice.service == *service;
-    let ready = directory.iter().filter(|record| record.notice.state == EngineState::Ready);
-    ready.filter(of_service)
+    directory.in_service().filter(of_service)
 }
 
 /// Rank of an engine for a subject (rendezvous hashing); the highest is preferred.
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -234,6 +234,10 @@
                 engines.iter().for_each(|engine| directory.forget(engine));
             }
             FleetMessage::Departures(delta) => self.on_departures(link, &delta),
+            FleetMessage::Evacuations(evacuations) => {
+                let revision = self.router.set_evacuations(&evacuations);
+                self.mesh.send(link, &FleetMessage::EvacuationsConfirmed(revision));
+            }
             FleetMessage::Allotments(allotments) => self.on_allotted(allotments),
             FleetMessage::Recall(keeps) => {
                 let mut wallet = self.router.wallet.borrow_mut();
@@ -278,6 +282,7 @@
             | FleetMessage::RouterStatus(_)
             | FleetMessage::CrashReport(_)
             | FleetMessage::DepartureNotices(_)
+            | FleetMessage::EvacuationsConfirmed(_)
             | FleetMessage::FinalUsage(_) => {}
         }
     }
--- a/crates/gateway/src/permit_lending.rs
+++ b/crates/gateway/src/permit_lending.rs
@@ -2,7 +2,7 @@
 
 use crate::permits::{LentSlot, PermitMessage, PermitReply};
 use crate::router::Router;
-use stackpost_gateway_core::{EnginePermits, EngineRecord, EngineState, PermitScope};
+use stackpost_gateway_core::{EnginePermits, EngineRecord, PermitScope};
 use stackpost_types::{BackEndName, Millis, ServiceName, Timestamp};
 use std::net::SocketAddr;
 
@@ -81,7 +81,7 @@
         let (directory, picker) = (self.directory.borrow(), self.picker.borrow());
         let is_usable = |record: &&EngineRecord| {
             record.notice.service == *service
-                && record.notice.state == EngineState::Ready
+                && directory.is_in_service(record)
                 && !unusable.contains(&record.notice.engine)
         };
         // Only owned engines have rate permits to lend; with many routers each owns few engines.
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -9,8 +9,8 @@
 use crate::router::Router;
 use serde::{Deserialize, Serialize};
 use stackpost_gateway_core::{
-    EngineDirectory, EnginePermits, EngineRecord, EngineState, PermitAvailability, PermitScope,
-    RateChange, RateStatement, RateUpdate, Standing,
+    EngineDirectory, EnginePermits, EngineRecord, PermitAvailability, PermitScope, RateChange,
+    RateStatement, RateUpdate, Standing,
 };
 use stackpost_types::{BackEndName, Millis, RequestRate, ServiceName, Timestamp};
 use std::cell::{Cell, RefCell};
@@ -344,10 +344,10 @@
         self.permits.permits.borrow_mut().lenders(self.now(), tie_breaker, scope, candidates)
     }
 
-    /// Whether an engine belongs to a service, is ready and has not asked for a backoff.
+    /// Whether an engine belongs to a service, is in service and has not asked for a backoff.
     fn is_available(&self, record: &EngineRecord, service: &ServiceName) -> bool {
         record.notice.service == *service
-            && record.notice.state == EngineState::Ready
+            && self.directory.borrow().is_in_service(record)
             && self.picker.borrow().is_available(self.now(), &record.notice.engine)
     }
 
@@ -364,8 +364,9 @@
     /// here recently.
     fn may_be_used(&self, engine: &EngineRecord) -> bool {
         let (now, picker) = (self.now(), self.picker.borrow());
-        let is_silent = self.directory.borrow().is_silent(&engine.notice.engine);
-        engine.notice.state == EngineState::Ready
+        let directory = self.directory.borrow();
+        let is_silent = directory.is_silent(&engine.notice.engine);
+        directory.is_in_service(engine)
             && picker.is_available(now, &engine.notice.engine)
             && picker.standing(now, engine, is_silent) != Standing::Failing
     }
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -11,7 +11,7 @@
 use stackpost_clock::{BootInstant, MachineClock};
 use stackpost_coordinator::{Document, DocumentCodec, DocumentDelta};
 use stackpost_gateway_core::{
-    AccountOwners, CrashTracker, DepartureDelta, EngineDirectory, EnginePicker, EngineState,
+    AccountOwners, CrashTracker, DepartureDelta, EngineDirectory, EnginePicker, Evacuations,
     LoadShedder, Placement, RetryBudget, RetryLimits, RouteTable, ServiceAvailability,
 };
 use stackpost_prepaid::{BudgetForecast, Wallet};
@@ -86,6 +86,8 @@
     document: RefCell<Option<Document>>,
     /// The departure records of engines are known completely up to this revision.
     departures_revision: Cell<u64>,
+    /// The newest known revision of the evacuated zones.
+    evacuations_revision: Cell<u64>,
     table: RefCell<Option<Rc<RouteTable>>>,
     confirmed: Cell<bool>,
     leader_contact_at: Cell<Option<Timestamp>>,
@@ -126,6 +128,7 @@
             malformed_header_lines: LineLimit::default(),
             document: RefCell::default(),
             departures_revision: Cell::new(0),
+            evacuations_revision: Cell::new(0),
             table: RefCell::default(),
             confirmed: Cell::new(false),
             leader_contact_at: Cell::new(None),
@@ -158,7 +161,7 @@
     /// Number of engines that accept requests, as far as this router knows.
     pub fn ready_engine_count(&self) -> usize {
         let directory = self.directory.borrow();
-        directory.iter().filter(|record| record.notice.state == EngineState::Ready).count()
+        directory.in_service().count()
     }
 
     /// Number of this router's requests in flight at engines.
@@ -352,6 +355,18 @@
         }
     }
 
+    /// Applies the evacuated zones unless newer ones are known. Returns the revision in force.
+    pub(crate) fn set_evacuations(&self, evacuations: &Evacuations) -> u64 {
+        if evacuations.revision() > self.evacuations_revision.get() {
+            self.evacuations_revision.set(evacuations.revision());
+            let zones: Vec<&str> = evacuations.zones().iter().map(ZoneName::as_str).collect();
+            let (zones, revision) = (zones.join(","), evacuations.revision());
+            log::info!(zones = zones.as_str(), revision = revision; "evacuated zones");
+            self.directory.borrow_mut().set_evacuated_zones(evacuations.zones().clone());
+        }
+        self.evacuations_revision.get()
+    }
+
     /// Records a contact with the leader, which reports the current configuration version and the
     /// revision of committed departures.
     pub(crate) fn on_leader_contact(&self, document_version: u64, departures: u64) {
