--- a/crates/coordinator/src/control_metrics.rs
+++ b/crates/coordinator/src/control_metrics.rs
@@ -4,6 +4,7 @@
 
 use crate::replica_api::{PutReply, ReadReply};
 use stackpost_gateway_core::{EngineState, MergeOutcome};
+use stackpost_mesh::SentByKind;
 use stackpost_telemetry::{Counter, Gauge, Histogram, KeyValue, Meter};
 use std::time::Duration;
 
@@ -44,6 +45,8 @@
     processes: Gauge<u64>,
     engines: Gauge<u64>,
     requests: Gauge<u64>,
+    sent_bytes: Counter<u64>,
+    sent_messages: Counter<u64>,
 }
 
 impl ControlMetrics {
@@ -89,6 +92,11 @@
                 "stackpost_crashing_requests",
                 "Requests under which engines have ended, by what follows",
             ),
+            sent_bytes: counter("stackpost_fleet_sent_bytes", "Bytes sent in the fleet, by kind"),
+            sent_messages: counter(
+                "stackpost_fleet_sent_messages",
+                "Messages sent in the fleet, by kind",
+            ),
         }
     }
 
@@ -135,6 +143,14 @@
         self.sightings.add(ignored as u64, &[KeyValue::new("engine", "has_run_since")]);
     }
 
+    pub(crate) fn on_sent(&self, sent: &SentByKind) {
+        for (kind, sent) in sent {
+            let labels = [KeyValue::new("kind", *kind)];
+            self.sent_bytes.add(sent.bytes, &labels);
+            self.sent_messages.add(sent.messages, &labels);
+        }
+    }
+
     pub(crate) fn on_round(&self, duration: Duration) {
         self.round_seconds.record(duration.as_secs_f64(), &[]);
     }
--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -170,6 +170,7 @@
                 _ = status_ticks.tick() => self.on_tick(),
                 _ = gauge_ticks.tick() => {
                     self.metrics.record_gauges(&self.gauges());
+                    self.record_sent();
                     // Repeated because a message is dropped when a connection's queue is full.
                     self.broadcast_quarantine();
                 }
@@ -177,6 +178,14 @@
         }
     }
 
+    fn record_sent(&self) {
+        let sent = self.mesh.take_sent();
+        self.metrics.on_sent(&sent);
+        for (kind, sent) in &sent {
+            log::debug!(kind = *kind, messages = sent.messages, bytes = sent.bytes; "sent");
+        }
+    }
+
     fn on_link_event(&self, event: LinkEvent<FleetMessage>) {
         match event {
             LinkEvent::Up { link, peer, .. } => self.on_up(link, peer),
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -8,6 +8,7 @@
     CrashReport, DepartureDelta, DepartureRecord, DirectoryDelta, EngineNotice, Evacuations,
     QuarantineNotice, ZoneRouters,
 };
+use stackpost_mesh::MessageKind;
 use stackpost_prepaid::{AccountReport, Allotment, BootTimestamp, BudgetForecast};
 use stackpost_types::{BackEndName, Millis, NodeId, TenantName, Timestamp, Tokens};
 use std::collections::{BTreeMap, BTreeSet};
@@ -184,3 +185,36 @@
     /// From a router: the revision of the evacuated zones that it knows.
     EvacuationsConfirmed(u64),
 }
+
+impl MessageKind for FleetMessage {
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Raft(..) => "raft",
+            Self::ControlStatus(..) => "control_status",
+            Self::Document(..) => "document",
+            Self::DocumentDelta(..) => "document_delta",
+            Self::Engines(..) => "engines",
+            Self::EngineChanges(..) => "engine_changes",
+            Self::SilentEngines { .. } => "silent_engines",
+            Self::RouterStatus(..) => "router_status",
+            Self::Allotments(..) => "allotments",
+            Self::Recall(..) => "recall",
+            Self::Forecasts(..) => "forecasts",
+            Self::FinalUsage(..) => "final_usage",
+            Self::FinalUsageAck => "final_usage_ack",
+            Self::RelayedFinalUsage(..) => "relayed_final_usage",
+            Self::Borrow { .. } => "borrow",
+            Self::BorrowReply { .. } => "borrow_reply",
+            Self::SettleLoan { .. } => "settle_loan",
+            Self::KeepAlive => "keep_alive",
+            Self::CrashReport(..) => "crash_report",
+            Self::Quarantined(..) => "quarantined",
+            Self::Routers { .. } => "routers",
+            Self::Departures(..) => "departures",
+            Self::ExpiredEngines(..) => "expired_engines",
+            Self::DepartureNotices(..) => "departure_notices",
+            Self::Evacuations(..) => "evacuations",
+            Self::EvacuationsConfirmed(..) => "evacuations_confirmed",
+        }
+    }
+}
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -171,6 +171,7 @@
                     self.router.revalidate_stale_rates();
                     self.router.crash_tracker.borrow_mut().resend_recent(self.router.now());
                     self.report_crashes();
+                    self.record_sent();
                     let router = &self.router;
                     let engines = router.ready_engine_count();
                     router.metrics.record_state(
@@ -186,6 +187,14 @@
         }
     }
 
+    fn record_sent(&self) {
+        let sent = self.mesh.take_sent();
+        self.router.metrics.on_sent(&sent);
+        for (kind, sent) in &sent {
+            log::debug!(kind = *kind, messages = sent.messages, bytes = sent.bytes; "sent");
+        }
+    }
+
     fn on_event(self: &Rc<Self>, event: LinkEvent<FleetMessage>) {
         match event {
             LinkEvent::Up { link, peer, .. } if peer.role == PeerRole::Router => {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 
 use crate::refusal::Refusal;
 use stackpost_gateway_core::{AttemptEnd, BackoffChange};
+use stackpost_mesh::SentByKind;
 use stackpost_telemetry::{Counter, Gauge, Histogram, KeyValue, Meter};
 use stackpost_types::Millis;
 use std::time::Duration;
@@ -23,6 +24,8 @@
     liveness_probes: Counter<u64>,
     tokens: Counter<u64>,
     head_seconds: Histogram<f64>,
+    sent_bytes: Counter<u64>,
+    sent_messages: Counter<u64>,
     configuration_version: Gauge<u64>,
     connected_to_leader: Gauge<u64>,
     engines: Gauge<u64>,
@@ -67,6 +70,11 @@
                 .with_description("Time from a request's arrival to the head of its answer")
                 .with_boundaries(TIME_BUCKETS.to_vec())
                 .build(),
+            sent_bytes: counter("stackpost_fleet_sent_bytes", "Bytes sent in the fleet, by kind"),
+            sent_messages: counter(
+                "stackpost_fleet_sent_messages",
+                "Messages sent in the fleet, by kind",
+            ),
             configuration_version: gauge("stackpost_configuration_version", "Configuration held"),
             connected_to_leader: gauge("stackpost_in_touch", "1 while a leader is heard"),
             engines: gauge("stackpost_engines_ready", "Engines that take work"),
@@ -202,6 +210,15 @@
         self.quarantined.record(requests as u64, &[]);
     }
 
+    /// Counts messages sent to other processes of the fleet.
+    pub fn on_sent(&self, sent: &SentByKind) {
+        for (kind, sent) in sent {
+            let labels = [KeyValue::new("kind", *kind)];
+            self.sent_bytes.add(sent.bytes, &labels);
+            self.sent_messages.add(sent.messages, &labels);
+        }
+    }
+
     /// Records the router's configuration version, leader connection and ready engines.
     pub fn record_state(
         &self,
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -9,9 +9,11 @@
 
 mod connection;
 mod mesh;
+mod traffic;
 
 pub use connection::CONNECT_TIMEOUT;
 pub use mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
+pub use traffic::{MessageKind, SentByKind, SentMessages};
 
 use std::time::Duration;
 
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -1,6 +1,7 @@
 //! The connections of one process.
 
 use crate::connection::{self, FrameStream};
+use crate::traffic::{MessageKind, SentByKind};
 use bytes::Bytes;
 use futures::SinkExt;
 use serde::de::DeserializeOwned;
@@ -96,6 +97,7 @@
     dialed: RefCell<BTreeSet<SocketAddr>>,
     next_link: Cell<u64>,
     decode_error_lines: LineLimit,
+    sent: RefCell<SentByKind>,
     message: PhantomData<M>,
 }
 
@@ -105,7 +107,7 @@
     }
 }
 
-impl<M: Serialize + DeserializeOwned + 'static> Mesh<M> {
+impl<M: MessageKind + Serialize + DeserializeOwned + 'static> Mesh<M> {
     /// Creates a mesh without connections, and the receiver of its events.
     pub fn new(own: PeerInfo) -> (Self, mpsc::UnboundedReceiver<LinkEvent<M>>) {
         let (events, receiver) = mpsc::unbounded_channel();
@@ -116,6 +118,7 @@
             dialed: RefCell::default(),
             next_link: Cell::new(1),
             decode_error_lines: LineLimit::default(),
+            sent: RefCell::default(),
             message: PhantomData,
         };
         (Self { shared: Rc::new(shared) }, receiver)
@@ -170,21 +173,32 @@
 
     /// Queues a message; it is dropped if the connection is closed or its queue is full.
     pub fn send(&self, link: LinkId, message: &M) {
-        self.send_encoded(link, encode(message));
+        self.send_encoded(link, message.kind(), encode(message));
     }
 
     /// Queues the same message on several connections, encoding it once.
     pub fn send_all(&self, links: impl IntoIterator<Item = LinkId>, message: &M) {
         let frame = encode(message);
         for link in links {
-            self.send_encoded(link, frame.clone());
+            self.send_encoded(link, message.kind(), frame.clone());
         }
     }
 
-    fn send_encoded(&self, link: LinkId, frame: Bytes) {
+    /// The messages sent since the last call, by kind.
+    pub fn take_sent(&self) -> SentByKind {
+        self.shared.sent.take()
+    }
+
+    fn send_encoded(&self, link: LinkId, kind: &'static str, frame: Bytes) {
         if let Some(outgoing) = self.shared.links.borrow().get(&link) {
+            let bytes = frame.len() as u64;
             // Messages may be lost; senders resend those that must arrive.
-            let _ = outgoing.try_send(frame);
+            if outgoing.try_send(frame).is_ok() {
+                let mut sent = self.shared.sent.borrow_mut();
+                let sent = sent.entry(kind).or_default();
+                sent.messages += 1;
+                sent.bytes += bytes;
+            }
         }
     }
 
