Send cold engines no more than they bear

An engine that has just come back has nothing to do and looks best to 86 routers in the same moment; ColdLeftMs was not read.

Change: heartbeats state how long an engine is cold; control processes pass it on (before the engine itself) by revision until routers confirm it. The time until the cold period ends is divided into slots of one request at the service's ColdPerS, and each slot belongs to one router by its rank among all (ColdSchedule, no I/O). A slot is valid for 400 ms and used once, so no second has more than 1.4 times the rate. No message is needed for a request, and routers that are cut off from control go on with the routers that they knew. A service that states no rate is not limited. Requests that find only cold engines wait for a slot as for a stated rate, or are refused at once with the time to come back.

An owner lends only where every engine is limited, so its engines get its own requests alone, and two routers that both take themselves for the owner send twice the rate.

--- a/crates/bench/src/rates.rs
+++ b/crates/bench/src/rates.rs
@@ -147,7 +147,7 @@
             .filter(|index| permits.has_room(now, &self.engines[*index], PermitScope::Rate));
         let own_engine = own_engines.next();
         if let Some(engine) = own_engine {
-            permits.take(now, &self.engines[engine].notice.engine, PermitScope::Rate);
+            permits.take(now, &self.engines[engine], PermitScope::Rate);
             shedding.on_permit(&self.service);
             return self.send(router, engine, now);
         }
@@ -177,7 +177,7 @@
         let engine = owned
             .find(|index| lender_permits.has_room(now, &self.engines[*index], PermitScope::Rate));
         if let Some(engine) = engine {
-            lender_permits.take(now, &self.engines[engine].notice.engine, PermitScope::Rate);
+            lender_permits.take(now, &self.engines[engine], PermitScope::Rate);
         } else if let Some(wait) = lender_permits.next_owned_permit(now, |_| true) {
             self.routers[router].permits.on_spent(now, lender_address, &self.service, wait);
         }
--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -10,7 +10,9 @@
 use crate::replica_thread::{ReplicaHandle, ReplicaView};
 use crate::router_updates::{RouterList, SilentEngineList};
 use stackpost_clock::BootInstant;
-use stackpost_gateway_core::{EngineDirectory, EngineNotice, EngineState, KnownDepartures};
+use stackpost_gateway_core::{
+    ColdEngines, EngineDirectory, EngineNotice, EngineState, KnownDepartures,
+};
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
 use stackpost_types::{MachineName, Millis, NodeId, Timestamp};
 use std::cell::RefCell;
@@ -65,6 +67,7 @@
         let state = ControlState {
             directory: EngineDirectory::default(),
             silent: SilentEngineList::default(),
+            cold: ColdEngines::default(),
             departures: KnownDepartures::default(),
             uncommitted: UncommittedDepartures::default(),
             refreshed: BTreeSet::new(),
@@ -234,6 +237,10 @@
             }
             FleetMessage::RouterStatus(status) => self.on_router_status(link, peer, status),
             FleetMessage::CrashReport(report) => self.on_crash_report(report),
+            FleetMessage::ColdNotices(notices) => self.on_cold_notices(&notices),
+            FleetMessage::ColdEnginesConfirmed(revision) => {
+                self.on_cold_engines_confirmed(link, revision);
+            }
             FleetMessage::EvacuationsConfirmed(revision) => {
                 self.on_evacuations_confirmed(link, revision);
             }
@@ -258,6 +265,7 @@
             | FleetMessage::Quarantined(_)
             | FleetMessage::ExpiredEngines(_)
             | FleetMessage::Evacuations(_)
+            | FleetMessage::ColdEngines(_)
             | FleetMessage::FinalUsageAck => {}
         }
     }
@@ -380,6 +388,7 @@
         }
         state.directory.remove_expired(now);
         state.departures.remove_expired(now);
+        state.cold.remove_expired(now);
     }
 
     fn status(&self) -> ControlStatus {
--- a/crates/coordinator/src/control_state.rs
+++ b/crates/coordinator/src/control_state.rs
@@ -7,7 +7,7 @@
 use crate::packed_document::PackedDocument;
 use crate::replica_api::{PutReply, ReadReply};
 use crate::router_updates::{RouterList, SilentEngineList};
-use stackpost_gateway_core::{EngineDirectory, KnownDepartures, RouterEndpoint};
+use stackpost_gateway_core::{ColdEngines, EngineDirectory, KnownDepartures, RouterEndpoint};
 use stackpost_mesh::{LinkId, PeerRole};
 use stackpost_types::BackEndName;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -21,6 +21,7 @@
 pub(crate) struct ControlState {
     pub directory: EngineDirectory,
     pub silent: SilentEngineList,
+    pub cold: ColdEngines,
     /// Committed departures, as applied by this process's replica or received from the leader.
     pub departures: KnownDepartures,
     pub uncommitted: UncommittedDepartures,
--- a/crates/coordinator/src/engine_updates.rs
+++ b/crates/coordinator/src/engine_updates.rs
@@ -6,11 +6,11 @@
 use crate::message::FleetMessage;
 use crate::replica_api::ReplicaEvent;
 use stackpost_gateway_core::{
-    CrashReport, CrashSighting, DepartureRecord, EngineNotice, EngineState, MergeOutcome,
-    QuarantineChange,
+    ColdNotice, CrashReport, CrashSighting, DepartureRecord, EngineNotice, EngineState,
+    MergeOutcome, QuarantineChange,
 };
 use stackpost_mesh::PeerRole;
-use stackpost_types::{BackEndName, Timestamp};
+use stackpost_types::{BackEndName, Millis, Timestamp};
 use thiserror::Error;
 
 /// The reason why an announcement is not acknowledged.
@@ -36,8 +36,27 @@
     ///
     /// The announcement does not fit an engine of this fleet, or could not be committed.
     pub async fn announce(&self, notice: EngineNotice) -> Result<(), AnnouncementError> {
+        self.announce_cold(notice, Millis(0)).await
+    }
+
+    /// Handles the announcement of an engine that is cold for `cold_left` more.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::announce`].
+    pub async fn announce_cold(
+        &self,
+        notice: EngineNotice,
+        cold_left: Millis,
+    ) -> Result<(), AnnouncementError> {
         self.check(&notice)?;
         self.sync_departures();
+        // Before the engine itself is passed on, so that no router takes it for a warm one.
+        self.record_cold(ColdNotice {
+            engine: notice.engine.clone(),
+            sequence: notice.sequence,
+            left: cold_left,
+        });
         let departure = DepartureRecord {
             engine: notice.engine.clone(),
             state: notice.state,
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -7,6 +7,7 @@
 //!   engines.
 //! - [`FleetMessage`]: the messages between processes of a fleet.
 
+mod cold_engines;
 mod control_metrics;
 mod control_node;
 mod control_state;
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 use stackpost_consensus::Envelope;
 use stackpost_gateway_core::{
-    CrashReport, DepartureDelta, DepartureRecord, DirectoryDelta, EngineNotice, Evacuations,
-    QuarantineNotice, ZoneRouters,
+    ColdDelta, ColdNotice, CrashReport, DepartureDelta, DepartureRecord, DirectoryDelta,
+    EngineNotice, Evacuations, QuarantineNotice, ZoneRouters,
 };
 use stackpost_mesh::MessageKind;
 use stackpost_prepaid::{AccountReport, Allotment, BootTimestamp, BudgetForecast};
@@ -184,6 +184,12 @@
     Evacuations(Evacuations),
     /// From a router: the revision of the evacuated zones that it knows.
     EvacuationsConfirmed(u64),
+    /// Between control processes: engines that are cold, or no longer are.
+    ColdNotices(Vec<ColdNotice>),
+    /// From a control process to a router: changes of the cold engines.
+    ColdEngines(ColdDelta),
+    /// From a router: the revision of that process's cold engines that it knows.
+    ColdEnginesConfirmed(u64),
 }
 
 impl MessageKind for FleetMessage {
@@ -215,6 +221,9 @@
             Self::DepartureNotices(..) => "departure_notices",
             Self::Evacuations(..) => "evacuations",
             Self::EvacuationsConfirmed(..) => "evacuations_confirmed",
+            Self::ColdNotices(..) => "cold_notices",
+            Self::ColdEngines(..) => "cold_engines",
+            Self::ColdEnginesConfirmed(..) => "cold_engines_confirmed",
         }
     }
 }
--- a/crates/coordinator/src/router_updates.rs
+++ b/crates/coordinator/src/router_updates.rs
@@ -28,6 +28,8 @@
     pub routers: DeliveryTracker,
     /// Revisions of the evacuated zones, confirmed by a message of their own.
     pub evacuations: DeliveryTracker,
+    /// Revisions of the cold engines, confirmed by a message of their own.
+    pub cold: DeliveryTracker,
 }
 
 impl PeerDelivery {
@@ -74,6 +76,8 @@
     /// Sends a router all updates that it has not confirmed. The configuration and departures are
     /// sent by the leader only, unless the router is not connected to a leader.
     pub(crate) fn send_updates_to_router(&self, link: LinkId, accepts_unconfirmed: bool) {
+        // Before the engines: a router must not take a cold engine for a warm one.
+        self.send_cold_engines(&[link]);
         self.send_engines(&[link]);
         self.send_silent(&[link]);
         self.send_router_list(link);
@@ -128,7 +132,7 @@
         routers.into_iter().for_each(|link| self.send_router_list(link));
     }
 
-    fn all_routers(&self) -> Vec<LinkId> {
+    pub(crate) fn all_routers(&self) -> Vec<LinkId> {
         self.state.borrow().links.one_per_peer(self.now(), PeerRole::Router)
     }
 
--- a/crates/gateway-core/src/config.rs
+++ b/crates/gateway-core/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration of a gateway as a typed document.
 
-use stackpost_types::{Millis, RouteName, ServiceName, TenantName, Tokens};
+use stackpost_types::{Millis, RequestRate, RouteName, ServiceName, TenantName, Tokens};
 use std::collections::{BTreeMap, BTreeSet};
 use thiserror::Error;
 
@@ -86,6 +86,9 @@
     pub max_connections: u32,
     /// Set for model engines.
     pub engine: Option<EngineProfile>,
+    /// Requests that a cold engine accepts from all routers together; `None` if it accepts as many
+    /// as a warm one.
+    pub cold_rate: Option<RequestRate>,
 }
 
 /// Limits on client connections.
@@ -168,6 +171,15 @@
 }
 
 impl RoutingConfig {
+    /// Rates of cold engines, of the services that limit them.
+    pub fn cold_rates(&self) -> BTreeMap<ServiceName, RequestRate> {
+        let limited = self.services.iter().filter_map(|(name, service)| {
+            let rate = service.cold_rate?;
+            Some((name.clone(), rate))
+        });
+        limited.collect()
+    }
+
     /// Checks the rules that the types do not enforce.
     pub fn validate(&self) -> Result<(), ConfigError> {
         let mut seen = BTreeSet::new();
--- a/crates/gateway-core/src/engine_permits.rs
+++ b/crates/gateway-core/src/engine_permits.rs
@@ -9,19 +9,24 @@
 //! for a rate is consumed, not returned. While an engine states a rate, its slots belong to the
 //! owner as well, so that one permit covers both.
 //!
+//! A cold engine is limited in addition by the slots of time of [`ColdSchedule`], each of which
+//! belongs to one router.
+//!
 //! Invariants:
 //! - A router that does not know the other routers owns no engine.
 //! - An owner starts with an empty bucket, whichever router owned the engine before: two
 //!   consecutive owners issue no more permits than one would. While routers disagree about which
 //!   routers run, both may issue the permits that accrue meanwhile.
 
+use crate::cold_engines::ColdDelta;
+use crate::cold_schedule::ColdSchedule;
 use crate::directory::{EngineDirectory, EngineRecord};
 use crate::hashing::mix;
 use crate::rate_bucket::RateBucket;
 use crate::slot_shares::{SlotShares, router_hash};
 use crate::stated_rates::{RateChange, RateStatement, RateUpdate, StatedRates};
 use stackpost_types::{BackEndName, Digest, Millis, RequestRate, ServiceName, Timestamp};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 /// What a permit covers.
@@ -54,6 +59,7 @@
 pub struct EnginePermits {
     slots: SlotShares,
     rates: StatedRates,
+    cold: ColdSchedule,
     /// Buckets of the engines that this router owns.
     buckets: HashMap<BackEndName, RateBucket>,
     /// Owners computed from the currently known routers.
@@ -69,6 +75,7 @@
         Self {
             slots: SlotShares::new(own),
             rates: StatedRates::default(),
+            cold: ColdSchedule::default(),
             buckets: HashMap::new(),
             owners: HashMap::new(),
             exhausted_until: HashMap::new(),
@@ -78,6 +85,7 @@
 
     /// Sets the other running routers.
     pub fn set_others(&mut self, now: Timestamp, others: &[SocketAddr]) {
+        self.cold.set_routers(now, self.slots.own_address(), others);
         let knew_routers = std::mem::replace(&mut self.knows_routers, true);
         if !self.slots.set_others(others) && knew_routers {
             return;
@@ -94,6 +102,16 @@
         self.exhausted_until.retain(|(owner, _), _| others.contains(owner));
     }
 
+    /// Sets the rates of cold engines by service.
+    pub fn set_cold_rates(&mut self, rates: BTreeMap<ServiceName, RequestRate>) {
+        self.cold.set_rates(rates);
+    }
+
+    /// Merges the cold periods that a control process reports.
+    pub fn merge_cold(&mut self, now: Timestamp, delta: &ColdDelta) {
+        self.cold.merge(now, delta);
+    }
+
     /// The slot shares and the other routers.
     pub fn slots(&mut self) -> &mut SlotShares {
         &mut self.slots
@@ -209,6 +227,9 @@
 
     /// Whether this router may send a request to an engine without asking another router.
     pub fn has_room(&mut self, now: Timestamp, engine: &EngineRecord, scope: PermitScope) -> bool {
+        if self.cold.wait(now, engine).is_some_and(|wait| wait > Millis(0)) {
+            return false;
+        }
         let name = &engine.notice.engine;
         if self.rates.rate(name).is_none() {
             return scope == PermitScope::Rate || self.slots.free(now, engine) > 0;
@@ -229,11 +250,13 @@
 
     /// Counts a request sent to an engine, whether or not there is room for it. With
     /// [`PermitScope::RateAndSlot`] it occupies a slot until [`SlotShares::release_slot`].
-    pub fn take(&mut self, now: Timestamp, engine: &BackEndName, scope: PermitScope) {
+    pub fn take(&mut self, now: Timestamp, engine: &EngineRecord, scope: PermitScope) {
+        self.cold.take(now, engine);
+        let name = &engine.notice.engine;
         if scope == PermitScope::RateAndSlot {
-            self.slots.take(engine);
+            self.slots.take(name);
         }
-        if let Some((bucket, _)) = self.bucket(now, engine) {
+        if let Some((bucket, _)) = self.bucket(now, name) {
             bucket.take(now);
         }
     }
@@ -244,10 +267,27 @@
         &mut self,
         now: Timestamp,
         engines: impl Iterator<Item = &'a EngineRecord>,
+    ) -> PermitAvailability {
+        self.availability_by(engines, |permits, engine| permits.wait(now, engine))
+    }
+
+    /// The same by the stated rates alone: how cold the engines are is no sign of their load.
+    pub fn rate_availability<'a>(
+        &mut self,
+        now: Timestamp,
+        engines: impl Iterator<Item = &'a EngineRecord>,
+    ) -> PermitAvailability {
+        self.availability_by(engines, |permits, engine| permits.rate_wait(now, engine))
+    }
+
+    fn availability_by<'a>(
+        &mut self,
+        engines: impl Iterator<Item = &'a EngineRecord>,
+        wait: impl Fn(&mut Self, &EngineRecord) -> Option<Millis>,
     ) -> PermitAvailability {
         let mut soonest: Option<(Millis, &BackEndName)> = None;
         for engine in engines {
-            let Some(wait) = self.wait(now, engine) else {
+            let Some(wait) = wait(self, engine) else {
                 return PermitAvailability::Unlimited;
             };
             soonest = soonest.into_iter().chain([(wait, &engine.notice.engine)]).min();
@@ -261,9 +301,15 @@
         }
     }
 
+    /// Time until a request may be sent to an engine; `None` if it has no limit.
+    fn wait(&mut self, now: Timestamp, engine: &EngineRecord) -> Option<Millis> {
+        let by_rate = self.rate_wait(now, engine);
+        by_rate.into_iter().chain(self.cold.wait(now, engine)).max()
+    }
+
     /// Time until a permit for an engine may be available, here or from its owner; `None` if it
     /// states no rate.
-    fn wait(&mut self, now: Timestamp, engine: &EngineRecord) -> Option<Millis> {
+    fn rate_wait(&mut self, now: Timestamp, engine: &EngineRecord) -> Option<Millis> {
         let name = &engine.notice.engine;
         self.rates.rate(name)?;
         if let Some((bucket, rate)) = self.bucket(now, name) {
@@ -312,7 +358,8 @@
 
     /// Removes engines that the directory no longer knows, so that the memory is bounded by the
     /// directory.
-    pub fn remove_unknown(&mut self, directory: &EngineDirectory) {
+    pub fn remove_unknown(&mut self, now: Timestamp, directory: &EngineDirectory) {
+        self.cold.remove_expired(now, |engine| directory.get(engine).is_some());
         self.rates.remove_unknown(directory);
         self.buckets.retain(|engine, _| directory.get(engine).is_some());
         self.owners.retain(|engine, _| directory.get(engine).is_some());
@@ -334,7 +381,7 @@
         for engine in engines {
             let name = &engine.notice.engine;
             match self.rates.rate(name).and_then(|_| self.owner(name)) {
-                Some(owner) if self.wait(now, engine) == Some(Millis(0)) => {
+                Some(owner) if self.rate_wait(now, engine) == Some(Millis(0)) => {
                     lenders.push((owner, router_hash(owner)))
                 }
                 Some(_) => {}
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -12,6 +12,8 @@
 //! - [`EnginePermits`]: whether a request may be sent to an engine, by its slots and its rate.
 //! - [`RouterLists`]: the running routers, as reported by several control processes.
 //! - [`AccountOwners`]: which router of a zone owns the zone's account of a tenant.
+//! - [`ColdEngines`]: engines that accept only few requests for some time; [`ColdSchedule`]: when
+//!   each router may send them one.
 //! - [`LoadShedder`]: which requests are admitted while demand exceeds the rates that engines
 //!   state.
 //! - [`RetryBudget`]: how many requests may be sent to a further engine.
@@ -24,6 +26,8 @@
 
 mod account_owners;
 mod backoff;
+mod cold_engines;
+mod cold_schedule;
 mod config;
 mod crash_tracker;
 mod departures;
@@ -49,6 +53,8 @@
 
 pub use account_owners::AccountOwners;
 pub use backoff::{BackoffChange, BackoffTracker};
+pub use cold_engines::{ColdDelta, ColdEngines, ColdNotice};
+pub use cold_schedule::ColdSchedule;
 pub use config::{
     ClientLimits, ConfigError, EngineProfile, Route, RouteKind, RoutingConfig, Service, Split,
     Tenant,
--- a/crates/gateway-core/tests/engine_permits.rs
+++ b/crates/gateway-core/tests/engine_permits.rs
@@ -61,7 +61,7 @@
 fn try_take(permits: &mut EnginePermits, now: Timestamp, engine: &EngineRecord) -> bool {
     let has_room = permits.has_room(now, engine, PermitScope::Rate);
     if has_room {
-        permits.take(now, &engine.notice.engine, PermitScope::Rate);
+        permits.take(now, engine, PermitScope::Rate);
     }
     has_room
 }
@@ -201,7 +201,7 @@
     for taken in 0..engine.notice.slots {
         let now = Timestamp(1_000 + u64::from(taken) * 10);
         assert!(permits.has_room(now, &engine, PermitScope::RateAndSlot));
-        permits.take(now, &name, PermitScope::RateAndSlot);
+        permits.take(now, &engine, PermitScope::RateAndSlot);
     }
     let now = Timestamp(2_000);
     assert!(!permits.has_room(now, &engine, PermitScope::RateAndSlot), "all slots are in use");
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -43,6 +43,8 @@
     echoes: RefCell<BTreeMap<LinkId, ClockEcho>>,
     /// The versions received from each control process.
     versions: RefCell<BTreeMap<LinkId, RouterVersions>>,
+    /// The revision of the cold engines received from each control process.
+    cold_revisions: RefCell<BTreeMap<LinkId, u64>>,
     started: BootTimestamp,
     reported: RefCell<BTreeMap<TenantName, AccountReport>>,
     fully_reported_at: Cell<Instant>,
@@ -93,6 +95,7 @@
             leader_contact: Cell::new(None),
             echoes: RefCell::default(),
             versions: RefCell::default(),
+            cold_revisions: RefCell::default(),
             started,
             reported: RefCell::default(),
             fully_reported_at: Cell::new(Instant::now()),
@@ -215,6 +218,7 @@
                 }
                 self.echoes.borrow_mut().remove(&link);
                 self.versions.borrow_mut().remove(&link);
+                self.cold_revisions.borrow_mut().remove(&link);
                 if self.leader.get() == Some(link) {
                     self.leader.set(None);
                 }
@@ -243,6 +247,7 @@
                 engines.iter().for_each(|engine| directory.forget(engine));
             }
             FleetMessage::Departures(delta) => self.on_departures(link, &delta),
+            FleetMessage::ColdEngines(delta) => self.on_cold_engines(link, &delta),
             FleetMessage::Evacuations(evacuations) => {
                 let revision = self.router.set_evacuations(&evacuations);
                 self.mesh.send(link, &FleetMessage::EvacuationsConfirmed(revision));
@@ -292,6 +297,8 @@
             | FleetMessage::CrashReport(_)
             | FleetMessage::DepartureNotices(_)
             | FleetMessage::EvacuationsConfirmed(_)
+            | FleetMessage::ColdNotices(_)
+            | FleetMessage::ColdEnginesConfirmed(_)
             | FleetMessage::FinalUsage(_) => {}
         }
     }
--- a/crates/gateway/src/fleet_link/engine_updates.rs
+++ b/crates/gateway/src/fleet_link/engine_updates.rs
@@ -1,8 +1,10 @@
 //! Handles engine updates of control processes.
 
 use super::FleetLink;
+use stackpost_coordinator::FleetMessage;
 use stackpost_gateway_core::{
-    DepartureDelta, DepartureRecord, DirectoryDelta, EngineNotice, EngineState, MergeOutcome,
+    ColdDelta, DepartureDelta, DepartureRecord, DirectoryDelta, EngineNotice, EngineState,
+    MergeOutcome,
 };
 use stackpost_mesh::LinkId;
 use stackpost_types::{BackEndName, Millis, Timestamp};
@@ -59,6 +61,17 @@
         self.send_status(link);
     }
 
+    /// Applies the changes of a control process's cold engines, and confirms what is known of them.
+    pub(super) fn on_cold_engines(&self, link: LinkId, delta: &ColdDelta) {
+        self.router.permits.merge_cold(self.router.now(), delta);
+        let mut revisions = self.cold_revisions.borrow_mut();
+        let known = revisions.entry(link).or_default();
+        if delta.base <= *known {
+            *known = (*known).max(delta.revision);
+        }
+        self.mesh.send(link, &FleetMessage::ColdEnginesConfirmed(*known));
+    }
+
     fn state_of(&self, engine: &BackEndName) -> Option<EngineState> {
         self.router.directory.borrow().get(engine).map(|record| record.notice.state)
     }
--- a/crates/gateway/src/permit_lending.rs
+++ b/crates/gateway/src/permit_lending.rs
@@ -99,14 +99,11 @@
             let is_backing_off = !picker.is_available(now, engine);
             let can_lend = self.can_lend(&mut permits, now, record, scope);
             let free = permits.free_slots(now, record);
-            (can_lend && (is_backing_off || !has_own_waiters)).then_some((
-                is_backing_off,
-                free,
-                engine,
-            ))
+            (can_lend && (is_backing_off || !has_own_waiters))
+                .then_some(((is_backing_off, free, engine), record))
         });
-        let (_, _, engine) = offers.max()?;
-        permits.take(now, engine, scope);
+        let ((_, _, engine), record) = offers.max_by_key(|(rank, _)| *rank)?;
+        permits.take(now, record, scope);
         if scope == PermitScope::RateAndSlot {
             let lent = LentSlot { engine: engine.clone(), until: now + needed };
             pool.lent.borrow_mut().insert((borrower, token), lent);
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -9,12 +9,12 @@
 use crate::router::Router;
 use serde::{Deserialize, Serialize};
 use stackpost_gateway_core::{
-    EngineDirectory, EnginePermits, EngineRecord, PermitAvailability, PermitScope, RateChange,
-    RateStatement, RateUpdate, Standing,
+    ColdDelta, EngineDirectory, EnginePermits, EngineRecord, PermitAvailability, PermitScope,
+    RateChange, RateStatement, RateUpdate, Standing,
 };
 use stackpost_types::{BackEndName, Millis, RequestRate, ServiceName, Timestamp};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -124,9 +124,9 @@
 impl Permit {
     /// Takes this router's own permit for an engine, even if none is left. `None` if nothing has to
     /// be released.
-    pub fn own(router: &Rc<Router>, engine: &BackEndName, scope: PermitScope) -> Option<Self> {
+    pub fn own(router: &Rc<Router>, engine: &EngineRecord, scope: PermitScope) -> Option<Self> {
         router.permits.permits.borrow_mut().take(router.now(), engine, scope);
-        let source = Source::Own(engine.clone());
+        let source = Source::Own(engine.notice.engine.clone());
         (scope == PermitScope::RateAndSlot).then(|| Self { router: router.clone(), source })
     }
 }
@@ -173,6 +173,16 @@
         self.permits.borrow_mut().set_others(now, others);
     }
 
+    /// Sets the rates of cold engines by service.
+    pub fn set_cold_rates(&self, rates: BTreeMap<ServiceName, RequestRate>) {
+        self.permits.borrow_mut().set_cold_rates(rates);
+    }
+
+    /// Merges the cold periods that a control process reports.
+    pub fn merge_cold(&self, now: Timestamp, delta: &ColdDelta) {
+        self.permits.borrow_mut().merge_cold(now, delta);
+    }
+
     /// Records that an engine of a service asked for a backoff.
     pub fn on_backoff(&self, now: Timestamp, service: &ServiceName) {
         self.permits.borrow_mut().slots().on_backoff(now, service);
@@ -230,7 +240,7 @@
     /// and removes queries whose request has been cancelled: the router that was asked may never
     /// reply.
     pub fn remove_expired(&self, now: Timestamp, directory: &EngineDirectory) {
-        self.permits.borrow_mut().remove_unknown(directory);
+        self.permits.borrow_mut().remove_unknown(now, directory);
         self.awaiting_reply.borrow_mut().retain(|_, reply| !reply.is_closed());
         let is_expired = |lent: &LentSlot| lent.until <= now;
         let expired: Vec<LentSlot> = self
@@ -307,8 +317,8 @@
         record.filter(|record| self.may_be_used(record)).map(|record| (record, permit))
     }
 
-    /// Availability of rate permits for a request that was sent to `tried`, as stated by the
-    /// service's engines.
+    /// Availability of permits for a request that was sent to `tried`, by the rates that the
+    /// service's engines state and by how many of them are cold.
     pub(crate) fn permit_availability(
         &self,
         service: &ServiceName,
@@ -320,6 +330,14 @@
         self.permits.permits.borrow_mut().availability(self.now(), candidates)
     }
 
+    /// Whether every engine of a service states a rate limit.
+    pub(crate) fn is_service_rate_limited(&self, service: &ServiceName) -> bool {
+        let directory = self.directory.borrow();
+        let candidates = directory.iter().filter(|record| self.is_available(record, service));
+        let mut permits = self.permits.permits.borrow_mut();
+        permits.rate_availability(self.now(), candidates) != PermitAvailability::Unlimited
+    }
+
     /// Sum of the rate limits of a service's engines that this router owns.
     pub(crate) fn owned_rate(&self, service: &ServiceName) -> RequestRate {
         let directory = self.directory.borrow();
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -325,6 +325,7 @@
         match self.codec.decode(&document.bytes) {
             Ok(config) => {
                 log::info!(version = document.version; "configuration applied");
+                self.permits.set_cold_rates(config.cold_rates());
                 *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(config)));
                 *self.document.borrow_mut() = Some(document);
             }
--- a/crates/gateway/src/select_engine.rs
+++ b/crates/gateway/src/select_engine.rs
@@ -161,7 +161,7 @@
         // Slots are counted even while they are not enforced, so that enforcement starts with the
         // slots in use.
         let scope = if self.is_generation() { PermitScope::Rate } else { PermitScope::RateAndSlot };
-        let permit = Permit::own(&self.router, &choice.engine.notice.engine, scope);
+        let permit = Permit::own(&self.router, &choice.engine, scope);
         SelectedEngine { choice, permit }
     }
 
--- a/crates/gateway/src/unservable.rs
+++ b/crates/gateway/src/unservable.rs
@@ -29,7 +29,7 @@
     /// Sheds a request in favour of others, while all engines of its service state rate limits
     /// below the demand.
     pub fn refuse_if_shed(&self) -> Result<(), Refusal> {
-        if self.router.permit_availability(&self.service, &[]) == PermitAvailability::Unlimited {
+        if !self.router.is_service_rate_limited(&self.service) {
             return Ok(());
         }
         let (now, owned) = (self.router.now(), self.router.owned_rate(&self.service));
--- a/crates/gateway/tests/fleet/support/test_codecs.rs
+++ b/crates/gateway/tests/fleet/support/test_codecs.rs
@@ -105,7 +105,7 @@
             cache_tokens: Tokens(1_000),
             tokens_per_event: TOKENS_PER_EVENT,
         };
-        let service = Service { max_connections: 100, engine: Some(engine) };
+        let service = Service { max_connections: 100, engine: Some(engine), cold_rate: None };
         Ok(RoutingConfig {
             version,
             routes: vec![
