Tell routers the changes of the silent engines, not the whole list

A router that has confirmed a version is now sent what has changed since; the first message of a connection is the whole list.

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -8,7 +8,8 @@
 use crate::message::{ControlStatus, FleetMessage, RouterStatus};
 use crate::replica_api::{PutReply, ReadReply, ReplicaEffect, ReplicaEvent};
 use crate::replica_thread::{ReplicaHandle, ReplicaView};
-use crate::router_updates::{RouterList, SilentEngineList};
+use crate::router_updates::RouterList;
+use crate::silent_engines::SilentEngineList;
 use stackpost_clock::BootInstant;
 use stackpost_gateway_core::{
     ColdEngines, EngineDirectory, EngineNotice, EngineState, KnownDepartures,
@@ -255,6 +256,7 @@
             | FleetMessage::EngineChanges(_)
             | FleetMessage::Routers { .. }
             | FleetMessage::SilentEngines { .. }
+            | FleetMessage::SilentChanges(_)
             | FleetMessage::Borrow { .. }
             | FleetMessage::BorrowReply { .. }
             | FleetMessage::SettleLoan { .. }
@@ -348,7 +350,7 @@
             control_peers: state.links.count_machines(PeerRole::Control),
             engines_ready: in_state(EngineState::Ready),
             engines_draining: in_state(EngineState::Draining),
-            engines_silent: state.silent.engines.len(),
+            engines_silent: state.silent.count(),
             suspected: view.quarantine.suspects().count() - quarantined,
             quarantined,
         }
@@ -389,6 +391,7 @@
         state.directory.remove_expired(now);
         state.departures.remove_expired(now);
         state.cold.remove_expired(now);
+        state.silent.remove_expired(now);
     }
 
     fn status(&self) -> ControlStatus {
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -29,6 +29,7 @@
 mod replica_thread;
 mod router_peers;
 mod router_updates;
+mod silent_engines;
 mod state;
 mod voters;
 
@@ -51,6 +52,7 @@
 pub use replica_thread::{ReplicaHandle, ReplicaThread, ReplicaView};
 pub use router_peers::{PEERS_PER_ROUTER, select_peers};
 pub use router_updates::PeerDelivery;
+pub use silent_engines::{SilentEngineList, SilentEnginesDelta};
 pub use state::{ApplyOutcome, Command, FleetState, RouterContact};
 
 use stackpost_gateway_core::{ConfigError, RoutingConfig};
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -2,6 +2,7 @@
 
 use crate::document_delta::DocumentDelta;
 use crate::packed_document::PackedDocument;
+use crate::silent_engines::SilentEnginesDelta;
 use serde::{Deserialize, Serialize};
 use stackpost_consensus::Envelope;
 use stackpost_gateway_core::{
@@ -109,7 +110,8 @@
     Engines(Vec<EngineNotice>),
     /// From a control process to a router: changes of its directory of engines.
     EngineChanges(DirectoryDelta),
-    /// From a control process to routers: engines whose announcements are overdue.
+    /// From a control process of an earlier version to routers: engines whose announcements are
+    /// overdue.
     SilentEngines {
         /// Increases with each change.
         version: u64,
@@ -190,6 +192,8 @@
     ColdEngines(ColdDelta),
     /// From a router: the revision of that process's cold engines that it knows.
     ColdEnginesConfirmed(u64),
+    /// From a control process to a router: changes of the engines whose announcements are overdue.
+    SilentChanges(SilentEnginesDelta),
 }
 
 impl MessageKind for FleetMessage {
@@ -224,6 +228,7 @@
             Self::ColdNotices(..) => "cold_notices",
             Self::ColdEngines(..) => "cold_engines",
             Self::ColdEnginesConfirmed(..) => "cold_engines_confirmed",
+            Self::SilentChanges(..) => "silent_changes",
         }
     }
 }
--- a/crates/coordinator/src/router_updates.rs
+++ b/crates/coordinator/src/router_updates.rs
@@ -8,10 +8,9 @@
 use crate::message::{FleetMessage, RouterVersions};
 use crate::replica_thread::ReplicaView;
 use crate::router_peers::select_peers;
-use stackpost_gateway_core::{EngineDirectory, RouterEndpoint, ZoneRouters};
+use stackpost_gateway_core::{RouterEndpoint, ZoneRouters};
 use stackpost_mesh::{LinkId, PeerRole};
-use stackpost_types::{BackEndName, Timestamp};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// Delivery state of each kind of update on one connection.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -43,26 +42,6 @@
     }
 }
 
-/// Engines whose announcements are overdue.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct SilentEngineList {
-    pub engines: BTreeSet<BackEndName>,
-    version: u64,
-}
-
-impl SilentEngineList {
-    /// Updates the list from the directory. Returns whether it has changed.
-    pub fn refresh(&mut self, now: Timestamp, directory: &EngineDirectory) -> bool {
-        let engines = directory.silent_engines(now);
-        let has_changed = engines != self.engines;
-        if has_changed {
-            self.engines = engines;
-            self.version += 1;
-        }
-        has_changed
-    }
-}
-
 /// The list of connected routers as last sent to them.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RouterList {
@@ -194,11 +173,9 @@
     }
 
     fn send_silent(&self, links: &[LinkId]) {
-        let version = self.state.borrow().silent.version;
-        let message = |state: &mut ControlState, _| FleetMessage::SilentEngines {
-            version,
-            engines: state.silent.engines.clone(),
-        };
+        let version = self.state.borrow().silent.version();
+        let message =
+            |state: &mut ControlState, base| FleetMessage::SilentChanges(state.silent.since(base));
         self.send_updates(links, version, |delivery| &mut delivery.silent, message);
     }
 
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -277,6 +277,7 @@
                 self.update_versions(link, |versions| versions.silent = version);
                 self.on_silent_engines(link, engines);
             }
+            FleetMessage::SilentChanges(delta) => self.on_silent_changes(link, &delta),
             FleetMessage::Quarantined(notice) => {
                 let now = self.router.now();
                 if self.router.crash_tracker.borrow_mut().on_notice(now, notice) {
--- a/crates/gateway/src/fleet_link/engine_updates.rs
+++ b/crates/gateway/src/fleet_link/engine_updates.rs
@@ -1,7 +1,7 @@
 //! Handles engine updates of control processes.
 
 use super::FleetLink;
-use stackpost_coordinator::FleetMessage;
+use stackpost_coordinator::{FleetMessage, SilentEnginesDelta};
 use stackpost_gateway_core::{
     ColdDelta, DepartureDelta, DepartureRecord, DirectoryDelta, EngineNotice, EngineState,
     MergeOutcome,
@@ -141,6 +141,17 @@
         self.apply_silent_engines();
     }
 
+    /// Applies changes of the engines that a control process reports as silent. A delta that does
+    /// not build on the received version is sent again.
+    pub(super) fn on_silent_changes(&self, link: LinkId, delta: &SilentEnginesDelta) {
+        let known = self.versions.borrow().get(&link).map_or(0, |versions| versions.silent);
+        let mut engines = self.silent.borrow().get(&link).cloned().unwrap_or_default();
+        if let Some(version) = delta.apply(known, &mut engines) {
+            self.update_versions(link, |versions| versions.silent = version);
+            self.on_silent_engines(link, engines);
+        }
+    }
+
     /// Drops the silent engines that a control process reported, unless it was the last one:
     /// without any control process the last report stays valid.
     pub(super) fn on_control_down(&self, link: LinkId) {
