Send routers fewer statuses and lists of routers

Only a leader's statuses are urgent: the other processes send theirs to routers every third interval (600 ms, within the 1.5 s after which a silent connection is closed), and at once when their role changes. Lists of routers are sent no more often than 4 ms for each listed router (344 ms at 86, 1.2 s at 294); a router that connects still gets the last one at once.

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -27,6 +27,9 @@
 
 /// Time between two status messages.
 const STATUS_INTERVAL: Duration = Duration::from_millis(200);
+/// Status intervals between two statuses of a process that does not lead to a router: well within
+/// the time after which a silent connection is closed. Only a leader's statuses are urgent.
+const FOLLOWER_STATUS_TICKS: u32 = 3;
 /// Time between two recordings of the gauges and between two broadcasts of the quarantine.
 const GAUGE_INTERVAL: Duration = Duration::from_secs(2);
 /// Longest wait for the replica's reply.
@@ -79,6 +82,7 @@
             puts: HashMap::new(),
             reads: HashMap::new(),
             packed: None,
+            status_ticks: 0,
             next_token: 1,
             routers: RouterList::default(),
         };
@@ -318,6 +322,7 @@
                 self.broadcast_quarantine();
                 self.broadcast_departures();
                 self.broadcast_evacuations();
+                self.state.borrow_mut().status_ticks = 0;
                 self.on_tick();
             }
         }
@@ -378,7 +383,12 @@
         let now = self.now();
         let status = FleetMessage::ControlStatus(self.status());
         let state = &mut *self.state.borrow_mut();
-        self.mesh.send_all(state.links.all(), &status);
+        self.mesh.send_all(state.links.all(PeerRole::Control), &status);
+        let is_due_to_routers = state.status_ticks.is_multiple_of(FOLLOWER_STATUS_TICKS);
+        if is_due_to_routers || self.replica.view().is_leader() {
+            self.mesh.send_all(state.links.all(PeerRole::Router), &status);
+        }
+        state.status_ticks = state.status_ticks.wrapping_add(1);
         let refreshed: Vec<EngineNotice> = std::mem::take(&mut state.refreshed)
             .iter()
             .filter_map(|engine| state.directory.get(engine))
--- a/crates/coordinator/src/control_state.rs
+++ b/crates/coordinator/src/control_state.rs
@@ -39,6 +39,8 @@
     pub puts: HashMap<u64, oneshot::Sender<PutReply>>,
     pub reads: HashMap<u64, oneshot::Sender<ReadReply>>,
     pub next_token: u64,
+    /// Status intervals since the role last changed.
+    pub status_ticks: u32,
     pub routers: RouterList,
 }
 
--- a/crates/coordinator/src/links.rs
+++ b/crates/coordinator/src/links.rs
@@ -91,9 +91,9 @@
         links
     }
 
-    /// Every connection, for messages that also serve as keep-alives.
-    pub fn all(&self) -> Vec<LinkId> {
-        self.links.keys().copied().collect()
+    /// Every connection to processes with `role`, for messages that also serve as keep-alives.
+    pub fn all(&self, role: PeerRole) -> Vec<LinkId> {
+        self.peers(role).map(|(link, _)| link).collect()
     }
 
     /// The connected machines with `role`, with their zones.
--- a/crates/coordinator/src/router_updates.rs
+++ b/crates/coordinator/src/router_updates.rs
@@ -10,8 +10,12 @@
 use crate::router_peers::select_peers;
 use stackpost_gateway_core::{RouterEndpoint, ZoneRouters};
 use stackpost_mesh::{LinkId, PeerRole};
+use stackpost_types::{Millis, Timestamp};
 use std::collections::BTreeMap;
 
+/// Time between two lists of routers, for each router that is listed.
+const LIST_PAUSE_PER_ROUTER: Millis = Millis(4);
+
 /// Delivery state of each kind of update on one connection.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PeerDelivery {
@@ -49,6 +53,16 @@
     version: u64,
     /// Whether a router has connected since the list was sent.
     pub is_outdated: bool,
+    sent_at: Timestamp,
+}
+
+impl RouterList {
+    /// Whether a new list is due. While many routers connect, each of them would otherwise receive
+    /// all others again and again.
+    fn is_due(&self, now: Timestamp) -> bool {
+        let pause = LIST_PAUSE_PER_ROUTER.0 * self.endpoints.len() as u64;
+        self.is_outdated && now.since(self.sent_at) >= Millis(pause)
+    }
 }
 
 impl ControlNode {
@@ -99,10 +113,13 @@
     /// Sends each router its peers if a router has connected since the last time.
     pub(crate) fn broadcast_router_list(&self) {
         let routers: Vec<LinkId> = {
+            let now = self.now();
             let state = &mut *self.state.borrow_mut();
-            if !std::mem::take(&mut state.routers.is_outdated) {
+            if !state.routers.is_due(now) {
                 return;
             }
+            state.routers.is_outdated = false;
+            state.routers.sent_at = now;
             let endpoints = state.router_endpoints();
             state.routers.endpoints = endpoints.keys().cloned().collect();
             state.routers.version += 1;
--- a/crates/coordinator/tests/links.rs
+++ b/crates/coordinator/tests/links.rs
@@ -20,7 +20,8 @@
     let (dialed, accepted) = (LinkId::from_raw(1), LinkId::from_raw(2));
     links.up(Timestamp(0), dialed, control("b", 1));
     links.up(Timestamp(10), accepted, control("b", 1));
-    assert_eq!(links.all(), vec![dialed, accepted]);
+    assert_eq!(links.all(PeerRole::Control), vec![dialed, accepted]);
+    assert!(links.all(PeerRole::Router).is_empty());
     assert_eq!(links.one_per_peer_all_roles(Timestamp(20)), vec![accepted], "other messages");
 }
 
