Send a router the whole list of engines from one control process only

A router now says on connecting whether it wants the whole list. It asks one process, of its own zone if there is one within 300 ms, and only if it was without any connection before; from the others it receives later changes. A process that gets no such word within a second (a router of an earlier version) sends the whole list as before. A change that falls between is found by a digest that control processes send every two seconds: a router that has differed for two seconds asks that process for its list, at most every 5 s, then less often. The decision is EngineListRequests, without I/O.

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -181,6 +181,7 @@
                     self.record_sent();
                     // Repeated because a message is dropped when a connection's queue is full.
                     self.broadcast_quarantine();
+                    self.broadcast_engine_digest();
                 }
             }
         }
@@ -242,6 +243,9 @@
             }
             FleetMessage::RouterStatus(status) => self.on_router_status(link, peer, status),
             FleetMessage::CrashReport(report) => self.on_crash_report(report),
+            FleetMessage::EngineListWanted(is_wanted) => {
+                self.on_engine_list_wanted(link, is_wanted);
+            }
             FleetMessage::ColdNotices(notices) => self.on_cold_notices(&notices),
             FleetMessage::ColdEnginesConfirmed(revision) => {
                 self.on_cold_engines_confirmed(link, revision);
@@ -261,6 +265,7 @@
             | FleetMessage::Routers { .. }
             | FleetMessage::SilentEngines { .. }
             | FleetMessage::SilentChanges(_)
+            | FleetMessage::EngineListDigest(_)
             | FleetMessage::Borrow { .. }
             | FleetMessage::BorrowReply { .. }
             | FleetMessage::SettleLoan { .. }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -16,6 +16,7 @@
 mod departure_watch;
 mod departures;
 mod document_delta;
+mod engine_list;
 mod engine_updates;
 mod evacuations;
 mod links;
--- a/crates/coordinator/src/links.rs
+++ b/crates/coordinator/src/links.rs
@@ -23,6 +23,10 @@
     /// What has been sent over it: departures to control processes, all kinds of updates to
     /// routers.
     pub delivery: PeerDelivery,
+    /// When the connection was opened.
+    pub up_since: Timestamp,
+    /// Whether a router has said which engines it wants to be told.
+    pub has_requested_engines: bool,
     last_received_at: Timestamp,
 }
 
@@ -35,7 +39,13 @@
 impl Links {
     /// Adds a new connection.
     pub fn up(&mut self, now: Timestamp, link: LinkId, peer: PeerInfo) {
-        let entry = Link { peer, delivery: PeerDelivery::default(), last_received_at: now };
+        let entry = Link {
+            peer,
+            delivery: PeerDelivery::default(),
+            up_since: now,
+            has_requested_engines: false,
+            last_received_at: now,
+        };
         self.links.insert(link, entry);
     }
 
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -7,7 +7,7 @@
 use stackpost_consensus::Envelope;
 use stackpost_gateway_core::{
     ColdDelta, ColdNotice, CrashReport, DepartureDelta, DepartureRecord, DirectoryDelta,
-    EngineNotice, Evacuations, QuarantineNotice, ZoneRouters,
+    EngineListDigest, EngineNotice, Evacuations, QuarantineNotice, ZoneRouters,
 };
 use stackpost_mesh::MessageKind;
 use stackpost_prepaid::{AccountReport, Allotment, BootTimestamp, BudgetForecast};
@@ -194,6 +194,10 @@
     ColdEnginesConfirmed(u64),
     /// From a control process to a router: changes of the engines whose announcements are overdue.
     SilentChanges(SilentEnginesDelta),
+    /// From a router: whether it wants the whole list of engines, or only later changes.
+    EngineListWanted(bool),
+    /// From a control process to routers: the digest of its list of engines.
+    EngineListDigest(EngineListDigest),
 }
 
 impl MessageKind for FleetMessage {
@@ -229,6 +233,8 @@
             Self::ColdEngines(..) => "cold_engines",
             Self::ColdEnginesConfirmed(..) => "cold_engines_confirmed",
             Self::SilentChanges(..) => "silent_changes",
+            Self::EngineListWanted(..) => "engine_list_wanted",
+            Self::EngineListDigest(..) => "engine_list_digest",
         }
     }
 }
--- a/crates/coordinator/src/router_updates.rs
+++ b/crates/coordinator/src/router_updates.rs
@@ -5,6 +5,7 @@
 use crate::control_node::ControlNode;
 use crate::control_state::ControlState;
 use crate::delivery::DeliveryTracker;
+use crate::engine_list::may_send_engines;
 use crate::message::{FleetMessage, RouterVersions};
 use crate::replica_thread::ReplicaView;
 use crate::router_peers::select_peers;
@@ -181,12 +182,19 @@
         );
     }
 
-    fn send_engines(&self, links: &[LinkId]) {
+    pub(crate) fn send_engines(&self, links: &[LinkId]) {
         let (now, revision) = (self.now(), self.state.borrow().directory.revision());
         let message = |state: &mut ControlState, base| {
             FleetMessage::EngineChanges(state.directory.changes_since(now, base))
         };
-        self.send_updates(links, revision, |delivery| &mut delivery.engines, message);
+        let links: Vec<LinkId> = {
+            let state = &mut *self.state.borrow_mut();
+            let may_send = |link: &LinkId| {
+                state.links.get_mut(*link).is_some_and(|link| may_send_engines(now, link))
+            };
+            links.iter().copied().filter(may_send).collect()
+        };
+        self.send_updates(&links, revision, |delivery| &mut delivery.engines, message);
     }
 
     fn send_silent(&self, links: &[LinkId]) {
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -1,5 +1,6 @@
 //! Keeps a router's state up to date over the fleet's connections to control and to other routers.
 
+mod engine_list;
 mod engine_updates;
 mod final_usage;
 mod loan_messages;
@@ -10,7 +11,9 @@
 use crate::machine_clock::machine_time;
 use crate::router::Router;
 use stackpost_coordinator::{ClockEcho, ControlStatus, FleetMessage, RouterStatus, RouterVersions};
-use stackpost_gateway_core::{RouterEndpoint, RouterLists, ZoneRouters};
+use stackpost_gateway_core::{
+    EngineListDigest, EngineListRequests, RouterEndpoint, RouterLists, ZoneRouters,
+};
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
 use stackpost_prepaid::{AccountReport, Allotment, BootTimestamp};
 use stackpost_types::{BackEndName, Digest, NodeId, PeerError, TenantName};
@@ -45,6 +48,9 @@
     versions: RefCell<BTreeMap<LinkId, RouterVersions>>,
     /// The revision of the cold engines received from each control process.
     cold_revisions: RefCell<BTreeMap<LinkId, u64>>,
+    engine_list: RefCell<EngineListRequests<LinkId>>,
+    /// Digest of the own list of engines, with the revision and number of records that it is of.
+    own_digest: Cell<Option<(u64, usize, EngineListDigest)>>,
     started: BootTimestamp,
     reported: RefCell<BTreeMap<TenantName, AccountReport>>,
     fully_reported_at: Cell<Instant>,
@@ -96,6 +102,8 @@
             echoes: RefCell::default(),
             versions: RefCell::default(),
             cold_revisions: RefCell::default(),
+            engine_list: RefCell::default(),
+            own_digest: Cell::new(None),
             started,
             reported: RefCell::default(),
             fully_reported_at: Cell::new(Instant::now()),
@@ -165,6 +173,7 @@
                 _ = reports.tick() => {
                     self.report();
                     self.apply_router_lists();
+                    self.request_engine_list_if_due();
                     self.send_loan_queries();
                     self.forward_relayed_usage();
                 }
@@ -207,12 +216,14 @@
             LinkEvent::Up { link, peer, .. } => {
                 log::info!(peer = peer.node.to_string().as_str(); "control connected");
                 self.links.borrow_mut().insert(link, peer.node);
+                self.on_control_up(link, &peer.zone);
                 self.send_status(link);
             }
             LinkEvent::Down { link } => {
                 self.peer_links.borrow_mut().remove(&link);
                 self.on_peer_down(link);
                 self.on_control_down(link);
+                self.engine_list.borrow_mut().on_down(link);
                 if let Some(peer) = self.links.borrow_mut().remove(&link) {
                     log::info!(peer = peer.to_string().as_str(); "control disconnected");
                 }
@@ -278,6 +289,7 @@
                 self.on_silent_engines(link, engines);
             }
             FleetMessage::SilentChanges(delta) => self.on_silent_changes(link, &delta),
+            FleetMessage::EngineListDigest(digest) => self.on_engine_list_digest(link, digest),
             FleetMessage::Quarantined(notice) => {
                 let now = self.router.now();
                 if self.router.crash_tracker.borrow_mut().on_notice(now, notice) {
@@ -300,6 +312,7 @@
             | FleetMessage::EvacuationsConfirmed(_)
             | FleetMessage::ColdNotices(_)
             | FleetMessage::ColdEnginesConfirmed(_)
+            | FleetMessage::EngineListWanted(_)
             | FleetMessage::FinalUsage(_) => {}
         }
     }
--- a/crates/gateway/src/fleet_link/engine_updates.rs
+++ b/crates/gateway/src/fleet_link/engine_updates.rs
@@ -19,6 +19,9 @@
     /// version leaves a gap and is sent again.
     pub(super) fn on_engine_changes(&self, link: LinkId, delta: DirectoryDelta) {
         let (base, revision) = (delta.base, delta.revision);
+        if base == 0 && !delta.notices.is_empty() {
+            self.engine_list.borrow_mut().on_list(link);
+        }
         self.on_engines(link, delta.notices);
         self.update_versions(link, |versions| {
             if base <= versions.engines {
@@ -129,7 +132,7 @@
     }
 
     /// Name of the control process at the other end of a connection.
-    fn name_of(&self, link: LinkId) -> String {
+    pub(super) fn name_of(&self, link: LinkId) -> String {
         self.links.borrow().get(&link).map_or_else(String::new, ToString::to_string)
     }
 
