Subscribe each router to the engines at one control process

A router now subscribes to one process, of its own zone if there is one within 300 ms, which tells it the list, the changes and the cold engines; when that process is lost, another takes its place at once. Digests show when its list differs from another process's, whose list it then asks for once. Committed departures come from the leader as before.

--- a/crates/coordinator/src/cold_engines.rs
+++ b/crates/coordinator/src/cold_engines.rs
@@ -23,21 +23,23 @@
         self.send_cold_engines(&self.all_routers());
     }
 
-    /// Merges what another control process has learned. That process has told the routers that it
-    /// is connected to; this one tells its own with the next status.
+    /// Merges what another control process has learned, and tells the routers that this one tells
+    /// of the engines.
     pub(crate) fn on_cold_notices(&self, notices: &[ColdNotice]) {
         let now = self.now();
-        let state = &mut *self.state.borrow_mut();
         for notice in notices {
-            state.cold.merge(now, notice);
+            self.state.borrow_mut().cold.merge(now, notice);
         }
+        self.send_cold_engines(&self.all_routers());
     }
 
-    /// Sends the changes of the cold engines to the routers that have not confirmed them.
+    /// Sends the changes of the cold engines to the routers that this process tells of the engines
+    /// and that have not confirmed them.
     pub(crate) fn send_cold_engines(&self, routers: &[LinkId]) {
         let (now, revision) = (self.now(), self.state.borrow().cold.revision());
+        let routers = self.subscribed_to_engines(routers);
         self.send_updates(
-            routers,
+            &routers,
             revision,
             |delivery| &mut delivery.cold,
             |state, base| FleetMessage::ColdEngines(state.cold.since(now, base)),
--- a/crates/coordinator/src/engine_list.rs
+++ b/crates/coordinator/src/engine_list.rs
@@ -1,10 +1,10 @@
-//! Sends routers the whole list of engines, or only its changes, as they want.
+//! Sends the list of engines to the routers that want it, and its digest to all.
 
 use crate::control_node::ControlNode;
 use crate::delivery::DeliveryTracker;
 use crate::links::Link;
 use crate::message::FleetMessage;
-use stackpost_gateway_core::{DirectoryDelta, EngineListDigest};
+use stackpost_gateway_core::EngineListDigest;
 use stackpost_mesh::{LinkId, PeerRole};
 use stackpost_types::{Millis, Timestamp};
 
@@ -12,32 +12,33 @@
 /// earlier version.
 const REQUEST_TIMEOUT: Millis = Millis(1_000);
 
-/// Whether changes of the engines may be sent over a connection.
-pub(crate) fn may_send_engines(now: Timestamp, link: &Link) -> bool {
-    link.has_requested_engines || now.since(link.up_since) >= REQUEST_TIMEOUT
+/// Whether the engines may be sent over a connection.
+fn may_send_engines(now: Timestamp, link: &Link) -> bool {
+    link.wants_engines.unwrap_or_else(|| now.since(link.up_since) >= REQUEST_TIMEOUT)
 }
 
 impl ControlNode {
-    /// Sends a router the whole list of engines, or the revision from which on it receives changes.
+    /// Records whether a router wants the list of engines, and sends it if so.
     pub(crate) fn on_engine_list_wanted(&self, link: LinkId, is_wanted: bool) {
-        let now = self.now();
-        {
-            let state = &mut *self.state.borrow_mut();
-            let revision = state.directory.revision();
-            let Some(entry) = state.links.get_mut(link) else {
-                return;
-            };
-            entry.has_requested_engines = true;
+        if let Some(entry) = self.state.borrow_mut().links.get_mut(link) {
+            entry.wants_engines = Some(is_wanted);
             entry.delivery.engines = DeliveryTracker::default();
-            if !is_wanted {
-                entry.delivery.engines.begin_send(now, revision);
-                let start = DirectoryDelta { base: 0, revision, notices: Vec::new() };
-                self.mesh.send(link, &FleetMessage::EngineChanges(start));
-            }
+            entry.delivery.cold = DeliveryTracker::default();
         }
+        self.send_cold_engines(&[link]);
         self.send_engines(&[link]);
     }
 
+    /// The routers among `links` that want to be told of the engines.
+    pub(crate) fn subscribed_to_engines(&self, links: &[LinkId]) -> Vec<LinkId> {
+        let now = self.now();
+        let state = &mut *self.state.borrow_mut();
+        let is_subscribed = |link: &LinkId| {
+            state.links.get_mut(*link).is_some_and(|link| may_send_engines(now, link))
+        };
+        links.iter().copied().filter(is_subscribed).collect()
+    }
+
     /// Sends all routers the digest of the list of engines.
     pub(crate) fn broadcast_engine_digest(&self) {
         let state = self.state.borrow();
--- a/crates/coordinator/src/links.rs
+++ b/crates/coordinator/src/links.rs
@@ -25,8 +25,8 @@
     pub delivery: PeerDelivery,
     /// When the connection was opened.
     pub up_since: Timestamp,
-    /// Whether a router has said which engines it wants to be told.
-    pub has_requested_engines: bool,
+    /// Whether a router wants to be told of the engines, as far as it has said so.
+    pub wants_engines: Option<bool>,
     last_received_at: Timestamp,
 }
 
@@ -43,7 +43,7 @@
             peer,
             delivery: PeerDelivery::default(),
             up_since: now,
-            has_requested_engines: false,
+            wants_engines: None,
             last_received_at: now,
         };
         self.links.insert(link, entry);
--- a/crates/coordinator/src/router_updates.rs
+++ b/crates/coordinator/src/router_updates.rs
@@ -5,7 +5,6 @@
 use crate::control_node::ControlNode;
 use crate::control_state::ControlState;
 use crate::delivery::DeliveryTracker;
-use crate::engine_list::may_send_engines;
 use crate::message::{FleetMessage, RouterVersions};
 use crate::replica_thread::ReplicaView;
 use crate::router_peers::select_peers;
@@ -187,13 +186,7 @@
         let message = |state: &mut ControlState, base| {
             FleetMessage::EngineChanges(state.directory.changes_since(now, base))
         };
-        let links: Vec<LinkId> = {
-            let state = &mut *self.state.borrow_mut();
-            let may_send = |link: &LinkId| {
-                state.links.get_mut(*link).is_some_and(|link| may_send_engines(now, link))
-            };
-            links.iter().copied().filter(may_send).collect()
-        };
+        let links = self.subscribed_to_engines(links);
         self.send_updates(&links, revision, |delivery| &mut delivery.engines, message);
     }
 
--- a/crates/gateway-core/src/engine_list.rs
+++ b/crates/gateway-core/src/engine_list.rs
@@ -1,13 +1,13 @@
-//! Which control process a router asks for the whole list of engines.
+//! Which control process tells a router of the engines.
 //!
 //! The load: each of several hundred routers is connected to every control process. If each of them
-//! sent its whole list on connecting, a start of the fleet with 3,000 engines would send some
-//! 40 MB from every control process, most of it to other zones. So a router asks one process for
-//! the list, preferably of its own zone, and receives only changes from the others.
+//! told it of every engine, a start of the fleet with 3,000 engines would send some 40 MB from every
+//! control process, most of it to other zones. So a router subscribes to one process, preferably of
+//! its own zone, which sends it the whole list and then the changes.
 //!
-//! A change may be missed: the process that was asked may not have known it yet, and the others knew
-//! it already when the router connected. So control processes send a digest of their list, and a
-//! router that has differed from one for some time asks it for the whole list.
+//! The process may know less than others for some time. So all of them send a digest of their list,
+//! and a router that has differed from one for some time asks it for its list, once. Departures
+//! that must be known at once are committed and come from the leader in any case.
 
 use crate::directory::EngineDirectory;
 use crate::engine_notice::EngineState;
@@ -53,79 +53,74 @@
     differs_since: Option<Timestamp>,
 }
 
-/// One router's requests, over connections `L` to control processes.
+/// One router's subscription, over connections `L` to control processes.
 #[derive(Clone, Debug)]
-pub struct EngineListRequests<L> {
+pub struct EngineSubscription<L> {
     links: BTreeMap<L, KnownLink>,
-    /// Whether a whole list is needed: there was no connection, so changes may have been missed.
-    needs_list: bool,
-    /// The connection over which it was requested.
-    requested_from: Option<L>,
-    /// When the first of the current connections was opened.
-    connected_since: Timestamp,
+    subscribed: Option<L>,
+    /// Since when there is a connection but no subscription.
+    waiting_since: Option<Timestamp>,
     pause: Millis,
     paused_until: Timestamp,
 }
 
-impl<L> Default for EngineListRequests<L> {
+impl<L> Default for EngineSubscription<L> {
     fn default() -> Self {
         Self {
             links: BTreeMap::new(),
-            needs_list: true,
-            requested_from: None,
-            connected_since: Timestamp(0),
+            subscribed: None,
+            waiting_since: None,
             pause: FIRST_PAUSE,
             paused_until: Timestamp(0),
         }
     }
 }
 
-impl<L: Ord + Copy> EngineListRequests<L> {
-    /// A connection was opened. Returns whether the whole list should be requested over it.
+impl<L: Ord + Copy> EngineSubscription<L> {
+    /// A connection was opened. Returns whether to subscribe to its process.
     pub fn on_up(&mut self, now: Timestamp, link: L, is_own_zone: bool) -> bool {
-        if self.links.is_empty() {
-            self.connected_since = now;
-        }
         self.links.insert(link, KnownLink { is_own_zone, differs_since: None });
-        let is_wanted = self.needs_list && self.requested_from.is_none() && is_own_zone;
-        if is_wanted {
-            self.requested_from = Some(link);
+        self.waiting_since.get_or_insert(now);
+        let is_chosen = self.subscribed.is_none() && is_own_zone;
+        if is_chosen {
+            self.subscribed = Some(link);
         }
-        is_wanted
+        is_chosen
     }
 
     /// A connection was closed.
-    pub fn on_down(&mut self, link: L) {
+    pub fn on_down(&mut self, now: Timestamp, link: L) {
         self.links.remove(&link);
-        self.needs_list |= self.links.is_empty();
-        if self.requested_from == Some(link) {
-            self.requested_from = None;
+        if self.subscribed == Some(link) {
+            self.subscribed = None;
+            self.waiting_since = Some(now);
+        }
+        if self.links.is_empty() {
+            self.waiting_since = None;
         }
     }
 
-    /// The whole list was received over a connection.
-    pub fn on_list(&mut self, link: L) {
-        if self.requested_from == Some(link) {
-            self.requested_from = None;
-            self.needs_list = false;
-        }
+    /// A whole list was received over a connection. Returns whether it was wanted once only.
+    pub fn on_list(&mut self, link: L) -> bool {
+        self.subscribed != Some(link)
     }
 
-    /// Returns the connection over which the list should be requested now, if any: no process of
-    /// the own zone is connected, or the one that was asked has gone.
+    /// Returns the connection to subscribe to now, if there is no subscription: no process of the
+    /// own zone is connected, or the one that was subscribed to has gone.
     pub fn due(&mut self, now: Timestamp) -> Option<L> {
-        if !self.needs_list || self.requested_from.is_some() {
+        if self.subscribed.is_some() {
             return None;
         }
-        let has_waited = now.since(self.connected_since) >= OWN_ZONE_WAIT;
+        let since = self.waiting_since?;
+        let has_waited = now.since(since) >= OWN_ZONE_WAIT;
         let candidates = self.links.iter().filter(|(_, known)| known.is_own_zone || has_waited);
         let chosen = candidates.max_by_key(|(link, known)| (known.is_own_zone, **link));
-        self.requested_from = chosen.map(|(link, _)| *link);
-        self.requested_from
+        self.subscribed = chosen.map(|(link, _)| *link);
+        self.subscribed
     }
 
     /// A digest was received; `matches` is whether it is that of the own directory. Returns whether
-    /// the whole list should be requested from its sender.
+    /// its sender should be asked for its list.
     pub fn on_digest(&mut self, now: Timestamp, link: L, matches: bool) -> bool {
         let Some(known) = self.links.get_mut(&link) else {
             return false;
@@ -136,7 +131,7 @@
             return false;
         }
         let since = *known.differs_since.get_or_insert(now);
-        if now.since(since) < MISMATCH_TIME || now < self.paused_until || self.needs_list {
+        if now.since(since) < MISMATCH_TIME || now < self.paused_until {
             return false;
         }
         known.differs_since = None;
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -3,7 +3,7 @@
 //! - [`RoutingConfig`]: routes by host and longest path prefix, services, tenants and their keys.
 //! - [`EngineDirectory`]: the known engines, merged from notices that may be delayed or out of
 //!   order.
-//! - [`EngineListRequests`]: which control process a router asks for the whole list of engines.
+//! - [`EngineSubscription`]: which control process tells a router of the engines.
 //! - [`EnginePicker`]: the engine for a request; for generations by the [`PlacementCost`] that
 //!   follows from each engine's [`EngineLoad`].
 //! - [`BackoffTracker`]: engines that have asked to receive no requests for some time, or that
@@ -66,7 +66,7 @@
     DepartureChange, DepartureDelta, DepartureRecord, Departures, KnownDepartures, MAX_DEPARTURES,
 };
 pub use directory::{EngineDirectory, EngineRecord};
-pub use engine_list::{EngineListDigest, EngineListRequests};
+pub use engine_list::{EngineListDigest, EngineSubscription};
 pub use engine_load::{EngineLoad, EngineLoadUpdate, GenerationWork, Placement, PlacementEstimate};
 pub use engine_notice::{DirectoryDelta, EngineNotice, EngineState, MergeOutcome};
 pub use engine_permits::{EnginePermits, PermitAvailability, PermitScope};
--- a/crates/gateway-core/tests/engine_list.rs
+++ b/crates/gateway-core/tests/engine_list.rs
@@ -1,4 +1,4 @@
-//! Which control process a router asks for the whole list of engines.
+//! Which control process tells a router of the engines.
 
 use stackpost_gateway_core::*;
 use stackpost_types::*;
@@ -27,61 +27,63 @@
 }
 
 #[test]
-fn one_process_of_the_own_zone_is_asked() {
-    let mut requests = EngineListRequests::default();
-    assert!(!requests.on_up(NOW, 1, false));
-    assert!(requests.on_up(NOW, 2, true));
-    assert!(!requests.on_up(NOW, 3, true), "one has been asked");
-    assert_eq!(requests.due(NOW + Millis(1_000)), None);
-    requests.on_list(2);
-    requests.on_down(2);
-    assert_eq!(requests.due(NOW + Millis(1_000)), None, "the others have told every change since");
+fn a_router_subscribes_to_one_process_of_its_zone() {
+    let mut subscription = EngineSubscription::default();
+    assert!(!subscription.on_up(NOW, 1, false));
+    assert!(subscription.on_up(NOW, 2, true));
+    assert!(!subscription.on_up(NOW, 3, true), "it has subscribed");
+    assert_eq!(subscription.due(NOW + Millis(1_000)), None);
+    assert!(!subscription.on_list(2));
 }
 
 #[test]
-fn another_process_is_asked_if_the_first_is_lost() {
-    let mut requests = EngineListRequests::default();
-    requests.on_up(NOW, 1, true);
-    requests.on_up(NOW, 2, true);
-    requests.on_down(1);
-    assert_eq!(requests.due(NOW), Some(2));
-    assert_eq!(requests.due(NOW), None, "it has been asked");
+fn another_process_takes_the_place_of_one_that_is_lost() {
+    let mut subscription = EngineSubscription::default();
+    subscription.on_up(NOW, 1, true);
+    subscription.on_up(NOW, 2, true);
+    subscription.on_up(NOW, 3, false);
+    subscription.on_down(NOW, 1);
+    assert_eq!(subscription.due(NOW), Some(2));
+    assert_eq!(subscription.due(NOW), None, "it has subscribed");
+    subscription.on_down(NOW, 2);
+    assert_eq!(subscription.due(NOW), None);
+    assert_eq!(subscription.due(NOW + Millis(300)), Some(3));
 }
 
 #[test]
-fn another_zone_is_asked_if_the_own_one_has_no_process() {
-    let mut requests = EngineListRequests::default();
-    assert!(!requests.on_up(NOW, 1, false));
-    assert_eq!(requests.due(NOW + Millis(200)), None);
-    assert_eq!(requests.due(NOW + Millis(300)), Some(1));
+fn another_zone_is_used_if_the_own_one_has_no_process() {
+    let mut subscription = EngineSubscription::default();
+    assert!(!subscription.on_up(NOW, 1, false));
+    assert_eq!(subscription.due(NOW + Millis(200)), None);
+    assert_eq!(subscription.due(NOW + Millis(300)), Some(1));
 }
 
 #[test]
-fn a_router_that_was_disconnected_asks_again() {
-    let mut requests = EngineListRequests::default();
-    requests.on_up(NOW, 1, true);
-    requests.on_list(1);
-    requests.on_down(1);
-    assert!(requests.on_up(NOW, 2, true));
+fn a_router_that_was_disconnected_subscribes_again() {
+    let mut subscription = EngineSubscription::default();
+    subscription.on_up(NOW, 1, true);
+    subscription.on_down(NOW, 1);
+    assert_eq!(subscription.due(NOW + Millis(1_000)), None);
+    assert!(subscription.on_up(NOW + Millis(2_000), 2, true));
 }
 
 #[test]
 fn a_lasting_difference_is_a_reason_to_ask_less_and_less_often() {
-    let mut requests = EngineListRequests::default();
-    requests.on_up(NOW, 1, true);
-    requests.on_list(1);
-    let asked = |time: u64, matches| (NOW + Millis(time), 1, matches);
+    let mut subscription = EngineSubscription::default();
+    subscription.on_up(NOW, 1, true);
+    subscription.on_up(NOW, 2, false);
     let mut times = Vec::new();
     for time in (0..120_000).step_by(1_000) {
-        let (now, link, matches) = asked(time, false);
-        if requests.on_digest(now, link, matches) {
+        if subscription.on_digest(NOW + Millis(time), 2, false) {
             times.push(time);
+            assert!(subscription.on_list(2), "it was wanted once only");
         }
     }
     assert_eq!(times, [2_000, 7_000, 17_000, 37_000, 77_000]);
-    assert!(!requests.on_digest(NOW + Millis(130_000), 1, true));
-    assert!(!requests.on_digest(NOW + Millis(138_000), 1, false), "it differs for the first time");
-    assert!(requests.on_digest(NOW + Millis(140_000), 1, false));
+    let at = |time| NOW + Millis(time);
+    assert!(!subscription.on_digest(at(130_000), 2, true));
+    assert!(!subscription.on_digest(at(138_000), 2, false), "it differs for the first time");
+    assert!(subscription.on_digest(at(140_000), 2, false));
 }
 
 #[test]
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -12,7 +12,7 @@
 use crate::router::Router;
 use stackpost_coordinator::{ClockEcho, ControlStatus, FleetMessage, RouterStatus, RouterVersions};
 use stackpost_gateway_core::{
-    EngineListDigest, EngineListRequests, RouterEndpoint, RouterLists, ZoneRouters,
+    EngineListDigest, EngineSubscription, RouterEndpoint, RouterLists, ZoneRouters,
 };
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
 use stackpost_prepaid::{AccountReport, Allotment, BootTimestamp};
@@ -48,7 +48,7 @@
     versions: RefCell<BTreeMap<LinkId, RouterVersions>>,
     /// The revision of the cold engines received from each control process.
     cold_revisions: RefCell<BTreeMap<LinkId, u64>>,
-    engine_list: RefCell<EngineListRequests<LinkId>>,
+    engine_subscription: RefCell<EngineSubscription<LinkId>>,
     /// Digest of the own list of engines, with the revision and number of records that it is of.
     own_digest: Cell<Option<(u64, usize, EngineListDigest)>>,
     started: BootTimestamp,
@@ -102,7 +102,7 @@
             echoes: RefCell::default(),
             versions: RefCell::default(),
             cold_revisions: RefCell::default(),
-            engine_list: RefCell::default(),
+            engine_subscription: RefCell::default(),
             own_digest: Cell::new(None),
             started,
             reported: RefCell::default(),
@@ -173,7 +173,7 @@
                 _ = reports.tick() => {
                     self.report();
                     self.apply_router_lists();
-                    self.request_engine_list_if_due();
+                    self.subscribe_if_due();
                     self.send_loan_queries();
                     self.forward_relayed_usage();
                 }
@@ -223,7 +223,7 @@
                 self.peer_links.borrow_mut().remove(&link);
                 self.on_peer_down(link);
                 self.on_control_down(link);
-                self.engine_list.borrow_mut().on_down(link);
+                self.engine_subscription.borrow_mut().on_down(self.router.now(), link);
                 if let Some(peer) = self.links.borrow_mut().remove(&link) {
                     log::info!(peer = peer.to_string().as_str(); "control disconnected");
                 }
--- a/crates/gateway/src/fleet_link/engine_list.rs
+++ b/crates/gateway/src/fleet_link/engine_list.rs
@@ -1,4 +1,4 @@
-//! Requests the whole list of engines from one control process, and compares it with the others'.
+//! Subscribes to the list of engines at one control process, and compares it with the others'.
 
 use super::FleetLink;
 use stackpost_coordinator::FleetMessage;
@@ -7,16 +7,16 @@
 use stackpost_types::ZoneName;
 
 impl FleetLink {
-    /// Tells a control process whether it should send the whole list.
+    /// Tells a control process whether it should send the list and its changes.
     pub(super) fn on_control_up(&self, link: LinkId, zone: &ZoneName) {
         let is_own_zone = *zone == self.endpoint.zone;
         let now = self.router.now();
-        let is_wanted = self.engine_list.borrow_mut().on_up(now, link, is_own_zone);
+        let is_wanted = self.engine_subscription.borrow_mut().on_up(now, link, is_own_zone);
         self.mesh.send(link, &FleetMessage::EngineListWanted(is_wanted));
     }
 
-    pub(super) fn request_engine_list_if_due(&self) {
-        let due = self.engine_list.borrow_mut().due(self.router.now());
+    pub(super) fn subscribe_if_due(&self) {
+        let due = self.engine_subscription.borrow_mut().due(self.router.now());
         if let Some(link) = due {
             self.request_engine_list(link);
         }
@@ -26,12 +26,19 @@
     pub(super) fn on_engine_list_digest(&self, link: LinkId, digest: EngineListDigest) {
         let matches = self.own_digest() == digest;
         let now = self.router.now();
-        if self.engine_list.borrow_mut().on_digest(now, link, matches) {
+        if self.engine_subscription.borrow_mut().on_digest(now, link, matches) {
             log::info!(peer = self.name_of(link).as_str(); "list of engines differs");
             self.request_engine_list(link);
         }
     }
 
+    /// Ends the changes of a control process whose list was wanted once only.
+    pub(super) fn on_whole_engine_list(&self, link: LinkId) {
+        if self.engine_subscription.borrow_mut().on_list(link) {
+            self.mesh.send(link, &FleetMessage::EngineListWanted(false));
+        }
+    }
+
     fn request_engine_list(&self, link: LinkId) {
         self.update_versions(link, |versions| versions.engines = 0);
         self.mesh.send(link, &FleetMessage::EngineListWanted(true));
--- a/crates/gateway/src/fleet_link/engine_updates.rs
+++ b/crates/gateway/src/fleet_link/engine_updates.rs
@@ -20,7 +20,7 @@
     pub(super) fn on_engine_changes(&self, link: LinkId, delta: DirectoryDelta) {
         let (base, revision) = (delta.base, delta.revision);
         if base == 0 && !delta.notices.is_empty() {
-            self.engine_list.borrow_mut().on_list(link);
+            self.on_whole_engine_list(link);
         }
         self.on_engines(link, delta.notices);
         self.update_versions(link, |versions| {
