Ask for a list of engines only while neither list changes

The same two digests must now have differed for two seconds. Test: a list that keeps changing for two minutes is no reason to ask.

--- a/crates/gateway-core/src/engine_list.rs
+++ b/crates/gateway-core/src/engine_list.rs
@@ -6,8 +6,10 @@
 //! its own zone, which sends it the whole list and then the changes.
 //!
 //! The process may know less than others for some time. So all of them send a digest of their list,
-//! and a router that has differed from one for some time asks it for its list, once. Departures
-//! that must be known at once are committed and come from the leader in any case.
+//! and a router that has differed from one for some time, while neither list changed, asks it for
+//! its list, once. While engines come and go all the time, lists differ since each process learns
+//! of them at another moment. Departures that must be known at once are committed and come from the
+//! leader in any case.
 
 use crate::directory::EngineDirectory;
 use crate::engine_notice::EngineState;
@@ -18,7 +20,8 @@
 
 /// Time for which a router waits for a control process of its own zone before it asks another.
 const OWN_ZONE_WAIT: Millis = Millis(300);
-/// Time for which a digest must differ: longer than a change takes to reach all processes.
+/// Time for which the same two digests must differ: longer than a change takes to reach all
+/// processes.
 const MISMATCH_TIME: Millis = Millis(2_000);
 /// Pause after a list was requested because of a digest; doubles each time, up to the longest one.
 /// During a partition the lists may differ for as long as it lasts.
@@ -49,8 +52,8 @@
 #[derive(Clone, Copy, Debug)]
 struct KnownLink {
     is_own_zone: bool,
-    /// Since when its digest has differed.
-    differs_since: Option<Timestamp>,
+    /// The own digest and that of its process, and since when these two have differed.
+    difference: Option<(EngineListDigest, EngineListDigest, Timestamp)>,
 }
 
 /// One router's subscription, over connections `L` to control processes.
@@ -79,7 +82,7 @@
 impl<L: Ord + Copy> EngineSubscription<L> {
     /// A connection was opened. Returns whether to subscribe to its process.
     pub fn on_up(&mut self, now: Timestamp, link: L, is_own_zone: bool) -> bool {
-        self.links.insert(link, KnownLink { is_own_zone, differs_since: None });
+        self.links.insert(link, KnownLink { is_own_zone, difference: None });
         self.waiting_since.get_or_insert(now);
         let is_chosen = self.subscribed.is_none() && is_own_zone;
         if is_chosen {
@@ -119,22 +122,30 @@
         self.subscribed
     }
 
-    /// A digest was received; `matches` is whether it is that of the own directory. Returns whether
-    /// its sender should be asked for its list.
-    pub fn on_digest(&mut self, now: Timestamp, link: L, matches: bool) -> bool {
+    /// A digest was received; `own` is that of the own directory. Returns whether its sender should
+    /// be asked for its list.
+    pub fn on_digest(
+        &mut self,
+        now: Timestamp,
+        link: L,
+        own: EngineListDigest,
+        received: EngineListDigest,
+    ) -> bool {
         let Some(known) = self.links.get_mut(&link) else {
             return false;
         };
-        if matches {
-            known.differs_since = None;
+        if own == received {
+            known.difference = None;
             self.pause = FIRST_PAUSE;
             return false;
         }
-        let since = *known.differs_since.get_or_insert(now);
+        let same = known.difference.filter(|(ours, theirs, _)| (*ours, *theirs) == (own, received));
+        let since = same.map_or(now, |(_, _, since)| since);
+        known.difference = Some((own, received, since));
         if now.since(since) < MISMATCH_TIME || now < self.paused_until {
             return false;
         }
-        known.differs_since = None;
+        known.difference = None;
         self.paused_until = now + self.pause;
         self.pause = Millis((self.pause.0 * 2).min(MAX_PAUSE.0));
         true
--- a/crates/gateway-core/tests/engine_list.rs
+++ b/crates/gateway-core/tests/engine_list.rs
@@ -67,6 +67,11 @@
     assert!(subscription.on_up(NOW + Millis(2_000), 2, true));
 }
 
+/// A digest of a list with `engines` engines.
+fn digest(engines: usize) -> EngineListDigest {
+    EngineListDigest::of(&ready(0..engines))
+}
+
 #[test]
 fn a_lasting_difference_is_a_reason_to_ask_less_and_less_often() {
     let mut subscription = EngineSubscription::default();
@@ -74,16 +79,28 @@
     subscription.on_up(NOW, 2, false);
     let mut times = Vec::new();
     for time in (0..120_000).step_by(1_000) {
-        if subscription.on_digest(NOW + Millis(time), 2, false) {
+        if subscription.on_digest(NOW + Millis(time), 2, digest(5), digest(6)) {
             times.push(time);
             assert!(subscription.on_list(2), "it was wanted once only");
         }
     }
     assert_eq!(times, [2_000, 7_000, 17_000, 37_000, 77_000]);
-    let at = |time| NOW + Millis(time);
-    assert!(!subscription.on_digest(at(130_000), 2, true));
-    assert!(!subscription.on_digest(at(138_000), 2, false), "it differs for the first time");
-    assert!(subscription.on_digest(at(140_000), 2, false));
+    let mut asks =
+        |time, own| subscription.on_digest(NOW + Millis(time), 2, digest(own), digest(6));
+    assert!(!asks(130_000, 6));
+    assert!(!asks(138_000, 5), "it differs for the first time");
+    assert!(asks(140_000, 5));
+}
+
+/// During a release of all engines no two lists are the same at any moment.
+#[test]
+fn lists_that_keep_changing_are_no_reason_to_ask() {
+    let mut subscription = EngineSubscription::default();
+    subscription.on_up(NOW, 1, true);
+    for round in 0..60 {
+        let now = NOW + Millis(round as u64 * 2_000);
+        assert!(!subscription.on_digest(now, 1, digest(round), digest(round + 3)));
+    }
 }
 
 #[test]
--- a/crates/gateway/src/fleet_link/engine_list.rs
+++ b/crates/gateway/src/fleet_link/engine_list.rs
@@ -24,9 +24,8 @@
 
     /// Requests the list if it has differed from a control process's for some time.
     pub(super) fn on_engine_list_digest(&self, link: LinkId, digest: EngineListDigest) {
-        let matches = self.own_digest() == digest;
-        let now = self.router.now();
-        if self.engine_subscription.borrow_mut().on_digest(now, link, matches) {
+        let (now, own) = (self.router.now(), self.own_digest());
+        if self.engine_subscription.borrow_mut().on_digest(now, link, own, digest) {
             log::info!(peer = self.name_of(link).as_str(); "list of engines differs");
             self.request_engine_list(link);
         }
