--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -33,6 +33,7 @@
 mod crash_tracker;
 mod departures;
 mod directory;
+mod engine_choice;
 mod engine_health;
 mod engine_list;
 mod engine_load;
@@ -66,6 +67,7 @@
     DepartureChange, DepartureDelta, DepartureRecord, Departures, KnownDepartures, MAX_DEPARTURES,
 };
 pub use directory::{EngineDirectory, EngineRecord};
+pub use engine_choice::{AttemptEnd, EngineChoice, PickQuery, ServiceAvailability, Standing};
 pub use engine_list::{EngineListDigest, EngineSubscription};
 pub use engine_load::{EngineLoad, EngineLoadUpdate, GenerationWork, Placement, PlacementEstimate};
 pub use engine_notice::{DirectoryDelta, EngineNotice, EngineState, MergeOutcome};
@@ -74,9 +76,7 @@
 pub use event_stream::{Event, EventSplitter};
 pub use fingerprint::{RequestContent, RequestFingerprint};
 pub use load_shedding::{LoadShedder, RequestClass};
-pub use picker::{
-    AttemptEnd, EngineChoice, EnginePicker, PickQuery, ServiceAvailability, Standing,
-};
+pub use picker::EnginePicker;
 pub use placement::PlacementCost;
 pub use quarantine::{
     CRASHES_TO_QUARANTINE, CrashSighting, INITIAL_QUARANTINE, MAX_SUSPECTS, Quarantine,
