--- a/crates/gateway-core/src/cold_schedule.rs
+++ b/crates/gateway-core/src/cold_schedule.rs
@@ -82,11 +82,6 @@
         former.map_or(rank.routers, |(routers, _)| routers.max(rank.routers))
     }
 
-    /// Whether an engine is cold and its service limits cold engines.
-    pub fn limits(&self, now: Timestamp, engine: &EngineRecord) -> bool {
-        self.rate(engine).is_some() && self.engines.cold_until(now, &engine.notice.engine).is_some()
-    }
-
     fn rate(&self, engine: &EngineRecord) -> Option<RequestRate> {
         self.rates.get(&engine.notice.service).copied()
     }
--- a/crates/gateway-core/tests/engine_incarnations.rs
+++ b/crates/gateway-core/tests/engine_incarnations.rs
@@ -139,10 +139,7 @@
         directory.has_run_after(&incarnation(1), Timestamp(10_500)),
         "it had run on before it ended"
     );
-    assert!(
-        !directory.has_run_after(&incarnation(1), Timestamp(11_200)),
-        "its end proves nothing"
-    );
+    assert!(!directory.has_run_after(&incarnation(1), Timestamp(11_200)), "its end proves nothing");
 }
 
 proptest! {
