Keep a stopping router's final usage across an election

What callers saw, by reading: a router that stops sends its final usage to the leader that it knows. If that one has lost its role, or another replica gets the word first, the usage was kept there and dropped as soon as that replica was elected, so all that the router held was charged to its tenants unless it still ran and sent it again.

Change: the usage stays over a change of role, and goes once the incarnation is closed, by whichever replica.

--- a/crates/coordinator/src/prepaid_planner.rs
+++ b/crates/coordinator/src/prepaid_planner.rs
@@ -72,12 +72,15 @@
 }
 
 impl PrepaidPlanner {
-    /// Clears everything but the echoes and ends when this replica becomes the leader or stops
-    /// being it.
+    /// Clears everything but the echoes, the ends and the final usages when this replica becomes the
+    /// leader or stops being it. A router sends its final usage to the leader that it knows, which
+    /// may have lost its role meanwhile and win it again.
     pub fn on_role_change(&mut self, now: Timestamp) {
         let echoes = std::mem::take(&mut self.echoes);
         let ended = std::mem::take(&mut self.ended);
-        *self = Self { round_at: now + REPORT_GATHERING_TIME, echoes, ended, ..Self::default() };
+        let final_usages = std::mem::take(&mut self.final_usages);
+        let round_at = now + REPORT_GATHERING_TIME;
+        *self = Self { round_at, echoes, ended, final_usages, ..Self::default() };
     }
 
     /// Records when a router last received a status of this replica. The first echo of a new
@@ -126,6 +129,11 @@
         self.final_usages.insert(router.clone(), spent);
     }
 
+    /// Drops the final usage of a router incarnation that has been closed.
+    pub fn on_closed(&mut self, router: &NodeId) {
+        self.final_usages.remove(router);
+    }
+
     /// Records that a planned command was proposed as the entry at `index`.
     pub fn on_proposed(&mut self, now: Timestamp, index: u64) {
         self.proposed = Some((index, now));
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -413,6 +413,7 @@
             Command::CloseRouter { router, .. } => Some(router.clone()),
             _ => None,
         };
+        closed.iter().for_each(|router| self.planner.on_closed(router));
         let outcome = self.state.apply(command);
         if outcome == ApplyOutcome::DocumentAccepted
             && let Some(document) = self.state.document.clone()
