Let the subscribed control process alone tell which engines are silent

The process that tells a router of the engines now tells it that as well; what others have said is dropped with the first list of a new subscription, and a list that was wanted once brings none. That an engine is silent is an estimate: one that answers is used all the same.

--- a/crates/coordinator/src/engine_list.rs
+++ b/crates/coordinator/src/engine_list.rs
@@ -24,9 +24,11 @@
             entry.wants_engines = Some(is_wanted);
             entry.delivery.engines = DeliveryTracker::default();
             entry.delivery.cold = DeliveryTracker::default();
+            entry.delivery.silent = DeliveryTracker::default();
         }
         self.send_cold_engines(&[link]);
         self.send_engines(&[link]);
+        self.send_silent(&[link]);
     }
 
     /// The routers among `links` that want to be told of the engines.
--- a/crates/coordinator/src/router_updates.rs
+++ b/crates/coordinator/src/router_updates.rs
@@ -190,11 +190,12 @@
         self.send_updates(&links, revision, |delivery| &mut delivery.engines, message);
     }
 
-    fn send_silent(&self, links: &[LinkId]) {
+    pub(crate) fn send_silent(&self, links: &[LinkId]) {
         let version = self.state.borrow().silent.version();
         let message =
             |state: &mut ControlState, base| FleetMessage::SilentChanges(state.silent.since(base));
-        self.send_updates(links, version, |delivery| &mut delivery.silent, message);
+        let links = self.subscribed_to_engines(links);
+        self.send_updates(&links, version, |delivery| &mut delivery.silent, message);
     }
 
     /// Sends a router its peers, which differ for each router.
--- a/crates/gateway-core/src/engine_list.rs
+++ b/crates/gateway-core/src/engine_list.rs
@@ -3,7 +3,8 @@
 //! The load: each of several hundred routers is connected to every control process. If each of them
 //! told it of every engine, a start of the fleet with 3,000 engines would send some 40 MB from every
 //! control process, most of it to other zones. So a router subscribes to one process, preferably of
-//! its own zone, which sends it the whole list and then the changes.
+//! its own zone, which sends it the whole list and then the changes, and which engines are silent or
+//! cold.
 //!
 //! The process may know less than others for some time. So all of them send a digest of their list,
 //! and a router that has differed from one for some time, while neither list changed, asks it for
--- a/crates/gateway/src/fleet_link/engine_list.rs
+++ b/crates/gateway/src/fleet_link/engine_list.rs
@@ -35,11 +35,17 @@
     pub(super) fn on_whole_engine_list(&self, link: LinkId) {
         if self.engine_subscription.borrow_mut().on_list(link) {
             self.mesh.send(link, &FleetMessage::EngineListWanted(false));
+            self.forget_silent_engines(|reported_by| reported_by == link);
+        } else {
+            self.forget_silent_engines(|reported_by| reported_by != link);
         }
     }
 
     fn request_engine_list(&self, link: LinkId) {
-        self.update_versions(link, |versions| versions.engines = 0);
+        self.update_versions(link, |versions| {
+            versions.engines = 0;
+            versions.silent = 0;
+        });
         self.mesh.send(link, &FleetMessage::EngineListWanted(true));
     }
 
--- a/crates/gateway/src/fleet_link/engine_updates.rs
+++ b/crates/gateway/src/fleet_link/engine_updates.rs
@@ -155,6 +155,16 @@
         }
     }
 
+    /// Drops the silent engines of control processes that report them no longer. If none is left,
+    /// no engine counts as silent until the next report.
+    pub(super) fn forget_silent_engines(&self, is_outdated: impl Fn(LinkId) -> bool) {
+        self.silent.borrow_mut().retain(|link, _| !is_outdated(*link));
+        if self.silent.borrow().is_empty() {
+            self.router.directory.borrow_mut().set_silent(BTreeSet::new());
+        }
+        self.apply_silent_engines();
+    }
+
     /// Drops the silent engines that a control process reported, unless it was the last one:
     /// without any control process the last report stays valid.
     pub(super) fn on_control_down(&self, link: LinkId) {
