--- a/crates/coordinator/src/cold_engines.rs
+++ b/crates/coordinator/src/cold_engines.rs
@@ -23,8 +23,8 @@
         self.send_cold_engines(&self.all_routers());
     }
 
-    /// Merges what another control process has learned, and tells the routers that this one tells
-    /// of the engines.
+    /// Merges notices of another control process, and forwards the changes to the routers that are
+    /// subscribed to this one.
     pub(crate) fn on_cold_notices(&self, notices: &[ColdNotice]) {
         let now = self.now();
         for notice in notices {
@@ -33,8 +33,7 @@
         self.send_cold_engines(&self.all_routers());
     }
 
-    /// Sends the changes of the cold engines to the routers that this process tells of the engines
-    /// and that have not confirmed them.
+    /// Sends the changes of the cold engines to the subscribed routers that have not confirmed them.
     pub(crate) fn send_cold_engines(&self, routers: &[LinkId]) {
         let (now, revision) = (self.now(), self.state.borrow().cold.revision());
         let routers = self.subscribed_to_engines(routers);
--- a/crates/coordinator/src/engine_list.rs
+++ b/crates/coordinator/src/engine_list.rs
@@ -8,7 +8,7 @@
 use stackpost_mesh::{LinkId, PeerRole};
 use stackpost_types::{Millis, Timestamp};
 
-/// Time after which a router that has not said what it wants is sent the whole list: it runs an
+/// Time after which a router that has not sent a subscription is sent the full list: it runs an
 /// earlier version.
 const REQUEST_TIMEOUT: Millis = Millis(1_000);
 
@@ -31,7 +31,7 @@
         self.send_silent(&[link]);
     }
 
-    /// The routers among `links` that want to be told of the engines.
+    /// The routers among `links` that are subscribed to the engines.
     pub(crate) fn subscribed_to_engines(&self, links: &[LinkId]) -> Vec<LinkId> {
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
--- a/crates/coordinator/src/links.rs
+++ b/crates/coordinator/src/links.rs
@@ -25,7 +25,7 @@
     pub delivery: PeerDelivery,
     /// When the connection was opened.
     pub up_since: Timestamp,
-    /// Whether a router wants to be told of the engines, as far as it has said so.
+    /// Whether a router is subscribed to the engines; `None` until it has said so.
     pub wants_engines: Option<bool>,
     last_received_at: Timestamp,
 }
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -194,7 +194,7 @@
     ColdEnginesConfirmed(u64),
     /// From a control process to a router: changes of the engines whose announcements are overdue.
     SilentChanges(SilentEnginesDelta),
-    /// From a router: whether it wants the whole list of engines and its changes, or none of it.
+    /// From a router: whether it wants the full list of engines and its changes, or none of it.
     EngineListWanted(bool),
     /// From a control process to routers: the digest of its list of engines.
     EngineListDigest(EngineListDigest),
--- a/crates/coordinator/src/silent_engines.rs
+++ b/crates/coordinator/src/silent_engines.rs
@@ -1,8 +1,8 @@
 //! The engines whose announcements are overdue, as a control process reports them to routers.
 //!
 //! While a zone is cut off, hundreds of engines fall silent one after the other and return one
-//! after the other, and every router is told. So a router that has confirmed a version receives
-//! only what has changed since.
+//! after the other, and each change goes to every subscribed router. So a router that has confirmed
+//! a version receives only what has changed since.
 
 use serde::{Deserialize, Serialize};
 use stackpost_gateway_core::EngineDirectory;
@@ -10,13 +10,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Time for which the return of an engine is remembered: far longer than a connected router takes
-/// to confirm it. One that connects later starts with the whole list.
+/// to confirm it. One that connects later starts with the full list.
 const RETENTION: Millis = Millis(60_000);
 
 /// Changes between two versions of the list.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SilentEnginesDelta {
-    /// The version that the delta applies to. Zero if it is the whole list.
+    /// The version that the delta applies to. Zero if it is the full list.
     pub base: u64,
     /// The version after the delta.
     pub version: u64,
--- a/crates/gateway-core/src/cold_engines.rs
+++ b/crates/gateway-core/src/cold_engines.rs
@@ -16,7 +16,7 @@
 /// begin it again.
 const RETENTION: Millis = Millis(60_000);
 
-/// A cold period as one process tells it another.
+/// A cold period as sent from one process to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ColdNotice {
     /// The engine's incarnation.
--- a/crates/gateway-core/src/engine_list.rs
+++ b/crates/gateway-core/src/engine_list.rs
@@ -1,16 +1,15 @@
-//! Which control process tells a router of the engines.
+//! Which control process sends a router its list of engines.
 //!
-//! The load: each of several hundred routers is connected to every control process. If each of them
-//! told it of every engine, a start of the fleet with 3,000 engines would send some 40 MB from every
-//! control process, most of it to other zones. So a router subscribes to one process, preferably of
-//! its own zone, which sends it the whole list and then the changes, and which engines are silent or
-//! cold.
+//! The load: several hundred routers are connected to every control process. If every control
+//! process sent every engine to every router, a start of a fleet of 3,000 engines would cost some
+//! 40 MB per control process, most of it between zones. So a router subscribes to one process,
+//! preferably in its own zone, which sends it the full list and then the changes, including which
+//! engines are silent or cold.
 //!
-//! The process may know less than others for some time. So all of them send a digest of their list,
-//! and a router that has differed from one for some time, while neither list changed, asks it for
-//! its list, once. While engines come and go all the time, lists differ since each process learns
-//! of them at another moment. Departures that must be known at once are committed and come from the
-//! leader in any case.
+//! That process may lag behind the others. So all of them send a digest of their list, and a router
+//! whose digest has differed from one of them for some time, while neither list changed, requests
+//! that list once. A difference while either list changes is normal: processes receive the same
+//! change at different times. Departures are committed and sent by the leader in any case.
 
 use crate::directory::EngineDirectory;
 use crate::engine_notice::EngineState;
@@ -104,7 +103,7 @@
         }
     }
 
-    /// A whole list was received over a connection. Returns whether it was wanted once only.
+    /// A full list was received over a connection. Returns whether it was wanted once only.
     pub fn on_list(&mut self, link: L) -> bool {
         self.subscribed != Some(link)
     }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -3,7 +3,7 @@
 //! - [`RoutingConfig`]: routes by host and longest path prefix, services, tenants and their keys.
 //! - [`EngineDirectory`]: the known engines, merged from notices that may be delayed or out of
 //!   order.
-//! - [`EngineSubscription`]: which control process tells a router of the engines.
+//! - [`EngineSubscription`]: which control process sends a router its list of engines.
 //! - [`EnginePicker`]: the engine for a request; for generations by the [`PlacementCost`] that
 //!   follows from each engine's [`EngineLoad`].
 //! - [`BackoffTracker`]: engines that have asked to receive no requests for some time, or that
--- a/crates/gateway-core/tests/engine_list.rs
+++ b/crates/gateway-core/tests/engine_list.rs
@@ -1,4 +1,4 @@
-//! Which control process tells a router of the engines.
+//! Which control process sends a router its list of engines.
 
 use stackpost_gateway_core::*;
 use stackpost_types::*;
