Log and count when a router can open no connection to any engine

The router now logs when new connections to two engines or more failed without a success meanwhile, and counts connections by outcome (opened, reused, failed).

--- /dev/null
+++ b/crates/gateway-core/src/engine_reachability.rs
@@ -0,0 +1,97 @@
+//! Whether this router can open connections to the engines by itself.
+//!
+//! A single engine that cannot be reached may have crashed. If connections to several engines fail
+//! and none succeeds meanwhile, the path from this router is the more likely cause: it counts as
+//! isolated. Open connections show nothing, since they may live on while new ones are refused.
+
+use stackpost_types::{BackEndName, Millis, Timestamp};
+use std::collections::BTreeMap;
+
+/// Number of engines to which a connection must fail before the router counts as isolated.
+const MIN_FAILED_ENGINES: usize = 2;
+/// Time for which a failed connection counts.
+const FAILURE_TTL: Millis = Millis(3_000);
+/// Consecutive probes that must succeed, each at another engine, before the router counts as
+/// connected again.
+const MIN_SUCCESSFUL_PROBES: usize = 2;
+
+/// A change of the state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReachabilityChange {
+    /// No engine can be reached any more.
+    Isolated {
+        /// Number of engines to which connections failed.
+        failed: usize,
+    },
+    /// Engines can be reached again.
+    Connected {
+        /// How long the router was isolated.
+        after: Millis,
+    },
+}
+
+/// The outcomes of this router's new connections to engines.
+#[derive(Clone, Debug, Default)]
+pub struct EngineReachability {
+    /// Engines to which the newest connection failed, since the last success at any engine.
+    failed: BTreeMap<BackEndName, Timestamp>,
+    isolated_since: Option<Timestamp>,
+    /// Engines at which probes succeeded, since the last failed probe.
+    probed: Vec<BackEndName>,
+}
+
+impl EngineReachability {
+    /// Whether no engine can be reached from here.
+    pub fn is_isolated(&self) -> bool {
+        self.isolated_since.is_some()
+    }
+
+    /// Records that a new connection to an engine failed, or broke before it carried anything.
+    /// `engines` is the number of engines in service.
+    pub fn on_failure(
+        &mut self,
+        now: Timestamp,
+        engine: &BackEndName,
+        engines: usize,
+    ) -> Option<ReachabilityChange> {
+        self.failed.retain(|_, at| now.since(*at) < FAILURE_TTL);
+        self.failed.insert(engine.clone(), now);
+        let failed = self.failed.len();
+        if self.is_isolated() || failed < MIN_FAILED_ENGINES.min(engines) {
+            return None;
+        }
+        self.isolated_since = Some(now);
+        self.probed.clear();
+        Some(ReachabilityChange::Isolated { failed })
+    }
+
+    /// Records a response over a new connection.
+    pub fn on_success(&mut self, now: Timestamp) -> Option<ReachabilityChange> {
+        self.failed.clear();
+        self.probed.clear();
+        let since = self.isolated_since.take()?;
+        Some(ReachabilityChange::Connected { after: now.since(since) })
+    }
+
+    /// Records the outcome of a probe, a connection that carries no request. `engines` is the
+    /// number of engines in service.
+    pub fn on_probe(
+        &mut self,
+        now: Timestamp,
+        engine: &BackEndName,
+        succeeded: bool,
+        engines: usize,
+    ) -> Option<ReachabilityChange> {
+        if !succeeded {
+            self.probed.clear();
+            return None;
+        }
+        if !self.probed.contains(engine) {
+            self.probed.push(engine.clone());
+        }
+        if self.probed.len() < MIN_SUCCESSFUL_PROBES.min(engines) {
+            return None;
+        }
+        self.on_success(now)
+    }
+}
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`EngineSubscription`]: which control process sends a router its list of engines.
 //! - [`EnginePicker`]: the engine for a request; for generations by the [`PlacementCost`] that
 //!   follows from each engine's [`EngineLoad`].
+//! - [`EngineReachability`]: whether this router can open connections to the engines.
 //! - [`BackoffTracker`]: engines that have asked to receive no requests for some time, or that
 //!   leave.
 //! - [`SlotShares`]: which of the engines' slots belong to which router.
@@ -39,6 +40,7 @@
 mod engine_load;
 mod engine_notice;
 mod engine_permits;
+mod engine_reachability;
 mod evacuations;
 mod event_stream;
 mod fingerprint;
@@ -72,6 +74,7 @@
 pub use engine_load::{EngineLoad, EngineLoadUpdate, GenerationWork, Placement, PlacementEstimate};
 pub use engine_notice::{DirectoryDelta, EngineNotice, EngineState, MergeOutcome};
 pub use engine_permits::{EnginePermits, PermitAvailability, PermitScope};
+pub use engine_reachability::{EngineReachability, ReachabilityChange};
 pub use evacuations::{EvacuationOrder, Evacuations};
 pub use event_stream::{Event, EventSplitter};
 pub use fingerprint::{RequestContent, RequestFingerprint};
--- /dev/null
+++ b/crates/gateway-core/tests/engine_reachability.rs
@@ -0,0 +1,74 @@
+//! When a router counts as isolated from the engines.
+
+use stackpost_gateway_core::{EngineReachability, ReachabilityChange};
+use stackpost_types::{BackEndName, Millis, Timestamp};
+
+const ENGINES: usize = 5;
+const NOW: Timestamp = Timestamp(10_000);
+
+fn engine(number: u32) -> BackEndName {
+    BackEndName::new(format!("e{number}"))
+}
+
+fn isolated() -> EngineReachability {
+    let mut reachability = EngineReachability::default();
+    reachability.on_failure(NOW, &engine(1), ENGINES);
+    let change = reachability.on_failure(NOW, &engine(2), ENGINES);
+    assert_eq!(change, Some(ReachabilityChange::Isolated { failed: 2 }));
+    reachability
+}
+
+#[test]
+fn failures_at_one_engine_are_no_isolation() {
+    let mut reachability = EngineReachability::default();
+    for _ in 0..10 {
+        assert_eq!(reachability.on_failure(NOW, &engine(1), ENGINES), None);
+    }
+    assert!(!reachability.is_isolated());
+}
+
+#[test]
+fn failures_at_two_engines_without_a_success_are_isolation() {
+    assert!(isolated().is_isolated());
+}
+
+#[test]
+fn the_only_engine_suffices_for_isolation() {
+    let mut reachability = EngineReachability::default();
+    assert!(reachability.on_failure(NOW, &engine(1), 1).is_some());
+}
+
+#[test]
+fn success_between_failures_prevents_isolation() {
+    let mut reachability = EngineReachability::default();
+    reachability.on_failure(NOW, &engine(1), ENGINES);
+    reachability.on_success(NOW);
+    assert_eq!(reachability.on_failure(NOW, &engine(2), ENGINES), None);
+}
+
+#[test]
+fn old_failures_do_not_count() {
+    let mut reachability = EngineReachability::default();
+    reachability.on_failure(NOW, &engine(1), ENGINES);
+    assert_eq!(reachability.on_failure(NOW + Millis(3_000), &engine(2), ENGINES), None);
+}
+
+#[test]
+fn probes_at_two_engines_end_isolation() {
+    let mut reachability = isolated();
+    let later = NOW + Millis(700);
+    assert_eq!(reachability.on_probe(later, &engine(3), true, ENGINES), None);
+    assert_eq!(reachability.on_probe(later, &engine(3), true, ENGINES), None);
+    let change = reachability.on_probe(later, &engine(4), true, ENGINES);
+    assert_eq!(change, Some(ReachabilityChange::Connected { after: Millis(700) }));
+    assert!(!reachability.is_isolated());
+}
+
+#[test]
+fn failed_probe_between_successes_keeps_isolation() {
+    let mut reachability = isolated();
+    reachability.on_probe(NOW, &engine(3), true, ENGINES);
+    reachability.on_probe(NOW, &engine(4), false, ENGINES);
+    assert_eq!(reachability.on_probe(NOW, &engine(5), true, ENGINES), None);
+    assert!(reachability.is_isolated());
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,6 +3,7 @@
 use crate::connection_pool::EngineConnection;
 use crate::decision_log;
 use crate::header_codec::{CallerRequest, EngineDirectives, EngineRequestHeaders, ResponseClass};
+use crate::metrics::ConnectionOutcome;
 use crate::permits::Permit;
 use crate::router::Router;
 use bytes::Bytes;
@@ -182,12 +183,20 @@
         Ok(Ok(connection)) => connection,
         Ok(Err(error)) => {
             log_end(payload, &attempt, "connect", &error.to_string());
+            router.metrics.on_engine_connection(ConnectionOutcome::Failed);
+            router.on_connection_failed(attempt.name());
             attempt.finish(AttemptEnd::Unreachable, None);
             return AttemptResult::Unreachable;
         }
         Err(_) => return AttemptResult::Unreachable,
     };
-    if !connection.reused {
+    let is_new = !connection.reused;
+    router.metrics.on_engine_connection(if is_new {
+        ConnectionOutcome::Opened
+    } else {
+        ConnectionOutcome::Reused
+    });
+    if is_new {
         router.congestion.on_connected(Instant::now().into_std(), connect_started.elapsed());
     }
     // While the request waited for a permit or a connection, the engine may have left, or asked for
@@ -214,10 +223,18 @@
                 attempt.finish(AttemptEnd::Abandoned, None);
                 return AttemptResult::Unreachable;
             }
+            if is_new {
+                router.on_connection_failed(attempt.name());
+            }
             attempt.finish(AttemptEnd::Interrupted, None);
             AttemptResult::Interrupted
         }
-        Ok(Ok(response)) => classify(router, payload, attempt, response),
+        Ok(Ok(response)) => {
+            if is_new {
+                router.on_connection_succeeded();
+            }
+            classify(router, payload, attempt, response)
+        }
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod crash_detection;
 mod deadline;
 mod decision_log;
+mod engine_paths;
 mod fleet_link;
 mod header_codec;
 mod liveness_probe;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,6 +14,27 @@
 /// Upper bounds of the buckets for the age of received departures, in seconds.
 const AGE_BUCKETS: [f64; 7] = [0.05, 0.2, 0.5, 1.0, 2.0, 5.0, 30.0];
 
+/// How a request got a connection to its engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectionOutcome {
+    /// A new connection was established.
+    Opened,
+    /// A connection that had carried a request before was used.
+    Reused,
+    /// No connection could be established.
+    Failed,
+}
+
+impl ConnectionOutcome {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Opened => "opened",
+            Self::Reused => "reused",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// The instruments of a router.
 pub(crate) struct RouterMetrics {
     responses: Counter<u64>,
@@ -41,6 +62,8 @@
     permits_borrowed: Counter<u64>,
     departure_ages: Histogram<f64>,
     sent_after_departure: Counter<u64>,
+    engine_connections: Counter<u64>,
+    isolated: Gauge<u64>,
 }
 
 impl RouterMetrics {
@@ -119,6 +142,14 @@
                 "stackpost_requests_after_departure",
                 "Requests sent to engines that had said that they leave, not known here then",
             ),
+            engine_connections: counter(
+                "stackpost_engine_connections",
+                "Connections used for requests to engines, by kind and outcome",
+            ),
+            isolated: gauge(
+                "stackpost_isolated_from_engines",
+                "1 while this router can open no connection to any engine",
+            ),
             quarantined: gauge(
                 "stackpost_requests_quarantined",
                 "Requests that are let in no more because engines ended under them",
@@ -206,6 +237,16 @@
         self.tokens.add(tokens, &[]);
     }
 
+    /// Counts a connection that was opened, reused or not established.
+    pub fn on_engine_connection(&self, outcome: ConnectionOutcome) {
+        self.engine_connections.add(1, &[KeyValue::new("outcome", outcome.as_str())]);
+    }
+
+    /// Records whether this router is isolated from the engines.
+    pub fn record_isolated(&self, is_isolated: bool) {
+        self.isolated.record(u64::from(is_isolated), &[]);
+    }
+
     pub fn record_quarantined(&self, requests: usize) {
         self.quarantined.record(requests as u64, &[]);
     }
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -11,8 +11,8 @@
 use stackpost_clock::{BootInstant, MachineClock};
 use stackpost_coordinator::{Document, DocumentCodec, DocumentDelta};
 use stackpost_gateway_core::{
-    AccountOwners, CrashTracker, DepartureDelta, EngineDirectory, EnginePicker, Evacuations,
-    LoadShedder, Placement, RetryBudget, RetryLimits, RouteTable, ServiceAvailability,
+    AccountOwners, CrashTracker, DepartureDelta, EngineDirectory, EnginePicker, EngineReachability,
+    Evacuations, LoadShedder, Placement, RetryBudget, RetryLimits, RouteTable, ServiceAvailability,
 };
 use stackpost_prepaid::{BudgetForecast, Wallet};
 use stackpost_telemetry::{LineLimit, Meter};
@@ -57,6 +57,7 @@
     pub(crate) clock: MachineClock,
     pub(crate) pool: ConnectionPool,
     pub(crate) liveness_probes: LivenessProbes,
+    pub(crate) reachability: RefCell<EngineReachability>,
     pub(crate) directory: RefCell<EngineDirectory>,
     pub(crate) picker: RefCell<EnginePicker>,
     pub(crate) wallet: RefCell<Wallet>,
@@ -110,6 +111,7 @@
             metrics: RouterMetrics::new(meter),
             pool: ConnectionPool::new(settings.clock.clone()),
             liveness_probes: LivenessProbes::default(),
+            reachability: RefCell::default(),
             directory: RefCell::new(EngineDirectory::follower()),
             picker: RefCell::new(EnginePicker::new(settings.zone)),
             wallet: RefCell::default(),
