Dial engines through a trait

The fleet tests run routers and engines in one process, where nothing can cut one router's connections and leave the others'. A router now opens connections to engines through an EngineDialer of its settings; the program dials over TCP as before. No change of behaviour.

--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -1,5 +1,6 @@
 //! Connections to engines.
 
+use crate::engine_dialer::EngineDialer;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -12,6 +13,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -61,12 +63,13 @@
 /// Idle connections, by engine.
 pub(crate) struct ConnectionPool {
     clock: MachineClock,
+    dialer: Rc<dyn EngineDialer>,
     idle: RefCell<HashMap<BackEndName, Vec<IdleConnection>>>,
 }
 
 impl ConnectionPool {
-    pub fn new(clock: MachineClock) -> Self {
-        Self { clock, idle: RefCell::default() }
+    pub fn new(clock: MachineClock, dialer: Rc<dyn EngineDialer>) -> Self {
+        Self { clock, dialer, idle: RefCell::default() }
     }
 
     /// The newest idle connection, or a new one. `fresh` demands a new one.
@@ -78,13 +81,14 @@
         if !fresh && let Some(connection) = self.take_idle(&engine.notice.engine) {
             return Ok(connection);
         }
-        open(engine.notice.address).await
+        self.open(engine.notice.address).await
     }
 
     /// Whether an engine still accepts connections, probed with a new one, which is kept for the
     /// next request. A timeout counts as no.
     pub async fn accepts_connections(&self, engine: &EngineRecord) -> bool {
-        let Ok(Ok(connection)) = timeout(PROBE_TIMEOUT, open(engine.notice.address)).await else {
+        let Ok(Ok(connection)) = timeout(PROBE_TIMEOUT, self.open(engine.notice.address)).await
+        else {
             return false;
         };
         // An exiting process closes its listener and its connections one after the other.
@@ -133,6 +137,12 @@
         });
     }
 
+    async fn open(&self, address: SocketAddr) -> io::Result<EngineConnection> {
+        let dialing = timeout(CONNECT_TIMEOUT, self.dialer.dial(address));
+        let stream = dialing.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        start_http(stream).await
+    }
+
     fn take_idle(&self, engine: &BackEndName) -> Option<EngineConnection> {
         let mut idle = self.idle.borrow_mut();
         let of_engine = idle.get_mut(engine)?;
@@ -148,9 +158,8 @@
     }
 }
 
-async fn open(address: SocketAddr) -> io::Result<EngineConnection> {
-    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    let stream = connecting.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+/// Begins HTTP on an established connection.
+async fn start_http(stream: TcpStream) -> io::Result<EngineConnection> {
     let socket = SockRef::from(&stream);
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE_TIME)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod crash_detection;
 mod deadline;
 mod decision_log;
+mod engine_dialer;
 mod engine_paths;
 mod fleet_link;
 mod header_codec;
@@ -35,6 +36,7 @@
 mod unservable;
 
 pub use body::{GatewayBody, TruncatedBody};
+pub use engine_dialer::{EngineDialer, TcpDialer};
 pub use fleet_link::FleetLink;
 pub use header_codec::{
     CallerRequest, EngineDirectives, EngineRequestHeaders, Generation, HeaderCodec,
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -3,6 +3,7 @@
 use crate::congestion::Congestion;
 use crate::connection_pool::ConnectionPool;
 use crate::decision_log;
+use crate::engine_dialer::EngineDialer;
 use crate::header_codec::{EngineDirectives, HeaderCodec};
 use crate::liveness_probe::LivenessProbes;
 use crate::loans::LoanHandle;
@@ -47,6 +48,8 @@
     pub retry_limits: RetryLimits,
     /// The clock.
     pub clock: MachineClock,
+    /// Opens the connections to engines.
+    pub dialer: Rc<dyn EngineDialer>,
 }
 
 /// A router's state and decisions. Belongs to one thread.
@@ -109,7 +112,7 @@
             header_codec,
             codec,
             metrics: RouterMetrics::new(meter),
-            pool: ConnectionPool::new(settings.clock.clone()),
+            pool: ConnectionPool::new(settings.clock.clone(), settings.dialer),
             liveness_probes: LivenessProbes::default(),
             reachability: RefCell::default(),
             directory: RefCell::new(EngineDirectory::follower()),
