--- a/crates/gateway/src/engine_paths.rs
+++ b/crates/gateway/src/engine_paths.rs
@@ -5,6 +5,16 @@
 use stackpost_types::BackEndName;
 
 impl Router {
+    /// Whether this router can open no connection to any engine.
+    pub fn is_isolated(&self) -> bool {
+        self.reachability.borrow().is_isolated()
+    }
+
+    /// Whether this router knows other routers.
+    pub fn knows_other_routers(&self) -> bool {
+        !self.permits.permits.borrow().others().is_empty()
+    }
+
     /// Records that a new connection to an engine failed, or broke before it carried a response.
     pub(crate) fn on_connection_failed(&self, engine: &BackEndName) {
         let engines = self.ready_engine_count();
--- /dev/null
+++ b/crates/gateway/tests/fleet/isolation.rs
@@ -0,0 +1,86 @@
+//! Routers that are cut off from all engines while callers and other routers still reach them.
+
+use crate::support::*;
+use hyper::StatusCode;
+use std::rc::Rc;
+
+/// Paths of the routes that the requests of a test take in turn.
+const PATHS: [&str; 3] = ["/once/1", "/again/1", "/stream/1"];
+/// Requests after the router has noticed that it is cut off.
+const REQUESTS: usize = 30;
+
+/// A fleet with a second router, whose connections to engines can be cut.
+struct CutFleet {
+    fleet: Fleet,
+    cut: RouterMachine,
+    dialer: Rc<CuttableDialer>,
+}
+
+impl CutFleet {
+    async fn start() -> Self {
+        let fleet = Fleet::start().await;
+        let dialer = CuttableDialer::new();
+        let cut = fleet.add_router_with(dialer.clone()).await;
+        cut.ready(fleet.engines.len()).await;
+        wait_until(|| cut.router.knows_other_routers()).await;
+        Self { fleet, cut, dialer }
+    }
+
+    /// Cuts the router off and sends requests until it has noticed.
+    async fn cut_off(&self, cut: Cut) {
+        self.dialer.set(cut);
+        for number in 0.. {
+            if self.cut.router.is_isolated() {
+                return;
+            }
+            self.cut.ask("/once/1", &format!("notice-{number}")).await;
+        }
+    }
+}
+
+#[test]
+fn first_tries_at_a_router_cut_off_from_all_engines_are_served() {
+    for cut in Cut::ALL {
+        run_local(async {
+            let cut_fleet = CutFleet::start().await;
+            cut_fleet.cut_off(cut).await;
+            for number in 0..REQUESTS {
+                let path = PATHS[number % PATHS.len()];
+                let response = cut_fleet.cut.ask(path, &format!("r{number}")).await;
+                assert_eq!(response.status, StatusCode::OK, "{cut:?} {path} {response:?}");
+            }
+        });
+    }
+}
+
+#[test]
+fn cut_off_router_does_not_report_sound_engines_as_crashed() {
+    run_local(async {
+        let cut_fleet = CutFleet::start().await;
+        let third = Engine::start("e3").await;
+        cut_fleet.fleet.announce(&third, 1, stackpost_gateway_core::EngineState::Ready).await;
+        cut_fleet.cut.ready(3).await;
+        // Copies of one request break at all three engines.
+        let path = "/again/same";
+        for engine in cut_fleet.fleet.engines.iter().chain([&third]) {
+            engine.behaviour.set(Behaviour::Hang);
+        }
+        let copies = (0..3).map(|copy| {
+            let (callers, id) = (cut_fleet.cut.callers, format!("copy-{copy}"));
+            tokio::task::spawn_local(async move { ask_as_caller(callers, path, &id).await })
+        });
+        let copies: Vec<_> = copies.collect();
+        let runs = || cut_fleet.fleet.runs() + third.runs.borrow().len();
+        wait_until(|| runs() == 3).await;
+        cut_fleet.dialer.set(Cut::Reset);
+        for copy in copies {
+            copy.await.expect("a response");
+        }
+        for engine in cut_fleet.fleet.engines.iter().chain([&third]) {
+            engine.behaviour.set(Behaviour::Respond);
+        }
+        let response = cut_fleet.cut.ask(path, "next").await;
+        let body = response.body.expect("a complete body");
+        assert!(!body.contains("ends_engines"), "{body}");
+    });
+}
--- a/crates/gateway/tests/fleet/main.rs
+++ b/crates/gateway/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 mod evacuations;
 mod flaky_connections;
 mod interruption_log;
+mod isolation;
 mod load_exchange;
 mod rate_log;
 mod rejection_log;
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -1,9 +1,11 @@
 //! A small fleet on loopback sockets: one control process, one router, two engines.
 
+mod cuttable_dialer;
 mod engine;
 pub mod lines;
 mod test_codecs;
 
+pub use cuttable_dialer::{Cut, CuttableDialer};
 pub use engine::{Behaviour, CrashPoint, Engine, all_events};
 use test_codecs::{TestDocumentCodec, TestHeaderCodec};
 
@@ -57,8 +59,13 @@
 impl RouterMachine {
     /// Starts a router with control at `control`.
     pub async fn start(control: SocketAddr) -> Self {
+        Self::start_with(control, Rc::new(TcpDialer)).await
+    }
+
+    /// Starts a router that dials engines with `dialer`.
+    pub async fn start_with(control: SocketAddr, dialer: Rc<dyn EngineDialer>) -> Self {
         let clock = MachineClock::default();
-        let router = router_at(clock.clone());
+        let router = router_with(clock.clone(), dialer);
         let address = free_address();
         let own = peer(PeerRole::Router, &address.to_string(), address);
         let link = FleetLink::start(own, router.clone(), &[control]).await.expect("started");
@@ -173,13 +180,13 @@
 
 /// A router without configuration or engines.
 pub fn router() -> Rc<Router> {
-    router_at(MachineClock::default())
+    router_with(MachineClock::default(), Rc::new(TcpDialer))
 }
 
-fn router_at(clock: MachineClock) -> Rc<Router> {
+fn router_with(clock: MachineClock, dialer: Rc<dyn EngineDialer>) -> Rc<Router> {
     let retry_limits = RetryLimits { permille: 200, extra: 200, window: Millis(10_000) };
     Router::new(
-        RouterSettings { zone: "hall".into(), retry_limits, clock },
+        RouterSettings { zone: "hall".into(), retry_limits, clock, dialer },
         Box::new(TestHeaderCodec),
         Arc::new(TestDocumentCodec),
         &MetricsRegistry::new().expect("a registry").meter(),
@@ -269,6 +276,11 @@
         ask_at(self.callers, path, headers).await
     }
 
+    /// Adds a router whose connections to engines can be cut.
+    pub async fn add_router_with(&self, dialer: Rc<dyn EngineDialer>) -> RouterMachine {
+        RouterMachine::start_with(self.control_address, dialer).await
+    }
+
     /// Adds a router to the fleet.
     pub async fn add_router(&self) -> RouterMachine {
         RouterMachine::start(self.control_address).await
