Reach engines through another router while the own path is cut

Cause: a router knew one way to an engine, its own connection. Whatever failed was taken for a failure of the engine, four engines were tried, and the request refused, though other routers reached the same engines in the same second.

Evidence: each refusal follows four refused connections; the engines turned nobody away; the others' connections worked.

Change: new connections that fail at two engines without a success meanwhile mean that the router is isolated. It then connects through another router, which forwards bytes without reading them; admission, budget, permits and retries stay where the request came in. A direct connection that takes 150 ms is raced by a relayed one. Probes end the isolation. Responses that a killed relay cuts off never look complete, since the engine's end is framed.

--- a/crates/gateway-core/src/engine_reachability.rs
+++ b/crates/gateway-core/src/engine_reachability.rs
@@ -65,11 +65,12 @@
         Some(ReachabilityChange::Isolated { failed })
     }
 
-    /// Records a response over a new connection.
-    pub fn on_success(&mut self, now: Timestamp) -> Option<ReachabilityChange> {
-        self.failed.clear();
-        self.probed.clear();
-        let since = self.isolated_since.take()?;
+    /// Records the first response over a connection that was opened at `opened`. It shows nothing
+    /// about the time after that.
+    pub fn on_success(&mut self, now: Timestamp, opened: Timestamp) -> Option<ReachabilityChange> {
+        self.failed.retain(|_, at| *at > opened);
+        let since = self.isolated_since.filter(|since| *since <= opened)?;
+        self.isolated_since = None;
         Some(ReachabilityChange::Connected { after: now.since(since) })
     }
 
@@ -92,6 +93,6 @@
         if self.probed.len() < MIN_SUCCESSFUL_PROBES.min(engines) {
             return None;
         }
-        self.on_success(now)
+        self.on_success(now, now)
     }
 }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`EnginePicker`]: the engine for a request; for generations by the [`PlacementCost`] that
 //!   follows from each engine's [`EngineLoad`].
 //! - [`EngineReachability`]: whether this router can open connections to the engines.
+//! - [`RelayRouters`]: which other routers relay connections to engines meanwhile.
 //! - [`BackoffTracker`]: engines that have asked to receive no requests for some time, or that
 //!   leave.
 //! - [`SlotShares`]: which of the engines' slots belong to which router.
@@ -50,6 +51,7 @@
 mod placement;
 mod quarantine;
 mod rate_bucket;
+mod relay_routers;
 mod retry_budget;
 mod route_table;
 mod router_lists;
@@ -85,6 +87,7 @@
     CRASHES_TO_QUARANTINE, CrashSighting, INITIAL_QUARANTINE, MAX_SUSPECTS, Quarantine,
     QuarantineChange, QuarantineNotice, Suspect,
 };
+pub use relay_routers::RelayRouters;
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use route_table::{Admission, RouteTable, TenantMatch};
 pub use router_lists::{RouterEndpoint, RouterLists, ZoneRouters};
--- a/crates/gateway-core/tests/engine_reachability.rs
+++ b/crates/gateway-core/tests/engine_reachability.rs
@@ -42,7 +42,7 @@
 fn success_between_failures_prevents_isolation() {
     let mut reachability = EngineReachability::default();
     reachability.on_failure(NOW, &engine(1), ENGINES);
-    reachability.on_success(NOW);
+    reachability.on_success(NOW, NOW);
     assert_eq!(reachability.on_failure(NOW, &engine(2), ENGINES), None);
 }
 
@@ -72,3 +72,13 @@
     assert_eq!(reachability.on_probe(NOW, &engine(5), true, ENGINES), None);
     assert!(reachability.is_isolated());
 }
+
+#[test]
+fn response_over_a_connection_from_before_the_cut_does_not_end_isolation() {
+    let mut reachability = isolated();
+    assert_eq!(reachability.on_success(NOW + Millis(900), Timestamp(NOW.0 - 1)), None);
+    assert!(reachability.is_isolated());
+    let later = NOW + Millis(800);
+    let change = reachability.on_success(NOW + Millis(900), later);
+    assert_eq!(change, Some(ReachabilityChange::Connected { after: Millis(900) }));
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt: a request is sent to one engine, up to the head of the response.
 
-use crate::connection_pool::EngineConnection;
+use crate::connection_pool::{ConnectionPath, EngineConnection};
 use crate::decision_log;
 use crate::header_codec::{CallerRequest, EngineDirectives, EngineRequestHeaders, ResponseClass};
 use crate::metrics::ConnectionOutcome;
@@ -177,28 +177,23 @@
     on_sent: impl FnOnce(),
 ) -> AttemptResult {
     let mut attempt = ActiveAttempt::new(router.clone(), selected.choice, selected.permit);
-    let connect_started = Instant::now();
-    let connecting = router.pool.acquire(&attempt.engine, fresh);
+    let connecting = router.connect(&attempt.engine, fresh);
     let mut connection = match timeout_at(head_deadline, connecting).await {
         Ok(Ok(connection)) => connection,
         Ok(Err(error)) => {
             log_end(payload, &attempt, "connect", &error.to_string());
             router.metrics.on_engine_connection(ConnectionOutcome::Failed);
-            router.on_connection_failed(attempt.name());
             attempt.finish(AttemptEnd::Unreachable, None);
             return AttemptResult::Unreachable;
         }
-        Err(_) => return AttemptResult::Unreachable,
+        Err(_) => {
+            log_end(payload, &attempt, "connect", "no connection before the timeout");
+            router.metrics.on_engine_connection(ConnectionOutcome::Failed);
+            return AttemptResult::Unreachable;
+        }
     };
-    let is_new = !connection.reused;
-    router.metrics.on_engine_connection(if is_new {
-        ConnectionOutcome::Opened
-    } else {
-        ConnectionOutcome::Reused
-    });
-    if is_new {
-        router.congestion.on_connected(Instant::now().into_std(), connect_started.elapsed());
-    }
+    let shows_reachability = !connection.reused && connection.path == ConnectionPath::Direct;
+    router.metrics.on_engine_connection(connection_outcome(&connection));
     // While the request waited for a permit or a connection, the engine may have left, or asked for
     // a backoff in another response.
     if !router.may_send(attempt.name()) {
@@ -223,21 +218,29 @@
                 attempt.finish(AttemptEnd::Abandoned, None);
                 return AttemptResult::Unreachable;
             }
-            if is_new {
+            if shows_reachability {
                 router.on_connection_failed(attempt.name());
             }
             attempt.finish(AttemptEnd::Interrupted, None);
             AttemptResult::Interrupted
         }
         Ok(Ok(response)) => {
-            if is_new {
-                router.on_connection_succeeded();
+            if shows_reachability {
+                router.on_connection_succeeded(attempt.sent_at);
             }
             classify(router, payload, attempt, response)
         }
     }
 }
 
+fn connection_outcome(connection: &EngineConnection) -> ConnectionOutcome {
+    match connection.path {
+        _ if connection.reused => ConnectionOutcome::Reused,
+        ConnectionPath::Direct => ConnectionOutcome::Opened,
+        ConnectionPath::Relayed => ConnectionOutcome::Relayed,
+    }
+}
+
 fn classify(
     router: &Router,
     payload: &Payload,
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -1,6 +1,7 @@
 //! Connections to engines.
 
 use crate::engine_dialer::EngineDialer;
+use crate::engine_relay::RelayedStream;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -14,7 +15,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
@@ -36,12 +38,25 @@
 /// Part of an engine's idle limit that is used, in percent, so that a request does not race with
 /// the engine closing the connection.
 const IDLE_LIMIT_PERCENT: u32 = 60;
+/// Age from which a connection through another router is not used for further requests.
+const MAX_RELAYED_AGE: Duration = Duration::from_secs(2);
 /// Maximum number of idle connections per engine.
 const MAX_IDLE_PER_ENGINE: usize = 8;
 
+/// How a connection reaches its engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectionPath {
+    /// This router connected itself.
+    Direct,
+    /// Another router forwards the bytes.
+    Relayed,
+}
+
 /// A connection to one engine that carries one request at a time.
 pub(crate) struct EngineConnection {
     pub sender: SendRequest<Full<Bytes>>,
+    pub path: ConnectionPath,
+    opened: Instant,
     driver: AbortHandle,
     /// Whether it has carried a request before.
     pub reused: bool,
@@ -72,18 +87,6 @@
         Self { clock, dialer, idle: RefCell::default() }
     }
 
-    /// The newest idle connection, or a new one. `fresh` demands a new one.
-    pub async fn acquire(
-        &self,
-        engine: &EngineRecord,
-        fresh: bool,
-    ) -> io::Result<EngineConnection> {
-        if !fresh && let Some(connection) = self.take_idle(&engine.notice.engine) {
-            return Ok(connection);
-        }
-        self.open(engine.notice.address).await
-    }
-
     /// Whether an engine still accepts connections, probed with a new one, which is kept for the
     /// next request. A timeout counts as no.
     pub async fn accepts_connections(&self, engine: &EngineRecord) -> bool {
@@ -108,6 +111,12 @@
     ) {
         let limit = idle_limit
             .map_or(DEFAULT_IDLE_LIMIT, |idle_limit| idle_limit * IDLE_LIMIT_PERCENT / 100);
+        // A relay that stops waits for the connections that it forwards.
+        if connection.path == ConnectionPath::Relayed
+            && connection.opened.elapsed() >= MAX_RELAYED_AGE
+        {
+            return connection.close();
+        }
         let mut idle = self.idle.borrow_mut();
         let of_engine = idle.entry(engine.clone()).or_default();
         if of_engine.len() >= MAX_IDLE_PER_ENGINE || limit.is_zero() {
@@ -137,18 +146,37 @@
         });
     }
 
-    async fn open(&self, address: SocketAddr) -> io::Result<EngineConnection> {
+    /// Opens a connection to the engine at `address`.
+    pub async fn open(&self, address: SocketAddr) -> io::Result<EngineConnection> {
+        let stream = self.dial(address).await?;
+        start_http(stream, ConnectionPath::Direct).await
+    }
+
+    /// Opens a connection to the engine at `address` that carries no HTTP of this router.
+    pub async fn dial(&self, address: SocketAddr) -> io::Result<TcpStream> {
         let dialing = timeout(CONNECT_TIMEOUT, self.dialer.dial(address));
         let stream = dialing.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        start_http(stream).await
+        set_options(&stream);
+        Ok(stream)
+    }
+
+    /// Begins HTTP on a connection through another router.
+    pub async fn start_relayed(&self, stream: RelayedStream) -> io::Result<EngineConnection> {
+        start_http(stream, ConnectionPath::Relayed).await
     }
 
-    fn take_idle(&self, engine: &BackEndName) -> Option<EngineConnection> {
+    /// The newest idle connection over `path`. Those over another path are closed.
+    pub fn take_idle(
+        &self,
+        engine: &BackEndName,
+        path: ConnectionPath,
+    ) -> Option<EngineConnection> {
         let mut idle = self.idle.borrow_mut();
         let of_engine = idle.get_mut(engine)?;
         while let Some(entry) = of_engine.pop() {
-            let usable =
-                self.clock.since(entry.since) < entry.limit && entry.connection.sender.is_ready();
+            let usable = entry.connection.path == path
+                && self.clock.since(entry.since) < entry.limit
+                && entry.connection.sender.is_ready();
             if usable {
                 return Some(entry.connection);
             }
@@ -158,9 +186,9 @@
     }
 }
 
-/// Begins HTTP on an established connection.
-async fn start_http(stream: TcpStream) -> io::Result<EngineConnection> {
-    let socket = SockRef::from(&stream);
+/// Sets the options of a connection to an engine.
+fn set_options(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE_TIME)
         .with_interval(Duration::from_secs(1))
@@ -169,11 +197,19 @@
     let _ = socket.set_tcp_nodelay(true);
     let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
     let _ = socket.set_tcp_keepalive(&probes);
+}
+
+/// Begins HTTP on an established connection.
+async fn start_http<S>(stream: S, path: ConnectionPath) -> io::Result<EngineConnection>
+where
+    S: AsyncRead + AsyncWrite + Unpin + 'static,
+{
     let (sender, connection) =
         http1::Builder::new().handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
     let driver = tokio::task::spawn_local(async move {
         // The user of the connection receives the error as well.
         let _ = connection.await;
     });
-    Ok(EngineConnection { sender, driver: driver.abort_handle(), reused: false })
+    let (opened, driver) = (Instant::now(), driver.abort_handle());
+    Ok(EngineConnection { sender, path, opened, driver, reused: false })
 }
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -6,6 +6,7 @@
 mod loan_messages;
 
 use self::final_usage::RelayedFinalUsage;
+use crate::engine_relay::RelayServer;
 use crate::load_exchange::LoadExchange;
 use crate::loans::{LoanCommand, Loans};
 use crate::machine_clock::machine_time;
@@ -92,6 +93,7 @@
         mesh.listen(listen_address).await?;
         let incarnation = Digest::of(&[node.to_string().as_bytes()]).to_u64();
         let exchange = LoadExchange::start(incarnation, listen_address, router.clone()).await?;
+        RelayServer::start(listen_address, router.clone()).await?;
         let link = Rc::new(Self {
             node,
             mesh,
@@ -152,6 +154,7 @@
             others.into_iter().filter(|other| *other != self.endpoint.address).collect();
         self.router.permits.set_others(now, &others);
         self.router.account_owners.borrow_mut().set_endpoints(&self.endpoint, &endpoints);
+        self.router.set_relay_routers(&self.endpoint, &endpoints);
         self.stop_dialing_removed(&others);
         *self.endpoints.borrow_mut() = endpoints;
     }
--- a/crates/gateway/src/liveness_probe.rs
+++ b/crates/gateway/src/liveness_probe.rs
@@ -45,6 +45,9 @@
                 Some(record) => router.pool.accepts_connections(&record).await,
                 None => false,
             };
+            if !accepts {
+                router.on_connection_failed(&name);
+            }
             // Its next incarnation may have accepted the connection.
             let is_alive = accepts && router.has_not_left(&name);
             router.liveness_probes.running.borrow_mut().remove(&name);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,8 @@
 pub(crate) enum ConnectionOutcome {
     /// A new connection was established.
     Opened,
+    /// A new connection was established through another router.
+    Relayed,
     /// A connection that had carried a request before was used.
     Reused,
     /// No connection could be established.
@@ -29,6 +31,7 @@
     fn as_str(self) -> &'static str {
         match self {
             Self::Opened => "opened",
+            Self::Relayed => "relayed",
             Self::Reused => "reused",
             Self::Failed => "failed",
         }
@@ -64,6 +67,7 @@
     sent_after_departure: Counter<u64>,
     engine_connections: Counter<u64>,
     isolated: Gauge<u64>,
+    relayed: Counter<u64>,
 }
 
 impl RouterMetrics {
@@ -150,6 +154,10 @@
                 "stackpost_isolated_from_engines",
                 "1 while this router can open no connection to any engine",
             ),
+            relayed: counter(
+                "stackpost_connections_relayed",
+                "Connections to engines that other routers asked for, by whether they were opened",
+            ),
             quarantined: gauge(
                 "stackpost_requests_quarantined",
                 "Requests that are let in no more because engines ended under them",
@@ -242,6 +250,12 @@
         self.engine_connections.add(1, &[KeyValue::new("outcome", outcome.as_str())]);
     }
 
+    /// Counts a connection that another router asked for.
+    pub fn on_relayed(&self, is_connected: bool) {
+        let outcome = if is_connected { "opened" } else { "refused" };
+        self.relayed.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records whether this router is isolated from the engines.
     pub fn record_isolated(&self, is_isolated: bool) {
         self.isolated.record(u64::from(is_isolated), &[]);
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -4,6 +4,7 @@
 use crate::connection_pool::ConnectionPool;
 use crate::decision_log;
 use crate::engine_dialer::EngineDialer;
+use crate::engine_paths::RelayedConnections;
 use crate::header_codec::{EngineDirectives, HeaderCodec};
 use crate::liveness_probe::LivenessProbes;
 use crate::loans::LoanHandle;
@@ -13,7 +14,8 @@
 use stackpost_coordinator::{Document, DocumentCodec, DocumentDelta};
 use stackpost_gateway_core::{
     AccountOwners, CrashTracker, DepartureDelta, EngineDirectory, EnginePicker, EngineReachability,
-    Evacuations, LoadShedder, Placement, RetryBudget, RetryLimits, RouteTable, ServiceAvailability,
+    Evacuations, LoadShedder, Placement, RelayRouters, RetryBudget, RetryLimits, RouteTable,
+    ServiceAvailability,
 };
 use stackpost_prepaid::{BudgetForecast, Wallet};
 use stackpost_telemetry::{LineLimit, Meter};
@@ -61,6 +63,10 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) liveness_probes: LivenessProbes,
     pub(crate) reachability: RefCell<EngineReachability>,
+    /// The other routers, as relays of connections to engines.
+    pub(crate) relay_routers: RefCell<RelayRouters>,
+    /// Connections that this router relays for others.
+    pub(crate) relayed: RelayedConnections,
     pub(crate) directory: RefCell<EngineDirectory>,
     pub(crate) picker: RefCell<EnginePicker>,
     pub(crate) wallet: RefCell<Wallet>,
@@ -115,6 +121,8 @@
             pool: ConnectionPool::new(settings.clock.clone(), settings.dialer),
             liveness_probes: LivenessProbes::default(),
             reachability: RefCell::default(),
+            relay_routers: RefCell::default(),
+            relayed: RelayedConnections::default(),
             directory: RefCell::new(EngineDirectory::follower()),
             picker: RefCell::new(EnginePicker::new(settings.zone)),
             wallet: RefCell::default(),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -59,14 +59,16 @@
 }
 
 impl Server {
-    /// Serves until all requests are complete and all connections closed, or until `limit` has
-    /// passed. The router must have begun to drain.
+    /// Serves until all requests are complete and all connections closed, relayed ones included,
+    /// or until `limit` has passed. The router must have begun to drain.
     pub async fn drain(&self, limit: Duration) {
         let started = Instant::now();
         sleep(NOTICE_PERIOD.min(limit)).await;
         self.closing.send_replace(true);
         while started.elapsed() < limit {
-            let is_idle = self.requests.get() == 0 && self.connections.get() == 0;
+            let is_idle = self.requests.get() == 0
+                && self.connections.get() == 0
+                && self.router.relayed.active() == 0;
             if is_idle && started.elapsed() >= MIN_ACCEPT_TIME {
                 return;
             }
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -66,7 +66,8 @@
     pub async fn start_with(control: SocketAddr, dialer: Rc<dyn EngineDialer>) -> Self {
         let clock = MachineClock::default();
         let router = router_with(clock.clone(), dialer);
-        let address = free_address();
+        // The next port is that of the relay.
+        let address = free_addresses(2);
         let own = peer(PeerRole::Router, &address.to_string(), address);
         let link = FleetLink::start(own, router.clone(), &[control]).await.expect("started");
         let callers = free_address();
@@ -153,21 +154,27 @@
 /// of these could take a port between the check here and its use.
 const FIRST_PORT: u16 = 15_000;
 /// Number of ports per test process.
-const PORTS_PER_PROCESS: u16 = 320;
+const PORTS_PER_PROCESS: u16 = 440;
 /// Number of test processes with separate ports.
-const PROCESSES: u32 = 50;
+const PROCESSES: u32 = 40;
 
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
 /// An unused address that no other test of this process is given.
 pub fn free_address() -> SocketAddr {
+    free_addresses(1)
+}
+
+/// The first of `count` unused addresses with consecutive ports.
+fn free_addresses(count: u16) -> SocketAddr {
     let block = (std::process::id() % PROCESSES) as u16 * PORTS_PER_PROCESS;
     loop {
-        let step = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        assert!(step < PORTS_PER_PROCESS, "no port is free");
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, FIRST_PORT + block + step));
-        if StdListener::bind(address).is_ok() {
-            return address;
+        let step = NEXT_PORT.fetch_add(count, Ordering::Relaxed);
+        assert!(step + count <= PORTS_PER_PROCESS, "no port is free");
+        let address = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let mut ports = FIRST_PORT + block + step..FIRST_PORT + block + step + count;
+        if ports.all(|port| StdListener::bind(address(port)).is_ok()) {
+            return address(FIRST_PORT + block + step);
         }
     }
 }
