Ask another router before an engine counts as crashed

Cause: when a response is interrupted, a router connects to the engine, and a failure counts as its crash. A router that has lost its path to all engines so reported three sound engines under each request that was interrupted or retried, and three suffice for the quarantine.

Evidence: the leader's lines 'request quarantined' name engines that serve the other routers in the same second; the four cut routers alone reported them.

Change: if its own connection fails, the router has another one connect. Only if that reaches other engines but not this one has the engine ended. An isolated router that finds no other counts the engine as running: it can't know.

The tests of requests that do crash engines, of new incarnations and of flaky connections pass (14 of 14).

--- a/crates/gateway/src/engine_paths.rs
+++ b/crates/gateway/src/engine_paths.rs
@@ -152,7 +152,7 @@
     }
 
     /// Asks other routers in turn. `None` if none is known.
-    async fn connect_through_relay(
+    pub(crate) async fn connect_through_relay(
         &self,
         engine: &EngineRecord,
     ) -> Option<Result<EngineConnection, RelayError>> {
--- a/crates/gateway/src/liveness_probe.rs
+++ b/crates/gateway/src/liveness_probe.rs
@@ -1,18 +1,26 @@
 //! Distinguishes a crashed engine from a lost connection.
 //!
 //! Both look the same to the request. An engine whose process has ended accepts no connections any
-//! more; one that lost a single connection does. Without the distinction, a copy of a request whose
+//! more; one that lost a single connection does. A router that lost its path to the engines asks
+//! another router to connect. Without the distinction, a copy of a request whose
 //! connections break in three of ten runs made its router refuse all other copies for two seconds:
 //! 12 of 150 copies with three routers.
 
+use crate::engine_relay::RelayError;
 use crate::router::Router;
 use futures::FutureExt;
 use futures::future::{LocalBoxFuture, Shared};
-use stackpost_gateway_core::EngineState;
+use stackpost_gateway_core::{EngineRecord, EngineState};
 use stackpost_types::BackEndName;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Timeout for a probe through other routers: several times a probe from here, since more than one
+/// of them may have to be asked.
+const RELAYED_PROBE_TIMEOUT: Duration = Duration::from_millis(180);
 
 type Probe = Shared<LocalBoxFuture<'static, bool>>;
 
@@ -32,6 +40,23 @@
         probe.await
     }
 
+    /// Whether an engine accepts a connection from here or from another router. An isolated router
+    /// that finds no other one can't tell, and counts the engine as running.
+    async fn reaches(self: &Rc<Self>, engine: &EngineRecord) -> bool {
+        if self.pool.accepts_connections(engine).await {
+            return true;
+        }
+        self.on_connection_failed(&engine.notice.engine);
+        match timeout(RELAYED_PROBE_TIMEOUT, self.connect_through_relay(engine)).await {
+            Ok(Some(Ok(connection))) => {
+                self.pool.release(&engine.notice.engine, connection, None);
+                true
+            }
+            Ok(Some(Err(RelayError::EngineUnreachable { .. }))) => false,
+            Ok(Some(Err(_)) | None) | Err(_) => self.is_isolated(),
+        }
+    }
+
     fn has_not_left(&self, engine: &BackEndName) -> bool {
         let directory = self.directory.borrow();
         directory.get(engine).is_some_and(|record| record.notice.state != EngineState::Gone)
@@ -42,12 +67,9 @@
         let probing = async move {
             let record = router.directory.borrow().get(&name).cloned();
             let accepts = match record {
-                Some(record) => router.pool.accepts_connections(&record).await,
+                Some(record) => router.reaches(&record).await,
                 None => false,
             };
-            if !accepts {
-                router.on_connection_failed(&name);
-            }
             // Its next incarnation may have accepted the connection.
             let is_alive = accepts && router.has_not_left(&name);
             router.liveness_probes.running.borrow_mut().remove(&name);
