Keep connections to engines through a silence of a second or two

What callers would see: a sound engine that falls silent for little more than a second loses every request it works on; those that can't be repeated end with 502, and the engine is said to have crashed under them, since it accepts no connection just then.

Lost bytes are sent again after growing pauses (0.2, 0.6, 1.4, 3.0 s), so a connection must outlast more than the silence itself: 4 s.

Repeatable requests and streams do not wait for it: their head and gap timeouts are shorter. Callers' connections have no such option set, by us or by hyper.

The second test, a request that is answered after a silence of a second, passes before and after: loopback acknowledges whatever the process does.

--- a/crates/gateway/src/engine_relay.rs
+++ b/crates/gateway/src/engine_relay.rs
@@ -32,8 +32,8 @@
 const MAX_MESSAGE_BYTES: usize = 1_024;
 /// Bytes of the length in front of each message and frame.
 const LENGTH_BYTES: usize = 2;
-/// Time after which a silent peer breaks the connection.
-const PEER_SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time without an acknowledgement after which a connection between two routers breaks.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(4_000);
 /// Idle time before TCP keepalive probes, and their interval.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -83,6 +83,6 @@
         TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
     // These shorten delays and detect a lost peer; the connection works without them.
     let _ = socket.set_tcp_nodelay(true);
-    let _ = socket.set_tcp_user_timeout(Some(PEER_SILENCE_TIMEOUT));
+    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
     let _ = socket.set_tcp_keepalive(&probes);
 }
--- a/crates/gateway/tests/fleet/main.rs
+++ b/crates/gateway/tests/fleet/main.rs
@@ -14,6 +14,7 @@
 mod rate_log;
 mod rejection_log;
 mod requests;
+mod silent_engines;
 mod stated_rates;
 mod support;
 mod suspension;
--- a/crates/gateway/tests/fleet/support/cuttable_dialer.rs
+++ b/crates/gateway/tests/fleet/support/cuttable_dialer.rs
@@ -2,6 +2,7 @@
 
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
+use socket2::{SockRef, Socket};
 use stackpost_gateway::EngineDialer;
 use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind};
@@ -41,6 +42,14 @@
     forwarding: Rc<RefCell<Vec<AbortHandle>>>,
     /// Number of connections established.
     pub opened: Rc<Cell<usize>>,
+    /// A duplicate of the newest connection.
+    newest: Rc<RefCell<Option<Socket>>>,
+}
+
+/// Options that the router has set on a connection.
+#[derive(Debug)]
+pub struct SocketOptions {
+    pub user_timeout: Option<Duration>,
 }
 
 impl CuttableDialer {
@@ -49,9 +58,17 @@
             cut: Rc::new(Cell::new(Cut::None)),
             forwarding: Rc::default(),
             opened: Rc::default(),
+            newest: Rc::default(),
         })
     }
 
+    /// Options of the newest connection.
+    pub fn last_options(&self) -> Option<SocketOptions> {
+        let newest = self.newest.borrow();
+        let socket = newest.as_ref()?;
+        Some(SocketOptions { user_timeout: socket.tcp_user_timeout().expect("an option") })
+    }
+
     pub fn set(&self, cut: Cut) {
         self.cut.set(cut);
         if cut == Cut::Reset {
@@ -63,7 +80,7 @@
 impl EngineDialer for CuttableDialer {
     fn dial(&self, engine: SocketAddr) -> LocalBoxFuture<'static, io::Result<TcpStream>> {
         let (cut, forwarding) = (self.cut.clone(), self.forwarding.clone());
-        let opened = self.opened.clone();
+        let (opened, newest) = (self.opened.clone(), self.newest.clone());
         async move {
             match cut.get() {
                 Cut::None => {}
@@ -77,6 +94,7 @@
             let task = tokio::task::spawn_local(forward_both(accepted, engine_side, cut));
             forwarding.borrow_mut().push(task.abort_handle());
             opened.set(opened.get() + 1);
+            *newest.borrow_mut() = Some(SockRef::from(&router_side).try_clone()?);
             Ok(router_side)
         }
         .boxed_local()
