Keep requests within the slots of brittle engines

Whoever loses an engine sends its requests to the next, which rejects more.

Cause: Server-Brittle was not read, and slots are enforced only after an engine has asked for a backoff, for plain requests only.

Change: while a service's engines state that they are brittle, every request needs a slot, and slots are divided among the routers as after a backoff. A rejection is told to all routers: the engine pauses for 0.25 s and its room is halved, once per cause, and grows back over 10 s. Generations take a slot all the time, so that those in use are known when enforcement begins.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -42,6 +42,7 @@
 mod engine_notice;
 mod engine_permits;
 mod engine_reachability;
+mod engine_room;
 mod evacuations;
 mod event_stream;
 mod fingerprint;
--- a/crates/gateway-core/src/slot_shares.rs
+++ b/crates/gateway-core/src/slot_shares.rs
@@ -7,11 +7,16 @@
 //! routers. A router uses its own slots first and borrows a free one of another router when it has
 //! none.
 //!
+//! The same holds while engines are brittle, that is, fall over when they have to reject many
+//! requests. Then the slots are limited to the room that rejections leave ([`EngineRooms`]): those
+//! with the lowest numbers.
+//!
 //! Routers may briefly disagree about which routers run. A slot that two routers count as their own
 //! costs a rejected request; one that no router counts as its own stays unused. Nothing else
 //! depends on it.
 
 use crate::directory::EngineRecord;
+use crate::engine_room::EngineRooms;
 use crate::hashing::mix;
 use stackpost_types::{BackEndName, Digest, Millis, ServiceName, Timestamp};
 use std::collections::HashMap;
@@ -21,6 +26,9 @@
 /// backoff. Longer than the requested backoffs (seconds), so that the fleet does not cause the next
 /// one as soon as the last is over.
 const SLOT_LIMIT_TIME: Millis = Millis(60_000);
+/// Time for which a service counts as brittle after an engine has stated it. Each response states
+/// it again.
+const BRITTLE_TIME: Millis = Millis(5_000);
 /// Time for which a router that does not respond counts as absent; its slots belong to the others
 /// meanwhile.
 const ABSENCE_TIME: Millis = Millis(1_000);
@@ -28,8 +36,8 @@
 /// This router's share of an engine's slots.
 #[derive(Clone, Copy, Debug, Default)]
 struct Share {
-    /// Slots that the engine announced when the share was computed.
-    announced: u32,
+    /// Slots of the engine that were in use by all routers when the share was computed.
+    slots: u32,
     own: u32,
 }
 
@@ -43,6 +51,8 @@
     shares: HashMap<BackEndName, Share>,
     used: HashMap<BackEndName, u32>,
     limited_until: HashMap<ServiceName, Timestamp>,
+    brittle_until: HashMap<ServiceName, Timestamp>,
+    rooms: EngineRooms,
 }
 
 impl SlotShares {
@@ -55,6 +65,8 @@
             shares: HashMap::new(),
             used: HashMap::new(),
             limited_until: HashMap::new(),
+            brittle_until: HashMap::new(),
+            rooms: EngineRooms::default(),
         }
     }
 
@@ -80,9 +92,30 @@
         self.limited_until.insert(service.clone(), now + SLOT_LIMIT_TIME);
     }
 
+    /// Records that an engine of a service has stated that it is brittle.
+    pub fn on_brittle(&mut self, now: Timestamp, service: &ServiceName) {
+        self.brittle_until.insert(service.clone(), now + BRITTLE_TIME);
+    }
+
+    /// Records that a brittle engine rejected a request, here or at another router.
+    pub fn on_brittle_rejection(&mut self, now: Timestamp, engine: &EngineRecord) {
+        self.rooms.on_rejection(now, &engine.notice.engine, engine.notice.slots);
+    }
+
     /// Whether requests to a service are limited to its engines' slots.
     pub fn is_slot_limited(&self, now: Timestamp, service: &ServiceName) -> bool {
-        self.limited_until.get(service).is_some_and(|until| now < *until)
+        let is_limited = self.limited_until.get(service).is_some_and(|until| now < *until);
+        is_limited || self.is_brittle(now, service)
+    }
+
+    /// Whether a service's engines are brittle.
+    pub fn is_brittle(&self, now: Timestamp, service: &ServiceName) -> bool {
+        self.brittle_until.get(service).is_some_and(|until| now < *until)
+    }
+
+    /// Removes what no longer limits any engine.
+    pub fn remove_expired(&mut self, now: Timestamp) {
+        self.rooms.remove_grown(now);
     }
 
     /// Own slots of an engine that are free.
@@ -146,13 +179,13 @@
 
     fn own_slots(&mut self, now: Timestamp, engine: &EngineRecord) -> u32 {
         self.expire_absences(now);
-        let (name, announced) = (&engine.notice.engine, engine.notice.slots);
+        let name = &engine.notice.engine;
+        let slots = self.rooms.slots(now, name, engine.notice.slots);
         match self.shares.get(name) {
-            Some(share) if share.announced == announced => share.own,
+            Some(share) if share.slots == slots => share.own,
             _ => {
-                let own =
-                    (0..announced).filter(|slot| self.is_own(now, name, *slot)).count() as u32;
-                self.shares.insert(name.clone(), Share { announced, own });
+                let own = (0..slots).filter(|slot| self.is_own(now, name, *slot)).count() as u32;
+                self.shares.insert(name.clone(), Share { slots, own });
                 own
             }
         }
--- a/crates/gateway-core/tests/slot_shares.rs
+++ b/crates/gateway-core/tests/slot_shares.rs
@@ -94,3 +94,48 @@
     assert!(!shares.is_slot_limited(Timestamp(61_000), &service));
     assert!(!shares.is_slot_limited(Timestamp(1_000), &ServiceName::new("other")));
 }
+
+/// Slots of `engine` that all routers together may use.
+fn usable(views: &mut [SlotShares], now: Timestamp, engine: &EngineRecord) -> u32 {
+    views.iter_mut().map(|view| view.free(now, engine)).sum()
+}
+
+fn reject(views: &mut [SlotShares], now: Timestamp, engine: &EngineRecord) {
+    views.iter_mut().for_each(|view| view.on_brittle_rejection(now, engine));
+}
+
+#[test]
+fn rejection_by_a_brittle_engine_pauses_it_and_halves_its_room() {
+    let (mut views, engine) = (views(6), engine(1, 48));
+    let now = Timestamp(20_000);
+    reject(&mut views, now, &engine);
+    assert_eq!(usable(&mut views, now + Millis(249), &engine), 0);
+    let after_pause = usable(&mut views, now + Millis(250), &engine);
+    assert!((24..=26).contains(&after_pause), "{after_pause}");
+    // Rejections of requests that were on their way have the same cause.
+    reject(&mut views, now + Millis(10), &engine);
+    assert_eq!(usable(&mut views, now + Millis(250), &engine), after_pause);
+}
+
+#[test]
+fn room_of_a_brittle_engine_shrinks_to_one_slot_and_grows_back() {
+    let (mut views, engine) = (views(6), engine(1, 48));
+    let mut now = Timestamp(20_000);
+    for _ in 0..10 {
+        reject(&mut views, now, &engine);
+        now = now + Millis(500);
+    }
+    let shrunk = usable(&mut views, now, &engine);
+    assert!((1..=6).contains(&shrunk), "{shrunk}");
+    assert_eq!(usable(&mut views, now + Millis(10_000), &engine), 48);
+}
+
+#[test]
+fn service_is_slot_limited_while_its_engines_state_that_they_are_brittle() {
+    let mut shares = SlotShares::new(address(0));
+    let (now, service) = (Timestamp(1_000), ServiceName::new("plain"));
+    assert!(!shares.is_slot_limited(now, &service));
+    shares.on_brittle(now, &service);
+    assert!(shares.is_slot_limited(now, &service) && shares.is_brittle(now, &service));
+    assert!(!shares.is_brittle(now + Millis(5_000), &service));
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -254,7 +254,11 @@
                 router.header_codec.read_directives(&payload.caller, head.status, &head.headers);
             decision_log::rejected_by_engine(router, payload, &attempt, head.status, &directives);
             router.on_directives(&payload.caller.id, attempt.name(), attempt.sent_at, &directives);
-            attempt.finish(rejection_end(head.status, &directives), None);
+            let end = rejection_end(head.status, &directives);
+            if end == AttemptEnd::Full {
+                router.on_rejected_for_room(&attempt.engine);
+            }
+            attempt.finish(end, None);
             AttemptResult::NotRun
         }
         ResponseClass::WrongEngine => {
--- a/crates/gateway/src/header_codec.rs
+++ b/crates/gateway/src/header_codec.rs
@@ -90,6 +90,9 @@
     pub leaving: bool,
     /// The rate limit that it states, in requests per second from all routers together.
     pub rate: RateStatement,
+    /// Number of requests per second, from all routers together, that it can reject for want of
+    /// room without falling over. `None` if it is not brittle.
+    pub brittle: Option<u32>,
     /// Headers with a malformed value; they are ignored.
     pub malformed: Vec<&'static str>,
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -68,6 +68,7 @@
     engine_connections: Counter<u64>,
     isolated: Gauge<u64>,
     relayed: Counter<u64>,
+    brittle_rejections: Counter<u64>,
 }
 
 impl RouterMetrics {
@@ -154,6 +155,10 @@
                 "stackpost_isolated_from_engines",
                 "1 while this router can open no connection to any engine",
             ),
+            brittle_rejections: counter(
+                "stackpost_brittle_rejections",
+                "Requests of this router that brittle engines rejected for want of room",
+            ),
             relayed: counter(
                 "stackpost_connections_relayed",
                 "Connections to engines that other routers asked for, by whether they were opened",
@@ -250,6 +255,11 @@
         self.engine_connections.add(1, &[KeyValue::new("outcome", outcome.as_str())]);
     }
 
+    /// Counts a request that a brittle engine rejected.
+    pub fn on_brittle_rejection(&self) {
+        self.brittle_rejections.add(1, &[]);
+    }
+
     /// Counts a connection that another router asked for.
     pub fn on_relayed(&self, is_connected: bool) {
         let outcome = if is_connected { "opened" } else { "refused" };
--- a/crates/gateway/src/permit_lending.rs
+++ b/crates/gateway/src/permit_lending.rs
@@ -39,6 +39,7 @@
                     pool.release_slot(&lent.engine);
                 }
             }
+            PermitMessage::BrittleRejection { engine } => self.on_rejected_elsewhere(&engine),
             PermitMessage::Rates { rates, compare } => {
                 let newer = if compare { self.newer_rates(&rates) } else { Vec::new() };
                 self.on_rates_received(&rates);
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -66,6 +66,8 @@
     /// Rate limits stated by engines. With `compare` the receiver replies with those of which it
     /// has a newer statement.
     Rates { rates: Vec<RateUpdate>, compare: bool },
+    /// A brittle engine rejected a request for want of room.
+    BrittleRejection { engine: BackEndName },
 }
 
 /// A lender's reply.
@@ -188,6 +190,16 @@
         self.permits.borrow_mut().slots().on_backoff(now, service);
     }
 
+    /// Records that an engine of a service stated that it is brittle.
+    pub fn on_brittle(&self, now: Timestamp, service: &ServiceName) {
+        self.permits.borrow_mut().slots().on_brittle(now, service);
+    }
+
+    /// Whether the engines of a service are brittle.
+    pub fn is_brittle(&self, now: Timestamp, service: &ServiceName) -> bool {
+        self.permits.borrow_mut().slots().is_brittle(now, service)
+    }
+
     /// Whether the slots of the service's engines are enforced.
     pub fn enforces_slots(&self, now: Timestamp, service: &ServiceName) -> bool {
         self.permits.borrow_mut().slots().is_slot_limited(now, service)
@@ -265,6 +277,33 @@
 }
 
 impl Router {
+    /// Records that an engine rejected a request for want of room. If it is brittle, all routers
+    /// are told.
+    pub(crate) fn on_rejected_for_room(&self, engine: &EngineRecord) {
+        let pool = &self.permits;
+        if !pool.is_brittle(self.now(), &engine.notice.service) {
+            return;
+        }
+        self.metrics.on_brittle_rejection();
+        pool.permits.borrow_mut().slots().on_brittle_rejection(self.now(), engine);
+        let others = pool.permits.borrow().others();
+        for other in others {
+            let engine = engine.notice.engine.clone();
+            pool.send(other, PermitMessage::BrittleRejection { engine });
+        }
+    }
+
+    /// Records that a brittle engine rejected a request of another router.
+    pub(crate) fn on_rejected_elsewhere(&self, engine: &BackEndName) {
+        let directory = self.directory.borrow();
+        let Some(record) = directory.get(engine) else {
+            return;
+        };
+        let mut permits = self.permits.permits.borrow_mut();
+        permits.slots().on_brittle(self.now(), &record.notice.service);
+        permits.slots().on_brittle_rejection(self.now(), record);
+    }
+
     /// Asks another router for a permit that a request needs until `deadline`. Returns an engine
     /// that this router knows; the permit is `None` if nothing has to be released.
     pub(crate) async fn borrow_permit(
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -258,6 +258,11 @@
                 decision_log::backoff_started(self, request, engine, backoff);
             }
         }
+        if directives.brittle.is_some()
+            && let Some(record) = self.directory.borrow().get(engine)
+        {
+            self.permits.on_brittle(now, &record.notice.service);
+        }
         if directives.leaving && self.picker.borrow_mut().on_leaving(engine) {
             log::info!(request = request, engine = engine.as_str(); "engine leaves by its own answer");
         }
--- a/crates/gateway/src/select_engine.rs
+++ b/crates/gateway/src/select_engine.rs
@@ -35,7 +35,8 @@
 impl RequestContext {
     /// Selects the engine for the next attempt. While the engines' slots are enforced for the
     /// service, or its engines state rate limits, a request waits for a permit. Generations are
-    /// subject to rate limits only: engines queue them and report their load by other means.
+    /// limited to slots only while engines are brittle: else engines queue them and report their
+    /// load by other means.
     pub async fn select_engine(&self, progress: &Progress) -> Option<SelectedEngine> {
         let selected = self.select_permitted(progress).await;
         let mut shedding = self.router.shedding.borrow_mut();
@@ -75,11 +76,12 @@
     /// The limits that apply to the request now.
     fn scope(&self) -> PermitScope {
         let router = &self.router;
-        if !self.is_generation() && router.permits.enforces_slots(router.now(), &self.service) {
-            PermitScope::RateAndSlot
-        } else {
-            PermitScope::Rate
-        }
+        let (now, service) = (router.now(), &self.service);
+        let needs_slot = match self.is_generation() {
+            true => router.permits.is_brittle(now, service),
+            false => router.permits.enforces_slots(now, service),
+        };
+        if needs_slot { PermitScope::RateAndSlot } else { PermitScope::Rate }
     }
 
     fn is_generation(&self) -> bool {
@@ -160,8 +162,7 @@
     fn with_own_permit(&self, choice: EngineChoice) -> SelectedEngine {
         // Slots are counted even while they are not enforced, so that enforcement starts with the
         // slots in use.
-        let scope = if self.is_generation() { PermitScope::Rate } else { PermitScope::RateAndSlot };
-        let permit = Permit::own(&self.router, &choice.engine, scope);
+        let permit = Permit::own(&self.router, &choice.engine, PermitScope::RateAndSlot);
         SelectedEngine { choice, permit }
     }
 
--- a/crates/gateway/tests/fleet/support/test_codecs.rs
+++ b/crates/gateway/tests/fleet/support/test_codecs.rs
@@ -74,7 +74,7 @@
         let rate = rate.map_or(RateStatement::Unlimited, |rate| {
             RateStatement::Limited(rate.parse().expect("a rate"))
         });
-        EngineDirectives { backoff, leaving, rate, malformed: Vec::new() }
+        EngineDirectives { backoff, leaving, rate, brittle: None, malformed: Vec::new() }
     }
 }
 
