Commit a second drain although the first one is held

Cause: a drain counted as covered by any committed drain, whatever was announced in between.

Change: only a drain whose number follows directly is covered. For another one the leader proposes the state before it and the drain in one entry.

--- a/crates/coordinator/src/departure_watch.rs
+++ b/crates/coordinator/src/departure_watch.rs
@@ -44,12 +44,14 @@
         };
         let new_records: Vec<DepartureRecord> = records
             .into_iter()
-            .filter(|record| departures.would_change(record) && !is_pending(record))
+            .filter(|record| departures.lacks(record) && !is_pending(record))
             .collect();
         for record in &new_records {
             self.proposed.insert(record.engine.clone(), (record.clone(), now));
         }
-        (!new_records.is_empty()).then_some(DepartureChange::Announced(new_records))
+        let proposal: Vec<DepartureRecord> =
+            new_records.into_iter().flat_map(|record| departures.proposal(record)).collect();
+        (!proposal.is_empty()).then_some(DepartureChange::Announced(proposal))
     }
 
     /// Returns the records to expire.
@@ -58,7 +60,7 @@
             return None;
         }
         self.checked_at = now;
-        self.proposed.retain(|_, (record, _)| departures.would_change(record));
+        self.proposed.retain(|_, (record, _)| departures.lacks(record));
         self.first_seen.retain(|engine, _| departures.get(engine).is_some());
         let mut expired = Vec::new();
         for (engine, revision) in departures.revisions() {
--- a/crates/coordinator/src/departures.rs
+++ b/crates/coordinator/src/departures.rs
@@ -42,7 +42,7 @@
     /// Drops committed and expired records and returns the rest.
     fn remaining(&mut self, now: Timestamp, known: &KnownDepartures) -> Vec<DepartureRecord> {
         self.records.retain(|_, (departure, since)| {
-            known.would_change(departure) && now.since(*since) < COMMIT_RETRY_PERIOD
+            known.lacks(departure) && now.since(*since) < COMMIT_RETRY_PERIOD
         });
         self.records.values().map(|(departure, _)| departure.clone()).collect()
     }
@@ -62,9 +62,9 @@
         if is_committed { Ok(()) } else { Err(NotCommitted) }
     }
 
-    /// Submits a departure without waiting for the commit, if it would change the replicated state.
+    /// Submits a departure without waiting for the commit, if the replicated state lacks it.
     pub(crate) fn submit_departure(&self, departure: DepartureRecord) {
-        if self.state.borrow().departures.would_change(&departure) {
+        if self.state.borrow().departures.lacks(&departure) {
             self.state.borrow_mut().uncommitted.insert(self.now(), departure);
             self.forward_uncommitted();
         }
--- a/crates/gateway-core/src/departures.rs
+++ b/crates/gateway-core/src/departures.rs
@@ -33,6 +33,18 @@
 }
 
 impl DepartureRecord {
+    /// Whether this record is in force where `held` is, or outdated. A later drain is not: some
+    /// process may know the engine as ready in between.
+    fn is_covered_by(&self, held: &Self) -> bool {
+        match (held.state, self.state) {
+            (EngineState::Gone, _) => true,
+            (_, EngineState::Gone) => false,
+            // Nothing can have been announced between consecutive numbers.
+            (EngineState::Draining, EngineState::Draining) => self.sequence <= held.sequence + 1,
+            (before, after) => before == after || self.sequence <= held.sequence,
+        }
+    }
+
     /// Whether this record changes anything where `held` is in force.
     fn is_newer_than(&self, held: &Self) -> bool {
         match (held.state, self.state) {
@@ -83,10 +95,10 @@
         self.revision
     }
 
-    /// Whether a record would change anything.
-    pub fn would_change(&self, record: &DepartureRecord) -> bool {
+    /// Whether a record has to be committed.
+    pub fn lacks(&self, record: &DepartureRecord) -> bool {
         match self.records.get(&record.engine) {
-            Some(held) => record.is_newer_than(&held.record),
+            Some(held) => !record.is_covered_by(&held.record),
             // An engine without a record accepts requests.
             None => record.state != EngineState::Ready,
         }
@@ -94,7 +106,22 @@
 
     /// Whether a record is in force, or a newer one of the same engine.
     pub fn covers(&self, record: &DepartureRecord) -> bool {
-        self.records.contains_key(&record.engine) && !self.would_change(record)
+        self.records.contains_key(&record.engine) && !self.lacks(record)
+    }
+
+    /// What the leader proposes to bring a record into force. A second drain follows the state that
+    /// preceded it, since equal states change nothing: replicas of every version must apply the
+    /// same entry alike.
+    pub fn proposal(&self, record: DepartureRecord) -> Vec<DepartureRecord> {
+        let held_state = self.get(&record.engine).map(|held| held.state);
+        let is_second_drain =
+            held_state == Some(EngineState::Draining) && record.state == EngineState::Draining;
+        let preceding = is_second_drain.then(|| DepartureRecord {
+            engine: record.engine.clone(),
+            state: EngineState::Ready,
+            sequence: record.sequence - 1,
+        });
+        preceding.into_iter().chain([record]).collect()
     }
 
     /// Applies a change. Returns whether anything is different.
@@ -130,7 +157,11 @@
     }
 
     fn insert(&mut self, record: DepartureRecord) {
-        if !self.would_change(&record) {
+        let would_change = match self.records.get(&record.engine) {
+            Some(held) => record.is_newer_than(&held.record),
+            None => record.state != EngineState::Ready,
+        };
+        if !would_change {
             return;
         }
         if !self.records.contains_key(&record.engine) && self.records.len() >= MAX_DEPARTURES {
@@ -172,7 +203,7 @@
     /// revision stays, so that the missing changes are sent again.
     pub fn merge_delta(&mut self, now: Timestamp, delta: &DepartureDelta) {
         for record in &delta.records {
-            if self.would_change(record) {
+            if self.lacks(record) {
                 self.records.insert(record.engine.clone(), (record.clone(), now));
             }
         }
@@ -181,17 +212,17 @@
         }
     }
 
-    /// Whether a record would change anything.
-    pub fn would_change(&self, record: &DepartureRecord) -> bool {
+    /// Whether a record has to be committed.
+    pub fn lacks(&self, record: &DepartureRecord) -> bool {
         match self.records.get(&record.engine) {
-            Some((held, _)) => record.is_newer_than(held),
+            Some((held, _)) => !record.is_covered_by(held),
             None => record.state != EngineState::Ready,
         }
     }
 
     /// Whether a record is committed, or a newer one of the same engine.
     pub fn covers(&self, record: &DepartureRecord) -> bool {
-        self.records.contains_key(&record.engine) && !self.would_change(record)
+        self.records.contains_key(&record.engine) && !self.lacks(record)
     }
 
     /// Removes records received a long time ago.
--- a/crates/gateway-core/tests/departures.rs
+++ b/crates/gateway-core/tests/departures.rs
@@ -60,6 +60,11 @@
     ];
     assert!(!departures.apply(DepartureChange::Announced(old.to_vec())));
     assert_eq!(departures.revision(), revision);
+    assert!(departures.covers(&departure("e1", 7, EngineState::Draining)));
+    let later = departure("e1", 9, EngineState::Draining);
+    assert!(!departures.covers(&later));
+    assert!(departures.apply(DepartureChange::Announced(departures.proposal(later.clone()))));
+    assert_eq!(departures.get(&"e1".into()), Some(&later));
     assert!(departures.apply(DepartureChange::Announced(vec![departure(
         "e1",
         0,
@@ -161,21 +166,27 @@
     })
 }
 
-/// Applies the committed records to every directory, and commits what a directory knows to be newer,
-/// until nothing changes.
-fn replicate(departures: &mut Departures, directories: &mut [EngineDirectory]) {
+/// Applies the committed records to every directory, and commits what those that reach the leader
+/// know to be newer, until nothing changes.
+fn replicate(
+    departures: &mut Departures,
+    directories: &mut [EngineDirectory],
+    reaches_leader: &[bool],
+) {
     loop {
         let records = departures.since(0).records;
         let mut newer = Vec::new();
-        for directory in directories.iter_mut() {
+        for (directory, reaches_leader) in directories.iter_mut().zip(reaches_leader) {
             for departure in &records {
                 directory.apply_departure(NOW, departure);
-                newer.extend(directory.newer_announcement(departure));
+                newer.extend(directory.newer_announcement(departure).filter(|_| *reaches_leader));
             }
         }
-        if !departures.apply(DepartureChange::Announced(newer)) {
+        newer.retain(|record| departures.lacks(record));
+        if newer.is_empty() {
             return;
         }
+        departures.apply(DepartureChange::Announced(newer));
     }
 }
 
@@ -188,22 +199,42 @@
     for sequence in [2, 4] {
         directories[0].merge(NOW, notice("e1", sequence, EngineState::Draining));
         let record = departure("e1", sequence, EngineState::Draining);
-        departures.apply(DepartureChange::Announced(vec![record]));
-        replicate(&mut departures, &mut directories);
+        departures.apply(DepartureChange::Announced(departures.proposal(record)));
+        replicate(&mut departures, &mut directories, &[true; 2]);
     }
     assert_eq!(state_of(&directories[1], "e1"), Some(EngineState::Draining));
 }
 
+/// A router or a control process without a leader received `Ready` between two drains and can't
+/// have it committed.
+#[test]
+fn second_drain_is_not_covered_by_the_first_one() {
+    let mut follower = EngineDirectory::follower();
+    follower.merge(NOW, notice("e1", 3, EngineState::Ready));
+    let mut departures = replicated(&[departure("e1", 2, EngineState::Draining)]);
+    follower.apply_departure(NOW, &departure("e1", 2, EngineState::Draining));
+    assert_eq!(state_of(&follower, "e1"), Some(EngineState::Ready));
+    let second = departure("e1", 4, EngineState::Draining);
+    assert!(!departures.covers(&second), "acknowledged before every process can know");
+    departures.apply(DepartureChange::Announced(departures.proposal(second)));
+    departures.since(0).records.iter().for_each(|record| {
+        follower.apply_departure(NOW, record);
+    });
+    assert_eq!(state_of(&follower, "e1"), Some(EngineState::Draining));
+}
+
 proptest! {
     /// An engine's announcements are in order, but reach the processes in any order, some more than
     /// once. Once each was received and committed, every directory has the last state, whether its
     /// process received the announcements, only some of them, or, having started last, only the
-    /// committed records.
+    /// committed records, and whether or not it reaches the leader to have them committed.
     #[test]
     fn every_process_ends_with_the_engines_last_state(
         engine_states in engine_states(),
         order in prop::collection::vec((0_usize..9, 0_usize..3), 30),
+        others_reach_leader in any::<[bool; 2]>(),
     ) {
+        let reaches_leader = [true, others_reach_leader[0], others_reach_leader[1]];
         let count = engine_states.len();
         let mut processes = [(); 3].map(|()| EngineDirectory::default());
         let mut departures = Departures::default();
@@ -222,11 +253,13 @@
             // A process that receives a notice commits it unless it knows a newer one.
             let known =
                 processes[process].get(&"e1".into()).expect("the engine is known").notice.sequence;
-            if state == EngineState::Gone || known <= sequence {
-                departures
-                    .apply(DepartureChange::Announced(vec![departure("e1", sequence, state)]));
+            if reaches_leader[process] && (state == EngineState::Gone || known <= sequence) {
+                let record = departure("e1", sequence, state);
+                if departures.lacks(&record) {
+                    departures.apply(DepartureChange::Announced(departures.proposal(record)));
+                }
             }
-            replicate(&mut departures, &mut processes);
+            replicate(&mut departures, &mut processes, &reaches_leader);
         }
         let last = *engine_states.last().expect("there is at least one state");
         let mut new_process = EngineDirectory::default();
