Run the probes of an isolated router once

The series is started only if none runs. The isolation tests pass; the number of probes was not counted before.

--- a/crates/gateway/src/engine_paths.rs
+++ b/crates/gateway/src/engine_paths.rs
@@ -198,7 +198,7 @@
             Some(ReachabilityChange::Isolated { failed }) => {
                 let engines = self.ready_engine_count() as u64;
                 log::warn!(failed = failed as u64, engines = engines; "isolated from the engines");
-                tokio::task::spawn_local(self.clone().probe_until_connected());
+                self.start_probing();
             }
             Some(ReachabilityChange::Connected { after }) => {
                 log::info!(after_ms = after.0; "connected to the engines again");
@@ -207,9 +207,21 @@
         self.metrics.record_isolated(self.is_isolated());
     }
 
+    /// Starts the probes unless they still run since an earlier isolation.
+    fn start_probing(self: &Rc<Self>) {
+        if self.is_probing.replace(true) {
+            return;
+        }
+        let router = self.clone();
+        tokio::task::spawn_local(async move {
+            router.probe_until_connected().await;
+            router.is_probing.set(false);
+        });
+    }
+
     /// Connects to one engine after the other until this router is no longer isolated. The
     /// connections are kept for requests.
-    async fn probe_until_connected(self: Rc<Self>) {
+    async fn probe_until_connected(self: &Rc<Self>) {
         let mut last: Option<BackEndName> = None;
         while self.is_isolated() {
             sleep(PROBE_INTERVAL).await;
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -63,6 +63,8 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) liveness_probes: LivenessProbes,
     pub(crate) reachability: RefCell<EngineReachability>,
+    /// Whether the probes of an isolated router run.
+    pub(crate) is_probing: Cell<bool>,
     /// The other routers, as relays of connections to engines.
     pub(crate) relay_routers: RefCell<RelayRouters>,
     /// Connections that this router relays for others.
@@ -121,6 +123,7 @@
             pool: ConnectionPool::new(settings.clock.clone(), settings.dialer),
             liveness_probes: LivenessProbes::default(),
             reachability: RefCell::default(),
+            is_probing: Cell::new(false),
             relay_routers: RefCell::default(),
             relayed: RelayedConnections::default(),
             directory: RefCell::new(EngineDirectory::follower()),
