--- a/crates/gateway-core/src/engine_reachability.rs
+++ b/crates/gateway-core/src/engine_reachability.rs
@@ -3,6 +3,9 @@
 //! A single engine that cannot be reached may have crashed. If connections to several engines fail
 //! and none succeeds meanwhile, the path from this router is the more likely cause: it counts as
 //! isolated. Open connections show nothing, since they may live on while new ones are refused.
+//!
+//! The path to a single engine may be lost as well. If another router connects where this one could
+//! not, or new connections break one after the other, a detour is preferred for some time.
 
 use stackpost_types::{BackEndName, Millis, Timestamp};
 use std::collections::BTreeMap;
@@ -11,6 +14,10 @@
 const MIN_FAILED_ENGINES: usize = 2;
 /// Time for which a failed connection counts.
 const FAILURE_TTL: Millis = Millis(3_000);
+/// Consecutive failures at one engine from which a detour is preferred.
+const MIN_FAILURES_FOR_DETOUR: u32 = 2;
+/// Time for which a detour to an engine is preferred.
+const DETOUR_TIME: Millis = Millis(2_000);
 /// Consecutive probes that must succeed, each at another engine, before the router counts as
 /// connected again.
 const MIN_SUCCESSFUL_PROBES: usize = 2;
@@ -30,11 +37,20 @@
     },
 }
 
+/// Failures at one engine without a success in between.
+#[derive(Clone, Copy, Debug, Default)]
+struct Failures {
+    count: u32,
+    last: Timestamp,
+}
+
 /// The outcomes of this router's new connections to engines.
 #[derive(Clone, Debug, Default)]
 pub struct EngineReachability {
     /// Engines to which the newest connection failed, since the last success at any engine.
-    failed: BTreeMap<BackEndName, Timestamp>,
+    failed: BTreeMap<BackEndName, Failures>,
+    /// Until when a detour to an engine is preferred.
+    detours: BTreeMap<BackEndName, Timestamp>,
     isolated_since: Option<Timestamp>,
     /// Engines at which probes succeeded, since the last failed probe.
     probed: Vec<BackEndName>,
@@ -46,6 +62,17 @@
         self.isolated_since.is_some()
     }
 
+    /// Whether a connection to an engine should be opened through another router.
+    pub fn prefers_detour(&self, now: Timestamp, engine: &BackEndName) -> bool {
+        self.is_isolated() || self.detours.get(engine).is_some_and(|until| now < *until)
+    }
+
+    /// Records that another router connected to an engine where this one could not.
+    pub fn on_detour(&mut self, now: Timestamp, engine: &BackEndName) {
+        self.detours.retain(|_, until| now < *until);
+        self.detours.insert(engine.clone(), now + DETOUR_TIME);
+    }
+
     /// Records that a new connection to an engine failed, or broke before it carried anything.
     /// `engines` is the number of engines in service.
     pub fn on_failure(
@@ -54,8 +81,12 @@
         engine: &BackEndName,
         engines: usize,
     ) -> Option<ReachabilityChange> {
-        self.failed.retain(|_, at| now.since(*at) < FAILURE_TTL);
-        self.failed.insert(engine.clone(), now);
+        self.failed.retain(|_, failures| now.since(failures.last) < FAILURE_TTL);
+        let failures = self.failed.entry(engine.clone()).or_default();
+        *failures = Failures { count: failures.count + 1, last: now };
+        if failures.count >= MIN_FAILURES_FOR_DETOUR {
+            self.on_detour(now, engine);
+        }
         let failed = self.failed.len();
         if self.is_isolated() || failed < MIN_FAILED_ENGINES.min(engines) {
             return None;
@@ -65,10 +96,18 @@
         Some(ReachabilityChange::Isolated { failed })
     }
 
-    /// Records the first response over a connection that was opened at `opened`. It shows nothing
-    /// about the time after that.
-    pub fn on_success(&mut self, now: Timestamp, opened: Timestamp) -> Option<ReachabilityChange> {
-        self.failed.retain(|_, at| *at > opened);
+    /// Records the first response over a connection to an engine that was opened at `opened`. It
+    /// shows nothing about the time after that.
+    pub fn on_success(
+        &mut self,
+        now: Timestamp,
+        engine: &BackEndName,
+        opened: Timestamp,
+    ) -> Option<ReachabilityChange> {
+        self.failed.retain(|_, failures| failures.last > opened);
+        if !self.failed.contains_key(engine) {
+            self.detours.remove(engine);
+        }
         let since = self.isolated_since.filter(|since| *since <= opened)?;
         self.isolated_since = None;
         Some(ReachabilityChange::Connected { after: now.since(since) })
@@ -93,6 +132,6 @@
         if self.probed.len() < MIN_SUCCESSFUL_PROBES.min(engines) {
             return None;
         }
-        self.on_success(now, now)
+        self.on_success(now, engine, now)
     }
 }
--- a/crates/gateway-core/src/relay_routers.rs
+++ b/crates/gateway-core/src/relay_routers.rs
@@ -13,10 +13,10 @@
 
 /// Routers of one's own zone, and of other zones, that are asked for one connection.
 const CANDIDATES_PER_GROUP: usize = 2;
-/// Time for which a router that did not relay is asked last; doubled at each further refusal.
+/// Time for which a router that did not relay is not asked; doubled at each further refusal.
 const INITIAL_AVOIDANCE: Millis = Millis(250);
 /// Limit on the doublings of that time.
-const MAX_DOUBLINGS: u32 = 4;
+const MAX_DOUBLINGS: u32 = 3;
 
 /// Refusals of one router since it last relayed a connection.
 #[derive(Clone, Copy, Debug, Default)]
@@ -55,17 +55,14 @@
         let (mut near, mut far): (Vec<_>, Vec<_>) = self
             .others
             .iter()
-            .map(|other| {
-                (self.is_avoided(now, other), mix(key ^ router_hash(other.address)), other)
-            })
-            .partition(|(_, _, other)| Some(&other.zone) == self.own_zone.as_ref());
-        near.sort_by_key(|(avoided, rank, _)| (*avoided, *rank));
-        far.sort_by_key(|(avoided, rank, _)| (*avoided, *rank));
-        let chosen = near.into_iter().take(CANDIDATES_PER_GROUP);
-        let mut chosen: Vec<_> = chosen.chain(far.into_iter().take(CANDIDATES_PER_GROUP)).collect();
-        // Stable: among the routers that are not avoided, those of the own zone stay first.
-        chosen.sort_by_key(|(avoided, _, _)| *avoided);
-        chosen.into_iter().map(|(_, _, other)| other.address).collect()
+            .filter(|other| !self.is_avoided(now, other))
+            .map(|other| (mix(key ^ router_hash(other.address)), other))
+            .partition(|(_, other)| Some(&other.zone) == self.own_zone.as_ref());
+        near.sort_by_key(|(rank, _)| *rank);
+        far.sort_by_key(|(rank, _)| *rank);
+        let near = near.into_iter().take(CANDIDATES_PER_GROUP);
+        let far = far.into_iter().take(CANDIDATES_PER_GROUP);
+        near.chain(far).map(|(_, other)| other.address).collect()
     }
 
     /// Records that a router relayed a connection.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -226,7 +226,7 @@
         }
         Ok(Ok(response)) => {
             if shows_reachability {
-                router.on_connection_succeeded(attempt.sent_at);
+                router.on_connection_succeeded(attempt.name(), attempt.sent_at);
             }
             classify(router, payload, attempt, response)
         }
--- a/crates/gateway/src/engine_paths.rs
+++ b/crates/gateway/src/engine_paths.rs
@@ -1,5 +1,5 @@
-//! Paths to engines: this router's own connections, and those through other routers while it is
-//! isolated from the engines.
+//! Paths to engines: this router's own connections, and those through other routers where it cannot
+//! connect itself.
 
 use crate::connection_pool::{ConnectionPath, EngineConnection};
 use crate::engine_relay::{self, RelayError};
@@ -81,14 +81,15 @@
         self.relay_routers.borrow_mut().set_endpoints(own, endpoints);
     }
 
-    /// A connection to an engine. `fresh` demands a new one. While this router is isolated, other
-    /// routers are asked first; if none of them relays, the engine may have become reachable.
+    /// A connection to an engine. `fresh` demands a new one. Where this router could not connect
+    /// itself of late, other routers are asked first; if none of them relays, the engine may have
+    /// become reachable.
     pub(crate) async fn connect(
         self: &Rc<Self>,
         engine: &EngineRecord,
         fresh: bool,
     ) -> Result<EngineConnection, ConnectError> {
-        let path = self.preferred_path();
+        let path = self.preferred_path(&engine.notice.engine);
         if !fresh && let Some(connection) = self.pool.take_idle(&engine.notice.engine, path) {
             return Ok(connection);
         }
@@ -103,13 +104,17 @@
             Ok(connection) => return Ok(connection),
             Err(error) => error,
         };
-        if path == ConnectionPath::Direct && self.is_isolated() {
-            match self.connect_through_relay(engine).await {
-                Some(result) => return Ok(result?),
-                None => return Err(error.into()),
+        if path == ConnectionPath::Relayed {
+            return Err(error.into());
+        }
+        match self.connect_through_relay(engine).await {
+            Some(Ok(connection)) => {
+                self.on_detour(&engine.notice.engine);
+                Ok(connection)
             }
+            Some(Err(RelayError::EngineUnreachable { .. })) | None => Err(error.into()),
+            Some(Err(relay_error)) => Err(relay_error.into()),
         }
-        Err(error.into())
     }
 
     /// Connects directly, and also asks other routers if that takes long. If one of them is faster,
@@ -127,6 +132,7 @@
             relayed = self.connect_through_relay(engine) => {
                 if let Some(Ok(connection)) = relayed {
                     self.on_connection_failed(&engine.notice.engine);
+                    self.on_detour(&engine.notice.engine);
                     return Ok(connection);
                 }
             }
@@ -134,8 +140,14 @@
         direct.await
     }
 
-    fn preferred_path(&self) -> ConnectionPath {
-        if self.is_isolated() { ConnectionPath::Relayed } else { ConnectionPath::Direct }
+    fn preferred_path(&self, engine: &BackEndName) -> ConnectionPath {
+        let prefers_detour = self.reachability.borrow().prefers_detour(self.now(), engine);
+        if prefers_detour { ConnectionPath::Relayed } else { ConnectionPath::Direct }
+    }
+
+    /// Records that another router connected to an engine where this one could not.
+    pub(crate) fn on_detour(&self, engine: &BackEndName) {
+        self.reachability.borrow_mut().on_detour(self.now(), engine);
     }
 
     async fn connect_directly(
@@ -186,9 +198,13 @@
         self.on_reachability_change(change);
     }
 
-    /// Records the first response over a connection that was opened at `opened`.
-    pub(crate) fn on_connection_succeeded(self: &Rc<Self>, opened: Timestamp) {
-        let change = self.reachability.borrow_mut().on_success(self.now(), opened);
+    /// Records the first response over a connection to an engine that was opened at `opened`.
+    pub(crate) fn on_connection_succeeded(
+        self: &Rc<Self>,
+        engine: &BackEndName,
+        opened: Timestamp,
+    ) {
+        let change = self.reachability.borrow_mut().on_success(self.now(), engine, opened);
         self.on_reachability_change(change);
     }
 
--- a/crates/gateway/src/engine_relay/server.rs
+++ b/crates/gateway/src/engine_relay/server.rs
@@ -78,7 +78,7 @@
         // closes.
         tokio::select! {
             result = forward_to_engine(from_router, to_engine) => result,
-            result = self.forward_to_router(from_engine, to_router) => result,
+            result = self.forward_to_router(&request.engine, from_engine, to_router) => result,
         }
     }
 
@@ -115,6 +115,7 @@
     /// Forwards what the engine sends, in frames, the last of which is empty.
     async fn forward_to_router(
         &self,
+        engine: &BackEndName,
         mut from: OwnedReadHalf,
         mut to: OwnedWriteHalf,
     ) -> io::Result<()> {
@@ -125,7 +126,7 @@
             let length = from.read(&mut frame[LENGTH_BYTES..]).await?;
             if !has_responded && length > 0 {
                 has_responded = true;
-                self.router.on_connection_succeeded(opened);
+                self.router.on_connection_succeeded(engine, opened);
             }
             frame[..LENGTH_BYTES].copy_from_slice(&(length as u16).to_be_bytes());
             to.write_all(&frame[..LENGTH_BYTES + length]).await?;
--- a/crates/gateway/src/liveness_probe.rs
+++ b/crates/gateway/src/liveness_probe.rs
@@ -49,6 +49,7 @@
         self.on_connection_failed(&engine.notice.engine);
         match timeout(RELAYED_PROBE_TIMEOUT, self.connect_through_relay(engine)).await {
             Ok(Some(Ok(connection))) => {
+                self.on_detour(&engine.notice.engine);
                 self.pool.release(&engine.notice.engine, connection, None);
                 true
             }
