--- a/crates/gateway-core/src/departures.rs
+++ b/crates/gateway-core/src/departures.rs
@@ -45,6 +45,12 @@
         }
     }
 
+    /// Whether this record has to be committed where `held` is in force. An engine without a record
+    /// accepts requests.
+    fn is_lacking(&self, held: Option<&Self>) -> bool {
+        held.map_or(self.state != EngineState::Ready, |held| !self.is_covered_by(held))
+    }
+
     /// Whether this record changes anything where `held` is in force.
     fn is_newer_than(&self, held: &Self) -> bool {
         match (held.state, self.state) {
@@ -97,11 +103,7 @@
 
     /// Whether a record has to be committed.
     pub fn lacks(&self, record: &DepartureRecord) -> bool {
-        match self.records.get(&record.engine) {
-            Some(held) => !record.is_covered_by(&held.record),
-            // An engine without a record accepts requests.
-            None => record.state != EngineState::Ready,
-        }
+        record.is_lacking(self.get(&record.engine))
     }
 
     /// Whether a record is in force, or a newer one of the same engine.
@@ -214,10 +216,7 @@
 
     /// Whether a record has to be committed.
     pub fn lacks(&self, record: &DepartureRecord) -> bool {
-        match self.records.get(&record.engine) {
-            Some((held, _)) => !record.is_covered_by(held),
-            None => record.state != EngineState::Ready,
-        }
+        record.is_lacking(self.records.get(&record.engine).map(|(held, _)| held))
     }
 
     /// Whether a record is committed, or a newer one of the same engine.
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -2,11 +2,11 @@
 
 use crate::engine_dialer::EngineDialer;
 use crate::engine_relay::RelayedStream;
+use crate::socket_options::set_options;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
 use stackpost_clock::{BootInstant, MachineClock};
 use stackpost_gateway_core::{EngineDirectory, EngineRecord, EngineState};
 use stackpost_types::BackEndName;
@@ -23,12 +23,6 @@
 
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(450);
-/// Time without an acknowledgement of bytes or keepalive probes after which a connection breaks. A
-/// sound engine may be silent for a second, and what is lost meanwhile is sent again after growing
-/// pauses. On Linux this limit decides for keepalive probes too, whatever their number.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(4_000);
-/// Idle time before TCP keepalive probes, and their interval.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Idle limit of a connection whose engine does not state one.
 const DEFAULT_IDLE_LIMIT: Duration = Duration::from_millis(3_000);
 /// Timeout for the connection that probes whether an engine is running: many round trips between
@@ -188,17 +182,6 @@
     }
 }
 
-/// Sets the options of a connection to an engine.
-fn set_options(stream: &TcpStream) {
-    let socket = SockRef::from(stream);
-    let probes =
-        TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
-    // These only help to detect an unresponsive machine; the connection works without them.
-    let _ = socket.set_tcp_nodelay(true);
-    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
-    let _ = socket.set_tcp_keepalive(&probes);
-}
-
 /// Begins HTTP on an established connection.
 async fn start_http<S>(stream: S, path: ConnectionPath) -> io::Result<EngineConnection>
 where
--- a/crates/gateway/src/engine_paths.rs
+++ b/crates/gateway/src/engine_paths.rs
@@ -81,8 +81,8 @@
         self.relay_routers.borrow_mut().set_endpoints(own, endpoints);
     }
 
-    /// A connection to an engine. `fresh` demands a new one. Where this router could not connect
-    /// itself of late, other routers are asked first; if none of them relays, the engine may have
+    /// A connection to an engine. `fresh` demands a new one. Where this router recently could
+    /// not connect itself, other routers are asked first; if none of them relays, the engine may have
     /// become reachable.
     pub(crate) async fn connect(
         self: &Rc<Self>,
--- a/crates/gateway/src/engine_relay.rs
+++ b/crates/gateway/src/engine_relay.rs
@@ -20,11 +20,9 @@
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use socket2::{SockRef, TcpKeepalive};
 use stackpost_types::BackEndName;
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -32,11 +30,6 @@
 const MAX_MESSAGE_BYTES: usize = 1_024;
 /// Bytes of the length in front of each message and frame.
 const LENGTH_BYTES: usize = 2;
-/// Time without an acknowledgement after which a connection between two routers breaks.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(4_000);
-/// Idle time before TCP keepalive probes, and their interval.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Asks for a connection.
 #[derive(Debug, Serialize, Deserialize)]
 struct RelayRequest {
@@ -75,14 +68,3 @@
     stream.read_exact(&mut encoded).await?;
     postcard::from_bytes(&encoded).map_err(io::Error::other)
 }
-
-/// Sets the options of a connection between two routers.
-fn set_options(stream: &TcpStream) {
-    let socket = SockRef::from(stream);
-    let probes =
-        TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
-    // These shorten delays and detect a lost peer; the connection works without them.
-    let _ = socket.set_tcp_nodelay(true);
-    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
-    let _ = socket.set_tcp_keepalive(&probes);
-}
--- a/crates/gateway/src/engine_relay/client.rs
+++ b/crates/gateway/src/engine_relay/client.rs
@@ -1,9 +1,7 @@
 //! Asks another router for a connection to an engine.
 
-use super::{
-    RelayReply, RelayRequest, RelayedStream, read_message, relay_address, set_options,
-    write_message,
-};
+use super::{RelayReply, RelayRequest, RelayedStream, read_message, relay_address, write_message};
+use crate::socket_options::set_options;
 use stackpost_types::BackEndName;
 use std::io;
 use std::net::SocketAddr;
--- a/crates/gateway/src/engine_relay/server.rs
+++ b/crates/gateway/src/engine_relay/server.rs
@@ -1,8 +1,8 @@
 //! Relays connections to engines for routers that are isolated from them.
 
-use super::write_message;
-use super::{LENGTH_BYTES, RelayReply, RelayRequest, read_message, relay_address, set_options};
+use super::{LENGTH_BYTES, RelayReply, RelayRequest, read_message, relay_address, write_message};
 use crate::router::Router;
+use crate::socket_options::set_options;
 use stackpost_gateway_core::EngineRecord;
 use stackpost_types::{BackEndName, PeerError, Step};
 use std::io;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod router;
 mod select_engine;
 mod server;
+mod socket_options;
 mod unservable;
 
 pub use body::{GatewayBody, TruncatedBody};
