Use a path again only after a probe that stays open

Cause: a detour ended by time, and a probe counted after 10 ms. The stand-in accepts and closes tens of milliseconds later, so every second new requests that can't be repeated were sent on such connections and lost (502 answer_lost, 13 probes in the log).

Change: a detour lasts until a probe succeeds, and probes of lost paths must stay open for 300 ms. The check after an interrupted response keeps its 10 ms.

--- a/crates/gateway-core/src/engine_reachability.rs
+++ b/crates/gateway-core/src/engine_reachability.rs
@@ -5,7 +5,7 @@
 //! isolated. Open connections show nothing, since they may live on while new ones are refused.
 //!
 //! The path to a single engine may be lost as well. If another router connects where this one could
-//! not, or new connections break one after the other, a detour is preferred for some time.
+//! not, or new connections break one after the other, a detour is preferred until a probe succeeds.
 
 use stackpost_types::{BackEndName, Millis, Timestamp};
 use std::collections::BTreeMap;
@@ -16,8 +16,8 @@
 const FAILURE_TTL: Millis = Millis(3_000);
 /// Consecutive failures at one engine from which a detour is preferred.
 const MIN_FAILURES_FOR_DETOUR: u32 = 2;
-/// Time for which a detour to an engine is preferred.
-const DETOUR_TIME: Millis = Millis(2_000);
+/// Time until an engine that is reached by a detour is probed.
+const DETOUR_TIME: Millis = Millis(1_000);
 /// Consecutive probes that must succeed, each at another engine, before the router counts as
 /// connected again.
 const MIN_SUCCESSFUL_PROBES: usize = 2;
@@ -49,7 +49,7 @@
 pub struct EngineReachability {
     /// Engines to which the newest connection failed, since the last success at any engine.
     failed: BTreeMap<BackEndName, Failures>,
-    /// Until when a detour to an engine is preferred.
+    /// Engines that are reached by a detour, with the time of the next probe.
     detours: BTreeMap<BackEndName, Timestamp>,
     isolated_since: Option<Timestamp>,
     /// Engines at which probes succeeded, since the last failed probe.
@@ -63,13 +63,28 @@
     }
 
     /// Whether a connection to an engine should be opened through another router.
-    pub fn prefers_detour(&self, now: Timestamp, engine: &BackEndName) -> bool {
-        self.is_isolated() || self.detours.get(engine).is_some_and(|until| now < *until)
+    pub fn prefers_detour(&self, engine: &BackEndName) -> bool {
+        self.is_isolated() || self.detours.contains_key(engine)
+    }
+
+    /// Whether any path is lost, so that probes are needed.
+    pub fn needs_probes(&self) -> bool {
+        self.is_isolated() || !self.detours.is_empty()
+    }
+
+    /// An engine whose path is to be probed now.
+    pub fn due_detour(&self, now: Timestamp) -> Option<&BackEndName> {
+        self.detours.iter().find(|(_, due)| **due <= now).map(|(engine, _)| engine)
+    }
+
+    /// Forgets an engine that has left.
+    pub fn forget(&mut self, engine: &BackEndName) {
+        self.failed.remove(engine);
+        self.detours.remove(engine);
     }
 
     /// Records that another router connected to an engine where this one could not.
     pub fn on_detour(&mut self, now: Timestamp, engine: &BackEndName) {
-        self.detours.retain(|_, until| now < *until);
         self.detours.insert(engine.clone(), now + DETOUR_TIME);
     }
 
@@ -124,8 +139,12 @@
     ) -> Option<ReachabilityChange> {
         if !succeeded {
             self.probed.clear();
+            if self.detours.contains_key(engine) {
+                self.on_detour(now, engine);
+            }
             return None;
         }
+        self.forget(engine);
         if !self.probed.contains(engine) {
             self.probed.push(engine.clone());
         }
--- a/crates/gateway-core/tests/engine_reachability.rs
+++ b/crates/gateway-core/tests/engine_reachability.rs
@@ -87,11 +87,24 @@
 fn repeated_failures_at_one_engine_are_avoided_by_a_detour() {
     let mut reachability = EngineReachability::default();
     reachability.on_failure(NOW, &engine(1), ENGINES);
-    assert!(!reachability.prefers_detour(NOW, &engine(1)));
+    assert!(!reachability.prefers_detour(&engine(1)) && !reachability.needs_probes());
     reachability.on_failure(NOW, &engine(1), ENGINES);
-    assert!(reachability.prefers_detour(NOW, &engine(1)));
-    assert!(!reachability.prefers_detour(NOW, &engine(2)));
-    assert!(!reachability.prefers_detour(NOW + Millis(2_000), &engine(1)));
+    assert!(reachability.prefers_detour(&engine(1)) && reachability.needs_probes());
+    assert!(!reachability.prefers_detour(&engine(2)));
     reachability.on_success(NOW, &engine(1), NOW);
-    assert!(!reachability.prefers_detour(NOW, &engine(1)));
+    assert!(!reachability.prefers_detour(&engine(1)) && !reachability.needs_probes());
+}
+
+#[test]
+fn detour_lasts_until_a_probe_succeeds() {
+    let mut reachability = EngineReachability::default();
+    reachability.on_detour(NOW, &engine(1));
+    assert_eq!(reachability.due_detour(NOW + Millis(999)), None);
+    let due = NOW + Millis(1_000);
+    assert_eq!(reachability.due_detour(due), Some(&engine(1)));
+    reachability.on_probe(due, &engine(1), false, ENGINES);
+    assert!(reachability.prefers_detour(&engine(1)));
+    assert_eq!(reachability.due_detour(due), None);
+    reachability.on_probe(due + Millis(1_000), &engine(1), true, ENGINES);
+    assert!(!reachability.prefers_detour(&engine(1)));
 }
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -28,9 +28,6 @@
 /// Timeout for the connection that probes whether an engine is running: many round trips between
 /// zones (2 ms each), and short compared to the time left for retrying the request elsewhere.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
-/// Time for which the probe connection must stay open: a multiple of the time that an exiting
-/// process takes to close its sockets.
-const PROBE_SETTLE: Duration = Duration::from_millis(10);
 /// Part of an engine's idle limit that is used, in percent, so that a request does not race with
 /// the engine closing the connection.
 const IDLE_LIMIT_PERCENT: u32 = 60;
@@ -83,15 +80,14 @@
         Self { clock, dialer, idle: RefCell::default() }
     }
 
-    /// Whether an engine still accepts connections, probed with a new one, which is kept for the
-    /// next request. A timeout counts as no.
-    pub async fn accepts_connections(&self, engine: &EngineRecord) -> bool {
+    /// Whether an engine still accepts connections, probed with a new one, which must stay open for
+    /// `settle` and is kept for the next request. A timeout counts as no.
+    pub async fn accepts_connections(&self, engine: &EngineRecord, settle: Duration) -> bool {
         let Ok(Ok(connection)) = timeout(PROBE_TIMEOUT, self.open(engine.notice.address)).await
         else {
             return false;
         };
-        // An exiting process closes its listener and its connections one after the other.
-        sleep(PROBE_SETTLE).await;
+        sleep(settle).await;
         let is_alive = !connection.sender.is_closed();
         self.release(&engine.notice.engine, connection, None);
         is_alive
--- a/crates/gateway/src/engine_paths.rs
+++ b/crates/gateway/src/engine_paths.rs
@@ -15,8 +15,10 @@
 use thiserror::Error;
 use tokio::time::{Instant, sleep, timeout};
 
-/// Interval of the probes by which an isolated router notices that it reaches engines again.
+/// Interval of the probes by which a router notices that it reaches engines again.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for which a probe must stay open: the path may accept a connection and break it later.
+const PROBE_SETTLE: Duration = Duration::from_millis(300);
 /// Time for a connection before other routers are asked as well: many round trips, and a third of
 /// the connection timeout.
 const HEDGE_DELAY: Duration = Duration::from_millis(150);
@@ -141,13 +143,17 @@
     }
 
     fn preferred_path(&self, engine: &BackEndName) -> ConnectionPath {
-        let prefers_detour = self.reachability.borrow().prefers_detour(self.now(), engine);
-        if prefers_detour { ConnectionPath::Relayed } else { ConnectionPath::Direct }
+        if self.reachability.borrow().prefers_detour(engine) {
+            ConnectionPath::Relayed
+        } else {
+            ConnectionPath::Direct
+        }
     }
 
     /// Records that another router connected to an engine where this one could not.
-    pub(crate) fn on_detour(&self, engine: &BackEndName) {
+    pub(crate) fn on_detour(self: &Rc<Self>, engine: &BackEndName) {
         self.reachability.borrow_mut().on_detour(self.now(), engine);
+        self.probe_if_needed();
     }
 
     async fn connect_directly(
@@ -196,6 +202,7 @@
         let engines = self.ready_engine_count();
         let change = self.reachability.borrow_mut().on_failure(self.now(), engine, engines);
         self.on_reachability_change(change);
+        self.probe_if_needed();
     }
 
     /// Records the first response over a connection to an engine that was opened at `opened`.
@@ -214,7 +221,6 @@
             Some(ReachabilityChange::Isolated { failed }) => {
                 let engines = self.ready_engine_count() as u64;
                 log::warn!(failed = failed as u64, engines = engines; "isolated from the engines");
-                self.start_probing();
             }
             Some(ReachabilityChange::Connected { after }) => {
                 log::info!(after_ms = after.0; "connected to the engines again");
@@ -223,28 +229,28 @@
         self.metrics.record_isolated(self.is_isolated());
     }
 
-    /// Starts the probes unless they still run since an earlier isolation.
-    fn start_probing(self: &Rc<Self>) {
-        if self.is_probing.replace(true) {
+    /// Starts the probes if a path is lost, unless they still run.
+    fn probe_if_needed(self: &Rc<Self>) {
+        if !self.reachability.borrow().needs_probes() || self.is_probing.replace(true) {
             return;
         }
         let router = self.clone();
         tokio::task::spawn_local(async move {
-            router.probe_until_connected().await;
+            router.probe_lost_paths().await;
             router.is_probing.set(false);
         });
     }
 
-    /// Connects to one engine after the other until this router is no longer isolated. The
-    /// connections are kept for requests.
-    async fn probe_until_connected(self: &Rc<Self>) {
+    /// Connects to one engine after the other until no path is lost. The connections are kept for
+    /// requests.
+    async fn probe_lost_paths(self: &Rc<Self>) {
         let mut last: Option<BackEndName> = None;
-        while self.is_isolated() {
+        while self.reachability.borrow().needs_probes() {
             sleep(PROBE_INTERVAL).await;
-            let Some(engine) = self.engine_after(last.as_ref()) else {
+            let Some(engine) = self.next_to_probe(last.as_ref()) else {
                 continue;
             };
-            let succeeded = self.pool.accepts_connections(&engine).await;
+            let succeeded = self.pool.accepts_connections(&engine, PROBE_SETTLE).await;
             let name = engine.notice.engine;
             let engines = self.ready_engine_count();
             let change =
@@ -254,6 +260,20 @@
         }
     }
 
+    /// An engine that is reached by a detour and due, or while isolated the one after `last`.
+    fn next_to_probe(&self, last: Option<&BackEndName>) -> Option<EngineRecord> {
+        let due = self.reachability.borrow().due_detour(self.now()).cloned();
+        let Some(name) = due else {
+            return if self.is_isolated() { self.engine_after(last) } else { None };
+        };
+        let directory = self.directory.borrow();
+        let engine = directory.get(&name).filter(|_| directory.accepts_requests(&name)).cloned();
+        if engine.is_none() {
+            self.reachability.borrow_mut().forget(&name);
+        }
+        engine
+    }
+
     /// The engine in service that follows `last` by name, or the first one.
     fn engine_after(&self, last: Option<&BackEndName>) -> Option<EngineRecord> {
         let directory = self.directory.borrow();
--- a/crates/gateway/src/liveness_probe.rs
+++ b/crates/gateway/src/liveness_probe.rs
@@ -18,6 +18,9 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
+/// Time for which the probe connection must stay open: a multiple of the time that an exiting
+/// process takes to close its listener and its connections, one after the other.
+const PROBE_SETTLE: Duration = Duration::from_millis(10);
 /// Timeout for a probe through other routers: several times a probe from here, since more than one
 /// of them may have to be asked.
 const RELAYED_PROBE_TIMEOUT: Duration = Duration::from_millis(180);
@@ -43,7 +46,7 @@
     /// Whether an engine accepts a connection from here or from another router. An isolated router
     /// that finds no other one can't tell, and counts the engine as running.
     async fn reaches(self: &Rc<Self>, engine: &EngineRecord) -> bool {
-        if self.pool.accepts_connections(engine).await {
+        if self.pool.accepts_connections(engine, PROBE_SETTLE).await {
             return true;
         }
         self.on_connection_failed(&engine.notice.engine);
