--- a/crates/gateway/src/engine_paths.rs
+++ b/crates/gateway/src/engine_paths.rs
@@ -126,6 +126,10 @@
         engine: &EngineRecord,
     ) -> io::Result<EngineConnection> {
         let mut direct = pin!(self.connect_directly(engine));
+        // A relay is reached over the same link.
+        if self.congestion.is_congested(Instant::now().into_std()) {
+            return direct.await;
+        }
         if let Ok(result) = timeout(HEDGE_DELAY, &mut direct).await {
             return result;
         }
