--- a/crates/gateway-core/src/relay_routers.rs
+++ b/crates/gateway-core/src/relay_routers.rs
@@ -1,4 +1,4 @@
-//! Which other routers this one asks to relay its connections to engines while it is isolated.
+//! Which other routers this one asks to relay a connection that it cannot open itself.
 //!
 //! Routers of the own zone are nearer, but a whole zone may be isolated, so routers of other zones
 //! are asked as well. Each engine has its own ranking, which differs from router to router: the
--- a/crates/gateway/src/engine_relay.rs
+++ b/crates/gateway/src/engine_relay.rs
@@ -1,9 +1,9 @@
 //! Connections to engines through another router.
 //!
-//! A router that is isolated from the engines asks another router to open a connection to an engine
-//! and to forward its bytes. Admission, budgets, permits and retries stay with the router that
-//! received the caller's request; the relay reads none of the bytes. A router that is isolated
-//! itself refuses, so there is one hop at most.
+//! A router that cannot connect to an engine itself asks another router to open the connection and
+//! to forward its bytes. Admission, budgets, permits and retries stay with the router that
+//! received the caller's request; the relay reads none of the bytes. A relay
+//! connects directly and refuses while it is isolated itself, so there is one hop at most.
 //!
 //! On the wire: a [`RelayRequest`], a [`RelayReply`], then the caller's bytes as they are in one
 //! direction and frames of the engine's bytes in the other. An empty frame says that the engine has
--- a/crates/gateway/src/engine_relay/server.rs
+++ b/crates/gateway/src/engine_relay/server.rs
@@ -1,4 +1,4 @@
-//! Relays connections to engines for routers that are isolated from them.
+//! Relays connections to engines for routers that cannot connect themselves.
 
 use super::{LENGTH_BYTES, RelayReply, RelayRequest, read_message, relay_address, write_message};
 use crate::router::Router;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! [`serve_callers`] accepts the connection, `request` admits the request and reserves its tokens,
 //! `attempt` sends it to an engine over a connection of `connection_pool`, and `relay` forwards a
-//! stream, resuming it at another engine if the first one interrupts it. While the router is isolated
-//! from the engines, `engine_relay` connects to them through another router. `fleet_link` keeps the
+//! stream, resuming it at another engine if the first one interrupts it. Where the router cannot
+//! connect itself, `engine_relay` connects through another router. `fleet_link` keeps the
 //! router's state up to date, and `load_exchange` sends this router's load on the engines to the
 //! other routers. A [`HeaderCodec`] defines which header carries what.
 
