Pass the software versions of engines on to routers and log them

Logs could not tell which version began a stream and which one continued it: announcements state it, and it was dropped when they were read. Routing is unchanged.

--- a/crates/bench/src/rates.rs
+++ b/crates/bench/src/rates.rs
@@ -91,6 +91,7 @@
         state: EngineState::Ready,
         age: Millis(0),
         known_for: Millis(0),
+        software: Default::default(),
     };
     directory.merge(Timestamp(1), notice);
     directory.get(&name).expect("the engine was announced").clone()
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -107,7 +107,7 @@
     /// From a control replica to a router that holds the version it is based on.
     DocumentDelta(DocumentDelta),
     /// Between control processes: announcements of engines.
-    Engines(Vec<EngineNotice>),
+    Engines(#[serde(with = "stackpost_gateway_core::notice_list")] Vec<EngineNotice>),
     /// From a control process to a router: changes of its directory of engines.
     EngineChanges(DirectoryDelta),
     /// From a control process of an earlier version to routers: engines whose announcements are
--- a/crates/gateway-core/src/directory.rs
+++ b/crates/gateway-core/src/directory.rs
@@ -19,7 +19,7 @@
 
 use crate::departures::DepartureRecord;
 use crate::engine_notice::{DirectoryDelta, EngineNotice, EngineState, MergeOutcome};
-use stackpost_types::{BackEndName, Millis, Timestamp, ZoneName};
+use stackpost_types::{BackEndName, Millis, SoftwareVersion, Timestamp, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Time for which an engine that has left is remembered, so that late notices do not revive it.
@@ -118,11 +118,12 @@
     }
 
     /// Merges a notice.
-    pub fn merge(&mut self, now: Timestamp, notice: EngineNotice) -> MergeOutcome {
+    pub fn merge(&mut self, now: Timestamp, mut notice: EngineNotice) -> MergeOutcome {
         let announced_at = Timestamp(now.0.saturating_sub(notice.age.0));
         if notice.state != EngineState::Gone && self.has_newer_incarnation(&notice.engine) {
             return MergeOutcome::Stale;
         }
+        self.keep_known_software(&mut notice);
         let change = match self.engines.get(&notice.engine) {
             None => MergeOutcome::Changed,
             Some(known) if known.has_left() => return MergeOutcome::Stale,
@@ -138,7 +139,12 @@
                 }
                 MergeOutcome::Changed
             }
-            Some(known) if known.notice.state == notice.state => MergeOutcome::Refreshed,
+            Some(known)
+                if known.notice.state == notice.state
+                    && known.notice.software == notice.software =>
+            {
+                MergeOutcome::Refreshed
+            }
             Some(_) => MergeOutcome::Changed,
         };
         if change == MergeOutcome::Changed {
@@ -149,6 +155,15 @@
         change
     }
 
+    /// A process of an earlier version passes notices on without the software version.
+    fn keep_known_software(&self, notice: &mut EngineNotice) {
+        if notice.software == SoftwareVersion::default()
+            && let Some(known) = self.engines.get(&notice.engine)
+        {
+            notice.software = known.notice.software.clone();
+        }
+    }
+
     fn insert(
         &mut self,
         now: Timestamp,
--- a/crates/gateway-core/src/engine_notice.rs
+++ b/crates/gateway-core/src/engine_notice.rs
@@ -1,7 +1,8 @@
 //! Announcements of engines, and how processes pass them on to one another.
 
+use crate::notice_list;
 use serde::{Deserialize, Serialize};
-use stackpost_types::{BackEndName, Millis, ServiceName, ZoneName};
+use stackpost_types::{BackEndName, Millis, ServiceName, SoftwareVersion, ZoneName};
 use std::net::SocketAddr;
 
 /// Whether an engine accepts requests.
@@ -48,6 +49,9 @@
     /// Time since this incarnation became known, by the clock of the process that passes it on;
     /// zero in a notice from the engine itself.
     pub known_for: Millis,
+    /// Version of its software. The list that holds the notice encodes it ([`notice_list`]).
+    #[serde(skip)]
+    pub software: SoftwareVersion,
 }
 
 impl EngineNotice {
@@ -63,6 +67,7 @@
             state: EngineState::Gone,
             age: Millis(0),
             known_for: Millis(0),
+            software: SoftwareVersion::default(),
         }
     }
 
@@ -102,5 +107,6 @@
     /// The revision after the delta.
     pub revision: u64,
     /// The engines that have changed in between.
+    #[serde(with = "notice_list")]
     pub notices: Vec<EngineNotice>,
 }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -48,6 +48,7 @@
 mod fingerprint;
 mod hashing;
 mod load_shedding;
+pub mod notice_list;
 mod picker;
 mod placement;
 mod quarantine;
--- a/crates/gateway-core/tests/backoff.rs
+++ b/crates/gateway-core/tests/backoff.rs
@@ -25,6 +25,7 @@
             state: EngineState::Ready,
             age: Millis(0),
             known_for: Millis(0),
+            software: Default::default(),
         },
     );
 }
--- a/crates/gateway-core/tests/departures.rs
+++ b/crates/gateway-core/tests/departures.rs
@@ -22,6 +22,7 @@
         state,
         age: Millis(0),
         known_for: Millis(0),
+        software: Default::default(),
     }
 }
 
--- a/crates/gateway-core/tests/engine_incarnations.rs
+++ b/crates/gateway-core/tests/engine_incarnations.rs
@@ -23,6 +23,7 @@
         state,
         age: Millis(0),
         known_for: Millis(0),
+        software: Default::default(),
     }
 }
 
--- a/crates/gateway-core/tests/engine_permits.rs
+++ b/crates/gateway-core/tests/engine_permits.rs
@@ -34,6 +34,7 @@
             state: EngineState::Ready,
             age: Millis(0),
             known_for: Millis(0),
+            software: Default::default(),
         },
     );
     directory.get(&name).expect("the engine is known").clone()
--- a/crates/gateway-core/tests/placement.rs
+++ b/crates/gateway-core/tests/placement.rs
@@ -18,6 +18,7 @@
             state: EngineState::Ready,
             age: Millis(0),
             known_for: Millis(0),
+            software: Default::default(),
         };
         directory.merge(START, notice);
     }
--- a/crates/gateway-core/tests/slot_shares.rs
+++ b/crates/gateway-core/tests/slot_shares.rs
@@ -24,6 +24,7 @@
             state: EngineState::Ready,
             age: Millis(0),
             known_for: Millis(0),
+            software: Default::default(),
         },
     );
     directory.get(&name).expect("the engine is known").clone()
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -206,6 +206,20 @@
     );
 }
 
+/// The first event of a stream that the caller resumes has been received, with the software version
+/// of the engine that continues it.
+pub(crate) fn caller_resumed_stream(context: &RequestContext, attempt: &ActiveAttempt) {
+    let caller = &context.payload.caller;
+    log::info!(
+        request = caller.id.as_str(),
+        resumes = caller.resumes.as_deref(),
+        last_event = caller.last_event,
+        engine = attempt.name().as_str(),
+        software = attempt.engine().notice.software.as_str();
+        "stream resumed for the caller"
+    );
+}
+
 /// An engine whose connection was lost accepts new ones, so it has not crashed.
 pub(crate) fn survived_interruption(request: &str, engine: &BackEndName) {
     log::info!(request = request, engine = engine.as_str(); "the engine still takes connections");
--- a/crates/gateway/src/fleet_link/engine_updates.rs
+++ b/crates/gateway/src/fleet_link/engine_updates.rs
@@ -119,6 +119,7 @@
         for notice in arrivals.iter().take(MAX_ARRIVAL_LINES) {
             log::info!(
                 engine = notice.engine.as_str(),
+                software = notice.software.as_str(),
                 sequence = notice.sequence,
                 age_ms = notice.age.0,
                 peer = peer.as_str();
--- a/crates/gateway/src/header_codec.rs
+++ b/crates/gateway/src/header_codec.rs
@@ -18,6 +18,8 @@
     pub generation: Option<Generation>,
     /// The last event that the caller received of a stream that it resumes.
     pub last_event: Option<u64>,
+    /// The id of the caller's attempt that began the stream that it resumes.
+    pub resumes: Option<String>,
 }
 
 /// The size of a generation.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -86,6 +86,9 @@
         Ok(NextEvent::Event(event)) => {
             let took = source.attempt.on_first_event();
             decision_log::late_first_event(context, &source.attempt, took);
+            if context.payload.caller.last_event.is_some() {
+                decision_log::caller_resumed_stream(context, &source.attempt);
+            }
             Ok(StartedStream { head, source, first: Some(event) })
         }
         Ok(NextEvent::End) => Ok(StartedStream { head, source, first: None }),
@@ -235,6 +238,7 @@
             log::info!(
                 request = self.context.payload.caller.id.as_str(),
                 engine = selected.choice.engine.notice.engine.as_str(),
+                software = selected.choice.engine.notice.software.as_str(),
                 last_event = last_event;
                 "resuming stream at another engine"
             );
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -306,6 +306,7 @@
         state,
         age: Millis(0),
         known_for: Millis(0),
+        software: Default::default(),
     }
 }
 
--- a/crates/gateway/tests/fleet/support/test_codecs.rs
+++ b/crates/gateway/tests/fleet/support/test_codecs.rs
@@ -25,7 +25,8 @@
             wait: text("wait").and_then(|wait| wait.parse().ok()).map(Millis),
             key: text("key").map(Into::into),
             generation,
-            last_event: None,
+            last_event: text("after").and_then(|event| event.parse().ok()),
+            resumes: text("resumes").map(Into::into),
         })
     }
 
--- a/crates/types/src/names.rs
+++ b/crates/types/src/names.rs
@@ -64,6 +64,10 @@
     /// One model engine or one plain server.
     BackEndName
 );
+name_type!(
+    /// Version of the software of an engine; empty if the engine does not state it.
+    SoftwareVersion
+);
 name_type!(
     /// The name of a model, as used by callers.
     ModelName
@@ -77,6 +81,13 @@
     OperatorName
 );
 
+impl Default for SoftwareVersion {
+    /// A version that is not stated.
+    fn default() -> Self {
+        Self::new("")
+    }
+}
+
 /// Separates an engine's id from its start time. No id contains it.
 const INCARNATION_SEPARATOR: char = '@';
 
