Keep streams at the software version that began them

Callers saw streams whose first events one software version wrote and the others another one (30 streams when three routers and two engines were lost beside an upgrade).

Cause: announcements state the version, and it was dropped when they were read, so nothing restricted where a stream goes on: neither the router's own resumption nor the router that a caller turns to.

Why it works: the first event binds a request to a version, and every choice of an engine passes over other versions. The version is recorded at two routers in different zones under the attempt's id; a router that is asked to resume goes on only with that record, and refuses otherwise.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -19,6 +19,8 @@
 //!   each router may send them one.
 //! - [`LoadShedder`]: which requests are admitted while demand exceeds the rates that engines
 //!   state.
+//! - [`StreamVersions`]: which software version began a stream; [`StreamRecorders`]: which routers
+//!   keep that record.
 //! - [`RetryBudget`]: how many requests may be sent to a further engine.
 //! - [`RequestFingerprint`]: identifies a request by its content; the same for every retry of it.
 //! - [`Departures`]: engines that drain or have left, for the whole fleet.
@@ -59,6 +61,7 @@
 mod router_lists;
 mod slot_shares;
 mod stated_rates;
+mod stream_versions;
 
 pub use account_owners::AccountOwners;
 pub use backoff::{BackoffChange, BackoffTracker};
@@ -95,3 +98,4 @@
 pub use router_lists::{RouterEndpoint, RouterLists, ZoneRouters};
 pub use slot_shares::SlotShares;
 pub use stated_rates::{RateChange, RateStatement, RateUpdate, StatedRates};
+pub use stream_versions::{StreamKey, StreamRecorders, StreamVersions};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod attempt;
 mod body;
+mod caller_resumption;
 pub mod congestion;
 mod connection_pool;
 mod crash_detection;
@@ -36,6 +37,7 @@
 mod select_engine;
 mod server;
 mod socket_options;
+mod stream_records;
 mod unservable;
 
 pub use body::{GatewayBody, TruncatedBody};
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -59,6 +59,7 @@
     ) -> Result<Rc<Self>, PeerError> {
         let socket = Rc::new(PeerSocket::bind(address).await?);
         router.permits.open(incarnation, address, socket.clone());
+        router.stream_records.open(socket.clone());
         let exchange = Rc::new(Self { incarnation, router, socket, peers: RefCell::default() });
         tokio::task::spawn_local(exchange.clone().listen());
         tokio::task::spawn_local(exchange.clone().send_updates());
@@ -97,6 +98,9 @@
                 (PeerDatagram::Permit(message), from) => {
                     self.router.on_permit_message(from, message);
                 }
+                (PeerDatagram::Stream(message), from) => {
+                    self.router.on_stream_message(from, message);
+                }
             }
         }
     }
--- a/crates/gateway/src/peer_socket.rs
+++ b/crates/gateway/src/peer_socket.rs
@@ -3,6 +3,7 @@
 use crate::load_exchange::LoadUpdate;
 use crate::metrics::RouterMetrics;
 use crate::permits::PermitMessage;
+use crate::stream_records::StreamMessage;
 use serde::{Deserialize, Serialize};
 use stackpost_gateway_core::CrashSighting;
 use stackpost_telemetry::LineLimit;
@@ -23,6 +24,8 @@
     Permit(PermitMessage),
     /// Crash sightings, each with its age, sent while the leader is unreachable.
     EngineCrashes(Vec<(CrashSighting, Millis)>),
+    /// A message about the software version that began a stream.
+    Stream(StreamMessage),
 }
 
 /// The UDP socket of a router.
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -48,6 +48,10 @@
     BudgetUnavailable,
     /// No engine of the service accepts requests.
     NoEngine,
+    /// It is not known which software version began the stream that the caller resumes.
+    StreamUnknown,
+    /// No engine of the software version that began the stream accepts requests.
+    NoEngineOfVersion,
     /// The engines have no free capacity.
     EnginesFull,
     /// Every engine of the service has asked for a backoff.
@@ -100,6 +104,8 @@
             Self::BudgetExhausted => "budget_exhausted",
             Self::BudgetUnavailable => "budget_out_of_reach",
             Self::NoEngine => "no_engine",
+            Self::StreamUnknown => "stream_unknown",
+            Self::NoEngineOfVersion => "no_engine_of_version",
             Self::EnginesFull => "engines_full",
             Self::EnginesBackingOff { .. } => "engines_rest",
             Self::RateLimitsExhausted { .. } => "rates_spent",
@@ -123,6 +129,8 @@
             | Self::Stopping
             | Self::ConfigMayBeStale
             | Self::NoEngine
+            | Self::StreamUnknown
+            | Self::NoEngineOfVersion
             | Self::EnginesFull
             | Self::EnginesBackingOff { .. }
             | Self::RateLimitsExhausted { .. }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -86,9 +86,7 @@
         Ok(NextEvent::Event(event)) => {
             let took = source.attempt.on_first_event();
             decision_log::late_first_event(context, &source.attempt, took);
-            if context.payload.caller.last_event.is_some() {
-                decision_log::caller_resumed_stream(context, &source.attempt);
-            }
+            context.on_stream_began(&source.attempt);
             Ok(StartedStream { head, source, first: Some(event) })
         }
         Ok(NextEvent::End) => Ok(StartedStream { head, source, first: None }),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -19,8 +19,8 @@
 use hyper::http::request;
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use stackpost_gateway_core::{Admission, AttemptEnd, Route, RouteTable, Tenant};
-use stackpost_types::{BackEndName, Digest, Millis, ServiceName};
-use std::cell::Cell;
+use stackpost_types::{BackEndName, Digest, Millis, ServiceName, SoftwareVersion};
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -54,6 +54,9 @@
     pub arrived: Instant,
     /// Time left to wait for permits, over all attempts.
     pub permit_wait_left: Cell<Duration>,
+    /// The software version that began the stream, from its first event on. Further attempts use
+    /// engines of this version only.
+    pub stream_version: OnceCell<SoftwareVersion>,
 }
 
 /// Outcome of the attempts so far.
@@ -70,13 +73,6 @@
     pub failure: Option<BufferedResponse>,
 }
 
-impl Progress {
-    /// Engines that further attempts skip, whether they were reached or not.
-    pub fn excluded_engines(&self) -> Vec<BackEndName> {
-        self.tried.iter().chain(&self.unreachable).cloned().collect()
-    }
-}
-
 /// A complete response of an engine.
 pub(crate) struct BufferedResponse {
     head: hyper::http::response::Parts,
@@ -154,9 +150,11 @@
         deadline,
         arrived,
         permit_wait_left,
+        stream_version: OnceCell::new(),
     };
     context.refuse_if_quarantined()?;
     context.refuse_if_unservable()?;
+    context.bind_resumed_stream().await?;
     context.refuse_if_shed()?;
     context.refuse_if_rate_limited()?;
     context.reservation = context.reserve().await?;
@@ -211,6 +209,13 @@
         tenant_priority.unwrap_or(self.route.priority)
     }
 
+    /// Engines that further attempts skip: those that had one, whether they were reached or not,
+    /// and those of another software version than the one that began the stream.
+    pub fn excluded_engines(&self, progress: &Progress) -> Vec<BackEndName> {
+        let attempted = progress.tried.iter().chain(&progress.unreachable).cloned();
+        attempted.chain(self.engines_of_other_versions()).collect()
+    }
+
     /// Hash of the request id, used to break ties and to spread retries.
     pub fn request_hash(&self) -> u64 {
         Digest::of(&[self.payload.caller.id.as_bytes()]).to_u64()
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -10,6 +10,7 @@
 use crate::loans::LoanHandle;
 use crate::metrics::RouterMetrics;
 use crate::permits::PermitPool;
+use crate::stream_records::StreamRecords;
 use stackpost_clock::{BootInstant, MachineClock};
 use stackpost_coordinator::{Document, DocumentCodec, DocumentDelta};
 use stackpost_gateway_core::{
@@ -94,6 +95,8 @@
     pub(crate) permits: PermitPool,
     /// Sheds requests while the engines' rate limits are below the demand.
     pub(crate) shedding: RefCell<LoadShedder>,
+    /// The software versions that began streams.
+    pub(crate) stream_records: StreamRecords,
     malformed_header_lines: LineLimit,
     document: RefCell<Option<Document>>,
     /// The departure records of engines are known completely up to this revision.
@@ -141,6 +144,7 @@
             urgent_update_tokens: Cell::new(Tokens(u64::MAX)),
             permits: PermitPool::default(),
             shedding: RefCell::default(),
+            stream_records: StreamRecords::default(),
             malformed_header_lines: LineLimit::default(),
             document: RefCell::default(),
             departures_revision: Cell::new(0),
--- a/crates/gateway/src/select_engine.rs
+++ b/crates/gateway/src/select_engine.rs
@@ -91,7 +91,7 @@
     /// Whether an engine that was not tried could be used if it were not for its stated rate.
     fn has_rate_limited_candidate(&self, progress: &Progress) -> bool {
         let availability =
-            self.router.permit_availability(&self.service, &progress.excluded_engines());
+            self.router.permit_availability(&self.service, &self.excluded_engines(progress));
         matches!(availability, PermitAvailability::Available | PermitAvailability::Exhausted { .. })
     }
 
@@ -114,7 +114,7 @@
     ) -> Option<SelectedEngine> {
         let pool = &self.router.permits;
         let scope = self.scope();
-        let tried = progress.excluded_engines();
+        let tried = self.excluded_engines(progress);
         let mut asked_lenders = Vec::new();
         while Instant::now() < until
             && self.router.availability(&self.service) == ServiceAvailability::Available
@@ -135,7 +135,9 @@
                 let end = self.deadline.timer();
                 let borrowing =
                     self.router.borrow_permit(*lender, &self.service, scope, &tried, end, until);
-                if let Some((engine, permit)) = borrowing.await {
+                // The lender knows only some of the engines that the request can't use.
+                let lent = borrowing.await.filter(|(engine, _)| self.fits_stream(engine));
+                if let Some((engine, permit)) = lent {
                     let choice = self.pick_lent(progress, engine);
                     return Some(SelectedEngine { choice, permit });
                 }
@@ -192,7 +194,7 @@
     ) -> Option<EngineChoice> {
         let directory = self.router.directory.borrow();
         let now = self.router.now();
-        let tried = progress.excluded_engines();
+        let tried = self.excluded_engines(progress);
         let generation = self.payload.caller.generation;
         let prefix_hash = generation.and_then(|generation| generation.prefix_hash);
         let query = PickQuery {
--- a/crates/gateway/tests/fleet/main.rs
+++ b/crates/gateway/tests/fleet/main.rs
@@ -15,6 +15,7 @@
 mod rejection_log;
 mod requests;
 mod silent_engines;
+mod software_versions;
 mod stated_rates;
 mod support;
 mod suspension;
--- a/crates/gateway/tests/fleet/support/engine.rs
+++ b/crates/gateway/tests/fleet/support/engine.rs
@@ -8,7 +8,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use stackpost_types::{BackEndName, Digest};
+use stackpost_types::{BackEndName, Digest, SoftwareVersion};
 use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -37,12 +37,16 @@
     Hang,
     /// Starts a stream and sends nothing more.
     Stall,
+    /// Sends a resumed stream from its beginning.
+    Restart,
 }
 
 /// A stub engine.
 pub struct Engine {
     pub name: BackEndName,
     pub address: SocketAddr,
+    /// Version of its software.
+    pub software: RefCell<SoftwareVersion>,
     pub behaviour: Cell<Behaviour>,
     /// Ids of the requests that it ran, with the event after which each was to resume.
     pub runs: RefCell<Vec<(String, Option<u64>)>>,
@@ -80,6 +84,7 @@
         let engine = Rc::new(Self {
             name: BackEndName::new(name),
             address: listener.local_addr().expect("an address"),
+            software: RefCell::default(),
             behaviour: Cell::new(Behaviour::Respond),
             runs: RefCell::default(),
             rejected_at: RefCell::default(),
@@ -167,6 +172,9 @@
                     Err(std::io::ErrorKind::ConnectionReset.into()),
                 ]))
             }
+            Behaviour::Restart if streams => {
+                head.header("content-type", "text/event-stream").body(events(0, false))
+            }
             _ if streams => head
                 .header("content-type", "text/event-stream")
                 .body(events(after.unwrap_or(0), behaviour == Behaviour::Truncate)),
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -32,7 +32,7 @@
 pub const PROMPT: u64 = 100;
 pub const MAX_GENERATED: u64 = 50;
 pub const TOKENS_PER_EVENT: u64 = 5;
-const KEY: &str = "ferry-key";
+pub const KEY: &str = "ferry-key";
 /// Polling interval of conditions; a test that never ends is stopped by its runner.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -82,6 +82,10 @@
     }
 
     /// Sends a request over a new connection.
+    pub async fn ask_with(&self, path: &str, headers: &[(&str, &str)]) -> CallerResponse {
+        ask_at(self.callers, path, headers).await
+    }
+
     pub async fn ask(&self, path: &str, id: &str) -> CallerResponse {
         ask_as_caller(self.callers, path, id).await
     }
@@ -210,11 +214,19 @@
 impl Fleet {
     /// Starts the fleet and waits until the router is ready.
     pub async fn start() -> Self {
+        Self::start_with_software(["", ""]).await
+    }
+
+    /// Starts the fleet with engines of these software versions.
+    pub async fn start_with_software(versions: [&str; 2]) -> Self {
         let ControlMachine { control, address: mesh, metrics_registry: control_metrics, folder } =
             ControlMachine::start(&[]).await;
         let RouterMachine { router, link, server, callers, clock } =
             RouterMachine::start(mesh).await;
         let engines = [Engine::start("e1").await, Engine::start("e2").await];
+        for (engine, version) in engines.iter().zip(versions) {
+            engine.software.replace(version.into());
+        }
         let control_address = mesh;
         let fleet = Self {
             router,
@@ -306,7 +318,7 @@
         state,
         age: Millis(0),
         known_for: Millis(0),
-        software: Default::default(),
+        software: engine.software.borrow().clone(),
     }
 }
 
