Send no event again to a caller that resumes a stream

A caller that resumed a stream after its third event got the first three again from an engine that starts a resumed stream over: the router skips repeated events only of streams that it resumes itself, since it began counting at its own first event. It now counts from the caller's last event.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -113,8 +113,8 @@
     progress.response_started = true;
     let (sender, chunks) = mpsc::channel(MAX_BUFFERED_CHUNKS);
     let StartedStream { head, source, first } = started;
-    let relay =
-        Relay { context, progress, sender, last_event: None, last_event_at: Instant::now() };
+    let last_event = context.payload.caller.last_event;
+    let relay = Relay { context, progress, sender, last_event, last_event_at: Instant::now() };
     tokio::task::spawn_local(relay.run(source, first));
     build_response(head, GatewayBody::Streamed(chunks))
 }
--- a/crates/gateway/tests/fleet/software_versions.rs
+++ b/crates/gateway/tests/fleet/software_versions.rs
@@ -71,3 +71,15 @@
         assert!(other.runs.borrow().is_empty());
     });
 }
+
+#[test]
+fn caller_that_resumes_a_stream_gets_no_event_twice() {
+    run_local(async {
+        let fleet = Fleet::start().await;
+        fleet.set_behaviours(Behaviour::Restart, Behaviour::Restart);
+        assert_eq!(fleet.ask("/stream/1", "s").await.status, 200);
+        let response = fleet.ask_with("/stream/1", &resumption("r", "s")).await;
+        let body = response.body.expect("a complete body");
+        assert!(!body.contains("id: 3") && body.contains("id: 4"), "{body}");
+    });
+}
