Log the shared parts of prompts at engines that break off

Logs could not tell whether crashing requests have a part of their prompts in common. Parts get fingerprints of their own, so the type is named Fingerprint instead of RequestFingerprint; the test lines that name it follow. Quarantine and routing are unchanged.

--- a/crates/coordinator/src/crash_watch.rs
+++ b/crates/coordinator/src/crash_watch.rs
@@ -5,7 +5,7 @@
 //! or a corrupted response looks the same to the router, so the sighting counts at once and is
 //! revoked if the engine continues to announce itself.
 
-use stackpost_gateway_core::{Quarantine, QuarantineChange, RequestFingerprint};
+use stackpost_gateway_core::{Fingerprint, Quarantine, QuarantineChange};
 use stackpost_types::{BackEndName, Millis, Timestamp};
 use std::collections::BTreeMap;
 
@@ -33,7 +33,7 @@
 pub(crate) struct CrashWatch {
     /// Number of announcements of each engine since its last crash sighting.
     announcements: BTreeMap<BackEndName, u32>,
-    observed: BTreeMap<RequestFingerprint, ObservedSuspect>,
+    observed: BTreeMap<Fingerprint, ObservedSuspect>,
     checked_at: Timestamp,
 }
 
--- a/crates/coordinator/tests/quarantine.rs
+++ b/crates/coordinator/tests/quarantine.rs
@@ -14,8 +14,8 @@
 /// Longer than a first quarantine.
 const PAST_QUARANTINE_MS: u64 = 305_000;
 
-fn request() -> RequestFingerprint {
-    RequestFingerprint::of(&RequestContent {
+fn request() -> Fingerprint {
+    Fingerprint::of_request(&RequestContent {
         method: "POST",
         host: "ferry.example",
         path: "/1",
--- a/crates/gateway-core/src/crash_tracker.rs
+++ b/crates/gateway-core/src/crash_tracker.rs
@@ -18,7 +18,7 @@
 //! here, whatever other sightings there are, and the leader is notified: a quarantined request is
 //! refused, so no later attempt could show that it is harmless.
 
-use crate::fingerprint::RequestFingerprint;
+use crate::fingerprint::Fingerprint;
 use crate::quarantine::{
     CRASHES_TO_QUARANTINE, CrashSighting, INITIAL_QUARANTINE, QuarantineNotice,
 };
@@ -59,7 +59,7 @@
     /// Crash sightings, each with the time since.
     pub seen: Vec<(CrashSighting, Millis)>,
     /// Suspected requests that have succeeded.
-    pub cleared: Vec<RequestFingerprint>,
+    pub cleared: Vec<Fingerprint>,
 }
 
 #[derive(Clone, Debug)]
@@ -81,12 +81,12 @@
 pub struct CrashTracker {
     notice: QuarantineNotice,
     /// Quarantined requests of the notice, with the time at which this router first received them.
-    quarantined: BTreeMap<RequestFingerprint, Timestamp>,
+    quarantined: BTreeMap<Fingerprint, Timestamp>,
     tracked: VecDeque<TrackedSighting>,
     /// Crashes of engines that accepted connections afterwards, with their times, the oldest first.
     unconfirmed: VecDeque<(Timestamp, CrashSighting)>,
-    cleared: BTreeSet<RequestFingerprint>,
-    succeeded: VecDeque<(Timestamp, RequestFingerprint)>,
+    cleared: BTreeSet<Fingerprint>,
+    succeeded: VecDeque<(Timestamp, Fingerprint)>,
 }
 
 impl CrashTracker {
@@ -106,7 +106,7 @@
     pub fn is_quarantined(
         &mut self,
         now: Timestamp,
-        request: &RequestFingerprint,
+        request: &Fingerprint,
         is_connected: bool,
     ) -> bool {
         self.quarantine_remaining(now, request, is_connected).is_some()
@@ -117,7 +117,7 @@
     pub fn quarantine_remaining(
         &mut self,
         now: Timestamp,
-        request: &RequestFingerprint,
+        request: &Fingerprint,
         is_connected: bool,
     ) -> Option<Millis> {
         self.remove_expired(now);
@@ -138,7 +138,7 @@
     fn own_quarantine_remaining(
         &self,
         now: Timestamp,
-        request: &RequestFingerprint,
+        request: &Fingerprint,
         is_connected: bool,
     ) -> Option<Millis> {
         let ttl = if is_connected { CONNECTED_SIGHTING_TTL } else { SIGHTING_TTL };
@@ -241,7 +241,7 @@
     }
 
     /// Records that a request has succeeded, so that it does not crash engines.
-    pub fn on_request_succeeded(&mut self, now: Timestamp, request: &RequestFingerprint) {
+    pub fn on_request_succeeded(&mut self, now: Timestamp, request: &Fingerprint) {
         self.succeeded.retain(|(_, ended)| ended != request);
         if self.succeeded.len() >= MAX_SUCCEEDED {
             self.succeeded.pop_front();
@@ -263,19 +263,19 @@
         }
         self.notice = notice;
         let before = std::mem::take(&mut self.quarantined);
-        let since = |request: &RequestFingerprint| before.get(request).copied().unwrap_or(now);
+        let since = |request: &Fingerprint| before.get(request).copied().unwrap_or(now);
         let listed = self.notice.quarantined.iter();
         self.quarantined = listed.map(|request| (*request, since(request))).collect();
-        let listed = |request: &&RequestFingerprint| {
+        let listed = |request: &&Fingerprint| {
             self.notice.includes(request) && self.succeeded_recently(now, request)
         };
         let succeeded = self.succeeded.iter().map(|(_, request)| request);
-        let newly_cleared: Vec<RequestFingerprint> = succeeded.filter(listed).copied().collect();
+        let newly_cleared: Vec<Fingerprint> = succeeded.filter(listed).copied().collect();
         self.cleared.extend(&newly_cleared);
         !newly_cleared.is_empty()
     }
 
-    fn succeeded_recently(&self, now: Timestamp, request: &RequestFingerprint) -> bool {
+    fn succeeded_recently(&self, now: Timestamp, request: &Fingerprint) -> bool {
         let recent = self.succeeded.iter().filter(|(at, _)| now.since(*at) < SUCCESS_TTL);
         recent.map(|(_, ended)| ended).any(|ended| ended == request)
     }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -22,7 +22,7 @@
 //! - [`StreamVersions`]: which software version began a stream; [`StreamRecorders`]: which routers
 //!   keep that record.
 //! - [`RetryBudget`]: how many requests may be sent to a further engine.
-//! - [`RequestFingerprint`]: identifies a request by its content; the same for every retry of it.
+//! - [`Fingerprint`]: identifies a request by its content; the same for every retry of it.
 //! - [`Departures`]: engines that drain or have left, for the whole fleet.
 //! - [`Evacuations`]: zones whose engines an operator has taken out of service.
 //! - [`Quarantine`]: requests under which engines have crashed, for the whole fleet;
@@ -84,7 +84,7 @@
 pub use engine_reachability::{EngineReachability, ReachabilityChange};
 pub use evacuations::{EvacuationOrder, Evacuations};
 pub use event_stream::{Event, EventSplitter};
-pub use fingerprint::{RequestContent, RequestFingerprint};
+pub use fingerprint::{Fingerprint, RequestContent};
 pub use load_shedding::{LoadShedder, RequestClass};
 pub use picker::EnginePicker;
 pub use placement::PlacementCost;
--- a/crates/gateway-core/src/quarantine.rs
+++ b/crates/gateway-core/src/quarantine.rs
@@ -18,7 +18,7 @@
 //! is no I/O and no clock, so that replicas that apply the same changes in the same order hold the
 //! same state.
 
-use crate::fingerprint::RequestFingerprint;
+use crate::fingerprint::Fingerprint;
 use serde::{Deserialize, Serialize};
 use stackpost_types::{BackEndName, Millis};
 use std::collections::{BTreeMap, BTreeSet};
@@ -41,7 +41,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct CrashSighting {
     /// The request.
-    pub request: RequestFingerprint,
+    pub request: Fingerprint,
     /// The engine's incarnation.
     pub engine: BackEndName,
 }
@@ -54,11 +54,11 @@
     /// The engine has not crashed.
     EngineAlive(BackEndName),
     /// These requests have succeeded.
-    Cleared(Vec<RequestFingerprint>),
+    Cleared(Vec<Fingerprint>),
     /// The quarantine of these requests is over.
-    Released(Vec<RequestFingerprint>),
+    Released(Vec<Fingerprint>),
     /// There have been no sightings of these requests for a long time.
-    Expired(Vec<RequestFingerprint>),
+    Expired(Vec<Fingerprint>),
 }
 
 /// The crashes recorded for one request.
@@ -92,7 +92,7 @@
 /// All requests under which engines have crashed.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Quarantine {
-    suspects: BTreeMap<RequestFingerprint, Suspect>,
+    suspects: BTreeMap<Fingerprint, Suspect>,
     next_order: u64,
     /// Increases with each change.
     revision: u64,
@@ -104,10 +104,10 @@
     /// Increases with each change of the quarantine; the highest is in force.
     pub revision: u64,
     /// Requests that are quarantined.
-    pub quarantined: BTreeSet<RequestFingerprint>,
+    pub quarantined: BTreeSet<Fingerprint>,
     /// Requests that one more crash would quarantine. A router that sees one of them succeed
     /// reports it.
-    pub suspected: BTreeSet<RequestFingerprint>,
+    pub suspected: BTreeSet<Fingerprint>,
 }
 
 impl QuarantineNotice {
@@ -117,7 +117,7 @@
     }
 
     /// Whether a request is listed.
-    pub fn includes(&self, request: &RequestFingerprint) -> bool {
+    pub fn includes(&self, request: &Fingerprint) -> bool {
         self.quarantined.contains(request) || self.suspected.contains(request)
     }
 }
@@ -125,7 +125,7 @@
 impl Quarantine {
     /// Whether applying a change would have an effect.
     pub fn would_change(&self, change: &QuarantineChange) -> bool {
-        let known = |request: &RequestFingerprint| self.suspects.contains_key(request);
+        let known = |request: &Fingerprint| self.suspects.contains_key(request);
         match change {
             QuarantineChange::CrashesSeen(sightings) => {
                 sightings.iter().any(|sighting| self.is_new(sighting))
@@ -160,7 +160,7 @@
     }
 
     /// Whether a request is quarantined.
-    pub fn is_quarantined(&self, request: &RequestFingerprint) -> bool {
+    pub fn is_quarantined(&self, request: &Fingerprint) -> bool {
         self.suspects.get(request).is_some_and(Suspect::is_quarantined)
     }
 
@@ -180,12 +180,12 @@
     }
 
     /// All requests with recorded crashes.
-    pub fn suspects(&self) -> impl Iterator<Item = (&RequestFingerprint, &Suspect)> {
+    pub fn suspects(&self) -> impl Iterator<Item = (&Fingerprint, &Suspect)> {
         self.suspects.iter()
     }
 
     /// The crashes recorded for a request.
-    pub fn suspect(&self, request: &RequestFingerprint) -> Option<&Suspect> {
+    pub fn suspect(&self, request: &Fingerprint) -> Option<&Suspect> {
         self.suspects.get(request)
     }
 
@@ -240,7 +240,7 @@
     }
 
     /// Ends the quarantine of a request. One more crash under it renews the quarantine.
-    fn release(&mut self, request: &RequestFingerprint) {
+    fn release(&mut self, request: &Fingerprint) {
         if let Some(suspect) =
             self.suspects.get_mut(request).filter(|suspect| suspect.is_quarantined())
         {
--- a/crates/gateway-core/tests/quarantine.rs
+++ b/crates/gateway-core/tests/quarantine.rs
@@ -7,9 +7,9 @@
 const DISCONNECTED: bool = false;
 const CONNECTED: bool = true;
 
-fn request(number: u64) -> RequestFingerprint {
+fn request(number: u64) -> Fingerprint {
     let path = format!("/{number}");
-    RequestFingerprint::of(&RequestContent {
+    Fingerprint::of_request(&RequestContent {
         method: "POST",
         host: "ferry.example",
         path: &path,
--- a/crates/gateway-core/tests/quarantine_model.rs
+++ b/crates/gateway-core/tests/quarantine_model.rs
@@ -8,9 +8,9 @@
 
 const CONNECTED: bool = true;
 
-fn request(number: u64) -> RequestFingerprint {
+fn request(number: u64) -> Fingerprint {
     let path = format!("/{number}");
-    RequestFingerprint::of(&RequestContent {
+    Fingerprint::of_request(&RequestContent {
         method: "POST",
         host: "ferry.example",
         path: &path,
--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -3,7 +3,7 @@
 use crate::decision_log::{self, InterruptionPoint};
 use crate::refusal::Refusal;
 use crate::request::{RequestContext, host};
-use stackpost_gateway_core::{CrashSighting, RequestContent, RequestFingerprint};
+use stackpost_gateway_core::{CrashSighting, Fingerprint, RequestContent};
 use stackpost_types::{BackEndName, Millis};
 use tokio::task::JoinHandle;
 
@@ -21,9 +21,9 @@
 
 impl RequestContext {
     /// Fingerprint of the request's content, the same for every copy of it.
-    pub fn fingerprint(&self) -> RequestFingerprint {
+    pub fn fingerprint(&self) -> Fingerprint {
         let uri = &self.payload.uri;
-        RequestFingerprint::of(&RequestContent {
+        Fingerprint::of_request(&RequestContent {
             method: self.payload.method.as_str(),
             host: host(uri, &self.payload.headers),
             path: uri.path_and_query().map_or("", |path| path.as_str()),
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -195,9 +195,12 @@
     engine: &BackEndName,
     at: InterruptionPoint,
 ) {
+    let parts: Vec<String> =
+        context.payload.caller.shared_parts.iter().map(ToString::to_string).collect();
     log::info!(
         request = context.payload.caller.id.as_str(),
         fingerprint = context.fingerprint().to_string().as_str(),
+        parts = parts.join(",").as_str(),
         engine = engine.as_str(),
         step = at.as_str(),
         since_arrival_ms = context.arrived.elapsed().as_millis() as u64,
--- a/crates/gateway/src/header_codec.rs
+++ b/crates/gateway/src/header_codec.rs
@@ -1,7 +1,7 @@
 //! Platform-specific headers of requests and responses.
 
 use hyper::{HeaderMap, StatusCode};
-use stackpost_gateway_core::RateStatement;
+use stackpost_gateway_core::{Fingerprint, RateStatement};
 use stackpost_types::{BackEndName, Millis, TenantName, Tokens};
 use thiserror::Error;
 
@@ -20,6 +20,8 @@
     pub last_event: Option<u64>,
     /// The id of the caller's attempt that began the stream that it resumes.
     pub resumes: Option<String>,
+    /// The parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<Fingerprint>,
 }
 
 /// The size of a generation.
--- a/crates/gateway/tests/fleet/support/test_codecs.rs
+++ b/crates/gateway/tests/fleet/support/test_codecs.rs
@@ -8,6 +8,10 @@
 use stackpost_types::*;
 use std::collections::BTreeMap;
 
+fn shared_parts(parts: &str) -> impl Iterator<Item = Fingerprint> {
+    parts.split(',').map(Fingerprint::of_part)
+}
+
 /// The header codec of the tests.
 pub struct TestHeaderCodec;
 
@@ -27,6 +31,7 @@
             generation,
             last_event: text("after").and_then(|event| event.parse().ok()),
             resumes: text("resumes").map(Into::into),
+            shared_parts: text("parts").into_iter().flat_map(shared_parts).collect(),
         })
     }
 
