Quarantine parts of prompts that crash engines

Callers saw engines crash one after the other (40 in the users' record) and their own streams late or lost beside them, while requests that hold one certain part of a prompt kept coming, no two of them alike.

Cause: the quarantine identifies a request by its whole content, so such requests never add up to three crashes.

Why it works: every shared part is a suspect beside the request. A part that other requests finish with, before or after, at any router, is acquitted, so the harmful one is left. A crash is reported once for a part and engine, and an answer acquits only if its status is a success.

The field CrashSighting::request is named suspect; test lines follow.

--- a/crates/coordinator/tests/quarantine.rs
+++ b/crates/coordinator/tests/quarantine.rs
@@ -30,7 +30,7 @@
 
 fn sighting(at_engine: usize) -> QuarantineChange {
     QuarantineChange::CrashesSeen(vec![CrashSighting {
-        request: request(),
+        suspect: request(),
         engine: engine(at_engine),
     }])
 }
--- a/crates/gateway-core/src/crash_tracker.rs
+++ b/crates/gateway-core/src/crash_tracker.rs
@@ -1,4 +1,4 @@
-//! One router's view of requests that crash engines: the notices of the control processes and its
+//! One router's view of requests and parts of prompts that crash engines: the notices of the control processes and its
 //! own sightings.
 //!
 //! Own sightings count in addition to the notices because they are available at once, and also
@@ -22,6 +22,7 @@
 use crate::quarantine::{
     CRASHES_TO_QUARANTINE, CrashSighting, INITIAL_QUARANTINE, QuarantineNotice,
 };
+use crate::recent_successes::RecentSuccesses;
 use serde::{Deserialize, Serialize};
 use stackpost_types::{BackEndName, Millis, Timestamp};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -36,10 +37,6 @@
 /// an engine (one per 1.2 s), and as much again. Callers of a request that was quarantined less
 /// than this ago, or whose quarantine should be over, are asked to retry after this time.
 const REVOCATION_TIME: Millis = Millis(5_000);
-/// Time for which a success of a request counts.
-const SUCCESS_TTL: Millis = Millis(10_000);
-/// Maximum number of successful requests kept; the newest are kept.
-const MAX_SUCCEEDED: usize = 512;
 /// Time for which sightings are kept for a disconnected leader: longer than most partitions of a
 /// router. The leader ignores engines that have announced themselves since, so an old sighting does
 /// no harm.
@@ -50,8 +47,9 @@
 /// Time for which an unconfirmed crash of an engine that accepts connections may still be
 /// confirmed: some announcements of an incarnation that has started at once (one per 1.2 s).
 const UNCONFIRMED_TTL: Millis = Millis(5_000);
-/// Maximum number of own sightings kept, the newest ones: several engines full of requests.
-const MAX_SIGHTINGS: usize = 512;
+/// Maximum number of own sightings kept, the newest ones: several engines full of requests, each
+/// with some parts.
+const MAX_SIGHTINGS: usize = 2_048;
 
 /// A router's report to the leader.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -86,7 +84,7 @@
     /// Crashes of engines that accepted connections afterwards, with their times, the oldest first.
     unconfirmed: VecDeque<(Timestamp, CrashSighting)>,
     cleared: BTreeSet<Fingerprint>,
-    succeeded: VecDeque<(Timestamp, Fingerprint)>,
+    succeeded: RecentSuccesses,
 }
 
 impl CrashTracker {
@@ -121,7 +119,7 @@
         is_connected: bool,
     ) -> Option<Millis> {
         self.remove_expired(now);
-        if self.succeeded_recently(now, request) {
+        if self.succeeded.contains(now, request) {
             return None;
         }
         let Some(since) = self.quarantined.get(request) else {
@@ -142,7 +140,7 @@
         is_connected: bool,
     ) -> Option<Millis> {
         let ttl = if is_connected { CONNECTED_SIGHTING_TTL } else { SIGHTING_TTL };
-        let of_request = self.tracked.iter().filter(|tracked| tracked.sighting.request == *request);
+        let of_request = self.tracked.iter().filter(|tracked| tracked.sighting.suspect == *request);
         let newest: BTreeMap<_, _> =
             of_request.map(|tracked| (&tracked.sighting.engine, tracked.at)).collect();
         let mut times: Vec<Timestamp> = newest.into_values().collect();
@@ -159,13 +157,17 @@
 
     fn track(&mut self, now: Timestamp, interrupted_at: Timestamp, sighting: CrashSighting) {
         self.remove_expired(now);
-        if self.succeeded_recently(now, &sighting.request) {
+        // Each request that holds a part reports it.
+        let is_known =
+            |tracked: &TrackedSighting| tracked.observed_locally && tracked.sighting == sighting;
+        let has_succeeded = self.succeeded.contains(now, &sighting.suspect);
+        if has_succeeded || self.tracked.iter().any(is_known) {
             return;
         }
         if self.tracked.len() >= MAX_SIGHTINGS {
             self.tracked.pop_front();
         }
-        self.cleared.remove(&sighting.request);
+        self.cleared.remove(&sighting.suspect);
         self.tracked.push_back(TrackedSighting {
             at: now,
             interrupted_at,
@@ -183,7 +185,7 @@
         for (sighting, age) in seen {
             let is_known = self.tracked.iter().any(|tracked| tracked.sighting == sighting);
             let at = Timestamp(now.0.saturating_sub(age.0));
-            if is_known || age >= SIGHTING_TTL || self.succeeded_recently(now, &sighting.request) {
+            if is_known || age >= SIGHTING_TTL || self.succeeded.contains(now, &sighting.suspect) {
                 continue;
             }
             if self.tracked.len() >= MAX_SIGHTINGS {
@@ -242,14 +244,10 @@
 
     /// Records that a request has succeeded, so that it does not crash engines.
     pub fn on_request_succeeded(&mut self, now: Timestamp, request: &Fingerprint) {
-        self.succeeded.retain(|(_, ended)| ended != request);
-        if self.succeeded.len() >= MAX_SUCCEEDED {
-            self.succeeded.pop_front();
-        }
-        self.succeeded.push_back((now, *request));
-        self.unconfirmed.retain(|(_, seen)| seen.request != *request);
+        self.succeeded.record(now, request);
+        self.unconfirmed.retain(|(_, seen)| seen.suspect != *request);
         let before = self.tracked.len();
-        self.tracked.retain(|tracked| tracked.sighting.request != *request);
+        self.tracked.retain(|tracked| tracked.sighting.suspect != *request);
         if before > self.tracked.len() || self.notice.includes(request) {
             self.cleared.insert(*request);
         }
@@ -266,20 +264,13 @@
         let since = |request: &Fingerprint| before.get(request).copied().unwrap_or(now);
         let listed = self.notice.quarantined.iter();
         self.quarantined = listed.map(|request| (*request, since(request))).collect();
-        let listed = |request: &&Fingerprint| {
-            self.notice.includes(request) && self.succeeded_recently(now, request)
-        };
-        let succeeded = self.succeeded.iter().map(|(_, request)| request);
-        let newly_cleared: Vec<Fingerprint> = succeeded.filter(listed).copied().collect();
+        let listed = self.notice.quarantined.iter().chain(&self.notice.suspected);
+        let succeeded = listed.filter(|request| self.succeeded.contains(now, request));
+        let newly_cleared: Vec<Fingerprint> = succeeded.copied().collect();
         self.cleared.extend(&newly_cleared);
         !newly_cleared.is_empty()
     }
 
-    fn succeeded_recently(&self, now: Timestamp, request: &Fingerprint) -> bool {
-        let recent = self.succeeded.iter().filter(|(at, _)| now.since(*at) < SUCCESS_TTL);
-        recent.map(|(_, ended)| ended).any(|ended| ended == request)
-    }
-
     /// Number of quarantined requests by the notice of the control processes.
     pub fn quarantined(&self) -> usize {
         self.notice.quarantined.len()
@@ -321,8 +312,6 @@
         while self.unconfirmed.front().is_some_and(|(at, _)| now.since(*at) >= UNCONFIRMED_TTL) {
             self.unconfirmed.pop_front();
         }
-        while self.succeeded.front().is_some_and(|(at, _)| now.since(*at) >= SUCCESS_TTL) {
-            self.succeeded.pop_front();
-        }
+        self.succeeded.remove_expired(now);
     }
 }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -22,10 +22,11 @@
 //! - [`StreamVersions`]: which software version began a stream; [`StreamRecorders`]: which routers
 //!   keep that record.
 //! - [`RetryBudget`]: how many requests may be sent to a further engine.
-//! - [`Fingerprint`]: identifies a request by its content; the same for every retry of it.
+//! - [`Fingerprint`]: identifies a request by its content, the same for every retry of it, or a part
+//!   of a prompt.
 //! - [`Departures`]: engines that drain or have left, for the whole fleet.
 //! - [`Evacuations`]: zones whose engines an operator has taken out of service.
-//! - [`Quarantine`]: requests under which engines have crashed, for the whole fleet;
+//! - [`Quarantine`]: requests and parts of prompts under which engines have crashed, for the whole fleet;
 //!   [`CrashTracker`]: the same as known to one router.
 //! - [`EventSplitter`]: splits a byte stream into whole server-sent events.
 
@@ -55,6 +56,7 @@
 mod placement;
 mod quarantine;
 mod rate_bucket;
+mod recent_successes;
 mod relay_routers;
 mod retry_budget;
 mod route_table;
--- a/crates/gateway-core/src/quarantine.rs
+++ b/crates/gateway-core/src/quarantine.rs
@@ -1,10 +1,15 @@
-//! Requests under which engines have crashed, and which of them are quarantined.
+//! Requests and parts of prompts under which engines have crashed, and which of them are
+//! quarantined.
 //!
 //! A request that crashes the engine that runs it looks, in a single attempt, like any interrupted
 //! request. Only its retries reveal it: they arrive under other ids, over other connections, at any
 //! router. So crash sightings are collected for the whole fleet by request content, and a request
 //! that was running on [`CRASHES_TO_QUARANTINE`] engines when they crashed is quarantined.
 //!
+//! A part of the prompt may be the cause, whatever else a request holds, so that no two requests
+//! are alike. Each part that other requests may share is a suspect of its own, in the same way as the
+//! request. Below, "request" means either.
+//!
 //! Every request that ran on the engine at that time saw the same crash. Three rules tell them
 //! apart:
 //! - An engine that continues to announce itself has not crashed; sightings at it are revoked.
@@ -40,8 +45,8 @@
 /// An engine crashed while it ran a request.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct CrashSighting {
-    /// The request.
-    pub request: Fingerprint,
+    /// The request, or a part of its prompt that other requests share.
+    pub suspect: Fingerprint,
     /// The engine's incarnation.
     pub engine: BackEndName,
 }
@@ -205,7 +210,7 @@
 
     /// Whether a sighting is not recorded yet.
     pub fn is_new(&self, sighting: &CrashSighting) -> bool {
-        self.suspects.get(&sighting.request).is_none_or(|suspect| {
+        self.suspects.get(&sighting.suspect).is_none_or(|suspect| {
             !suspect.is_quarantined() && !suspect.engines.contains(&sighting.engine)
         })
     }
@@ -214,11 +219,11 @@
         if !self.is_new(&sighting) {
             return;
         }
-        if !self.suspects.contains_key(&sighting.request) && self.suspects.len() >= MAX_SUSPECTS {
+        if !self.suspects.contains_key(&sighting.suspect) && self.suspects.len() >= MAX_SUSPECTS {
             self.evict_one();
         }
         self.next_order += 1;
-        let suspect = self.suspects.entry(sighting.request).or_default();
+        let suspect = self.suspects.entry(sighting.suspect).or_default();
         suspect.order = self.next_order;
         suspect.engines.insert(sighting.engine);
     }
--- /dev/null
+++ b/crates/gateway-core/tests/crashing_parts.rs
@@ -0,0 +1,77 @@
+//! Parts of prompts under which engines crash, at one router and in the fleet's quarantine.
+
+use stackpost_gateway_core::{
+    CrashSighting, CrashTracker, Fingerprint, Quarantine, QuarantineChange,
+};
+use stackpost_types::Timestamp;
+
+const NOW: Timestamp = Timestamp(100_000);
+/// Later than a success counts.
+const MUCH_LATER: Timestamp = Timestamp(120_000);
+const CONNECTED: bool = true;
+
+fn part(id: &str) -> Fingerprint {
+    Fingerprint::of_part(id)
+}
+
+fn sighting(suspect: Fingerprint, engine: usize) -> CrashSighting {
+    CrashSighting { suspect, engine: format!("e{engine}").as_str().into() }
+}
+
+/// Reports three crashes under requests that hold both parts.
+fn crash_three_engines(tracker: &mut CrashTracker, now: Timestamp, parts: [&str; 2]) {
+    for engine in 0..3 {
+        for id in parts {
+            tracker.on_engine_crash(now, sighting(part(id), engine));
+        }
+    }
+}
+
+#[test]
+fn part_that_others_finish_with_is_not_quarantined_with_the_harmful_one() {
+    let mut tracker = CrashTracker::default();
+    tracker.on_request_succeeded(NOW, &part("system"));
+    crash_three_engines(&mut tracker, NOW, ["system", "harmful"]);
+    assert!(tracker.is_quarantined(NOW, &part("harmful"), CONNECTED));
+    assert!(!tracker.is_quarantined(NOW, &part("system"), CONNECTED));
+}
+
+#[test]
+fn success_after_the_crashes_lifts_the_quarantine_of_a_part() {
+    let mut tracker = CrashTracker::default();
+    crash_three_engines(&mut tracker, NOW, ["system", "harmful"]);
+    assert!(tracker.is_quarantined(NOW, &part("system"), CONNECTED));
+    tracker.on_request_succeeded(NOW, &part("system"));
+    assert!(!tracker.is_quarantined(NOW, &part("system"), CONNECTED));
+    let report = tracker.take_report(NOW).expect("a report");
+    assert!(report.seen.iter().all(|(sighting, _)| sighting.suspect == part("harmful")));
+}
+
+#[test]
+fn success_of_long_ago_does_not_protect_a_part() {
+    let mut tracker = CrashTracker::default();
+    tracker.on_request_succeeded(NOW, &part("harmful"));
+    crash_three_engines(&mut tracker, MUCH_LATER, ["other", "harmful"]);
+    assert!(tracker.is_quarantined(MUCH_LATER, &part("harmful"), CONNECTED));
+}
+
+#[test]
+fn router_that_saw_a_listed_part_succeed_tells_the_leader() {
+    let mut quarantine = Quarantine::default();
+    let crashes = (0..3).map(|engine| sighting(part("system"), engine)).collect();
+    quarantine.apply(QuarantineChange::CrashesSeen(crashes));
+    let mut tracker = CrashTracker::default();
+    tracker.on_request_succeeded(NOW, &part("system"));
+    assert!(tracker.on_notice(NOW, quarantine.notice()));
+    assert!(!tracker.is_quarantined(NOW, &part("system"), CONNECTED));
+    assert_eq!(tracker.take_report(NOW).expect("a report").cleared, [part("system")]);
+}
+
+#[test]
+fn each_part_is_reported_once_for_an_engine() {
+    let mut tracker = CrashTracker::default();
+    for _ in 0..60 {
+        tracker.on_engine_crash(NOW, sighting(part("system"), 1));
+    }
+    assert_eq!(tracker.take_report(NOW).expect("a report").seen.len(), 1);
+}
--- a/crates/gateway-core/tests/quarantine.rs
+++ b/crates/gateway-core/tests/quarantine.rs
@@ -23,7 +23,7 @@
 }
 
 fn sighting(of_request: u64, at_engine: usize) -> CrashSighting {
-    CrashSighting { request: request(of_request), engine: engine(at_engine) }
+    CrashSighting { suspect: request(of_request), engine: engine(at_engine) }
 }
 
 fn record_sighting(quarantine: &mut Quarantine, of_request: u64, at_engine: usize) {
@@ -278,7 +278,7 @@
         BackEndName::of_incarnation(&format!("e{number}"), Some(started_at_ms))
     };
     let interruption =
-        |number| CrashSighting { request: request(1), engine: incarnation(number, 5) };
+        |number| CrashSighting { suspect: request(1), engine: incarnation(number, 5) };
     (0..CRASHES_TO_QUARANTINE)
         .for_each(|number| tracker.on_unconfirmed_crash(now, interruption(number)));
     assert!(!tracker.is_quarantined(now, &request(1), CONNECTED));
@@ -305,7 +305,7 @@
 fn unconfirmed_crashes_expire_or_end_with_a_success() {
     let mut tracker = CrashTracker::default();
     let incarnation = |started_at_ms| BackEndName::of_incarnation("e1", Some(started_at_ms));
-    let interruption = CrashSighting { request: request(1), engine: incarnation(5) };
+    let interruption = CrashSighting { suspect: request(1), engine: incarnation(5) };
     tracker.on_unconfirmed_crash(Timestamp(1_000), interruption.clone());
     assert!(
         !tracker.on_incarnation_started(Timestamp(6_000), &incarnation(6)),
@@ -363,7 +363,7 @@
     let (now, request) = (Timestamp(10_000), request(1));
     let (mut first, mut second) = (CrashTracker::default(), CrashTracker::default());
     for engine in ["e1", "e2"] {
-        first.on_engine_crash(now, CrashSighting { request, engine: engine.into() });
+        first.on_engine_crash(now, CrashSighting { suspect: request, engine: engine.into() });
     }
     let sightings = first.take_peer_sightings(now + Millis(100));
     assert_eq!(sightings.len(), 2);
@@ -374,7 +374,10 @@
         !second.is_quarantined(now + Millis(300), &request, false),
         "only two engines have crashed"
     );
-    second.on_engine_crash(now + Millis(400), CrashSighting { request, engine: "e3".into() });
+    second.on_engine_crash(
+        now + Millis(400),
+        CrashSighting { suspect: request, engine: "e3".into() },
+    );
     assert!(second.is_quarantined(now + Millis(400), &request, false));
     let report = second.take_report(now + Millis(400)).expect("it has a sighting of its own");
     assert_eq!(report.seen.len(), 1, "only the router that saw a crash reports it");
--- a/crates/gateway-core/tests/quarantine_model.rs
+++ b/crates/gateway-core/tests/quarantine_model.rs
@@ -174,7 +174,7 @@
         let place = self.next_engine % self.running.len();
         self.next_engine += 1;
         let engine = self.running[place].clone();
-        let sighting = CrashSighting { request: request(of), engine: engine.clone() };
+        let sighting = CrashSighting { suspect: request(of), engine: engine.clone() };
         match (crashes_engine || interrupted, accepts_connections) {
             (true, true) => self.tracker.on_unconfirmed_crash(self.now, sighting),
             (true, false) => self.tracker.on_engine_crash(self.now, sighting),
--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -1,10 +1,12 @@
-//! Detects requests that crash engines, and refuses quarantined ones.
+//! Detects requests and parts of prompts that crash engines, and refuses quarantined ones.
 
 use crate::decision_log::{self, InterruptionPoint};
 use crate::refusal::Refusal;
 use crate::request::{RequestContext, host};
+use crate::router::Router;
 use stackpost_gateway_core::{CrashSighting, Fingerprint, RequestContent};
 use stackpost_types::{BackEndName, Millis};
+use std::iter;
 use tokio::task::JoinHandle;
 
 /// The check whether an engine crashed when a connection to it was interrupted.
@@ -47,17 +49,26 @@
         self.quarantine_remaining().is_some()
     }
 
-    /// Time until another attempt makes sense; `None` if the request is not quarantined.
+    /// The request's own fingerprint and those of the parts that it shares with others: what may
+    /// have crashed an engine that ran it.
+    fn suspects(&self) -> Vec<Fingerprint> {
+        let shared_parts = self.payload.caller.shared_parts.iter().copied();
+        iter::once(self.fingerprint()).chain(shared_parts).collect()
+    }
+
+    /// Time until another attempt makes sense; `None` if neither the request nor one of its parts is
+    /// quarantined.
     fn quarantine_remaining(&self) -> Option<Millis> {
         let mut tracker = self.router.crash_tracker.borrow_mut();
         if !tracker.has_quarantine_candidates() {
             return None;
         }
-        tracker.quarantine_remaining(
-            self.router.now(),
-            &self.fingerprint(),
-            self.router.is_connected_to_leader(),
-        )
+        let (now, is_connected) = (self.router.now(), self.router.is_connected_to_leader());
+        let suspects = self.suspects();
+        let remaining = suspects
+            .iter()
+            .filter_map(|suspect| tracker.quarantine_remaining(now, suspect, is_connected));
+        remaining.max()
     }
 
     /// Handles an interrupted response: the engine may have crashed under this request. The
@@ -65,29 +76,58 @@
     /// third engine must not reach a fourth one.
     pub fn on_interrupted(&self, engine: &BackEndName, at: InterruptionPoint) -> PendingCrashCheck {
         decision_log::response_interrupted(self, engine, at);
-        let sighting = CrashSighting { request: self.fingerprint(), engine: engine.clone() };
+        let (suspects, engine) = (self.suspects(), engine.clone());
         let (router, id) = (self.router.clone(), self.payload.caller.id.clone());
         // A separate task: the result counts even if the caller disconnects meanwhile.
         PendingCrashCheck(tokio::task::spawn_local(async move {
-            let is_alive = router.survived_interruption(&sighting.engine).await;
+            let is_alive = router.survived_interruption(&engine).await;
             router.metrics.on_liveness_probe(is_alive);
-            let mut tracker = router.crash_tracker.borrow_mut();
             if is_alive {
-                decision_log::survived_interruption(&id, &sighting.engine);
-                tracker.on_unconfirmed_crash(router.now(), sighting);
+                decision_log::survived_interruption(&id, &engine);
+                router.on_unconfirmed_crash(&suspects, &engine);
             } else {
-                tracker.on_engine_crash(router.now(), sighting);
-                router.crash_report_due.notify_one();
+                router.on_engine_crash(&suspects, &engine);
             }
         }))
     }
 
-    /// Records a complete response, which shows that the request does not crash engines.
+    /// Records a complete response, which shows that neither the request nor one of its parts
+    /// crashes engines.
     pub fn on_request_succeeded(&self) {
+        let now = self.router.now();
         let mut tracker = self.router.crash_tracker.borrow_mut();
-        if tracker.has_suspects() {
-            tracker.on_request_succeeded(self.router.now(), &self.fingerprint());
+        let has_suspects = tracker.has_suspects();
+        // A later crash elsewhere is no evidence against a part that has just succeeded here.
+        let shared_parts = &self.payload.caller.shared_parts;
+        shared_parts.iter().for_each(|part| tracker.on_request_succeeded(now, part));
+        if has_suspects {
+            tracker.on_request_succeeded(now, &self.fingerprint());
             self.router.crash_report_due.notify_one();
         }
     }
 }
+
+impl Router {
+    /// Records that an engine crashed while it ran a request with these suspects.
+    fn on_engine_crash(&self, suspects: &[Fingerprint], engine: &BackEndName) {
+        let (now, mut tracker) = (self.now(), self.crash_tracker.borrow_mut());
+        sightings(suspects, engine).for_each(|sighting| tracker.on_engine_crash(now, sighting));
+        self.crash_report_due.notify_one();
+    }
+
+    /// The same for an engine that still accepts connections.
+    fn on_unconfirmed_crash(&self, suspects: &[Fingerprint], engine: &BackEndName) {
+        let (now, mut tracker) = (self.now(), self.crash_tracker.borrow_mut());
+        sightings(suspects, engine)
+            .for_each(|sighting| tracker.on_unconfirmed_crash(now, sighting));
+    }
+}
+
+fn sightings<'a>(
+    suspects: &'a [Fingerprint],
+    engine: &'a BackEndName,
+) -> impl Iterator<Item = CrashSighting> + 'a {
+    let sighting =
+        |suspect: &Fingerprint| CrashSighting { suspect: *suspect, engine: engine.clone() };
+    suspects.iter().map(sighting)
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -298,7 +298,7 @@
 ) -> Response<GatewayBody> {
     let (sender, chunks) = mpsc::channel(MAX_BUFFERED_CHUNKS);
     let LargeResponse { head, start, body, attempt } = response;
-    let failed = head.status.is_server_error();
+    let succeeded = head.status.is_success();
     tokio::task::spawn_local(async move {
         let forwarding = timeout_at(context.deadline.timer(), forward_body(&sender, start, body));
         let outcome = tokio::select! {
@@ -307,7 +307,7 @@
         };
         match outcome {
             Ok(RelayOutcome::Complete) => {
-                if !failed {
+                if succeeded {
                     context.on_request_succeeded();
                 }
                 return attempt.finish(AttemptEnd::Responded, None);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -457,7 +457,9 @@
             progress.failure = Some(buffered);
             return BufferOutcome::Failed;
         }
-        self.on_request_succeeded();
+        if buffered.head.status.is_success() {
+            self.on_request_succeeded();
+        }
         BufferOutcome::Final(buffered.into_response())
     }
 }
