Treat a stream without events that ends with its connection as interrupted

Callers got answers of 200 without any event when an engine closed its connections in order as it crashed, and the crash did not count: an answer with neither length nor chunks ends with its connection, and the router took the end before the first event for a whole answer. That also acquitted the part that had crashed the engine.

An answer with a length or chunks may still end without an event.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,6 +11,7 @@
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::header;
 use hyper::http::response;
 use stackpost_gateway_core::{AttemptEnd, Event, EventSplitter};
 use std::time::Duration;
@@ -54,6 +55,13 @@
 }
 
 impl StreamSource {
+    /// Whether the response has neither a length nor chunks, so that the end of the connection is
+    /// also that of the stream.
+    fn ends_with_connection(&self) -> bool {
+        !self.headers.contains_key(header::CONTENT_LENGTH)
+            && !self.headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
     async fn next(&mut self) -> NextEvent {
         loop {
             if let Some(event) = self.splitter.next_event() {
@@ -89,8 +97,11 @@
             context.on_stream_began(&source.attempt);
             Ok(StartedStream { head, source, first: Some(event) })
         }
-        Ok(NextEvent::End) => Ok(StartedStream { head, source, first: None }),
-        Ok(NextEvent::Interrupted) => {
+        Ok(NextEvent::End) if !source.ends_with_connection() => {
+            Ok(StartedStream { head, source, first: None })
+        }
+        // Without an event, nothing tells a stream that ends with its connection from a crash.
+        Ok(NextEvent::End | NextEvent::Interrupted) => {
             let crash_check =
                 context.on_interrupted(source.attempt.name(), InterruptionPoint::FirstEvent);
             source.attempt.finish(AttemptEnd::Interrupted, None);
