Do not take the end of a connection for a success while the engine crashes

Callers saw engines crash one after the other although parts are quarantined: an answer that ends with its connection looks whole when its engine crashes between two events and closes in order, and that acquitted the part each time. A crash that closes a connection some milliseconds before the address refuses new ones was no sighting either.

A success without length or chunks now counts only if the engine still accepts connections 60 ms later; the probe's connection serves the next request. An engine that accepted a connection after an interruption is probed once more. A probe has three results, since an isolated router that can ask nobody knows neither a crash nor a success.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -318,6 +318,12 @@
     }
 }
 
+/// Whether a response has neither a length nor chunks, so that its end is that of its connection.
+pub(crate) fn ends_with_connection(headers: &HeaderMap) -> bool {
+    !headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 fn asks_to_close(headers: &HeaderMap) -> bool {
     headers
         .get_all(header::CONNECTION)
--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -1,13 +1,23 @@
 //! Detects requests and parts of prompts that crash engines, and refuses quarantined ones.
 
+use crate::attempt::ends_with_connection;
 use crate::decision_log::{self, InterruptionPoint};
+use crate::liveness_probe::Liveness;
 use crate::refusal::Refusal;
 use crate::request::{RequestContext, host};
 use crate::router::Router;
+use hyper::HeaderMap;
 use stackpost_gateway_core::{CrashSighting, Fingerprint, RequestContent};
 use stackpost_types::{BackEndName, Millis};
 use std::iter;
+use std::rc::Rc;
+use std::time::Duration;
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+/// Time that a crashing engine may take from the end of one of its connections until its address
+/// refuses new ones.
+const EXIT_TIME: Duration = Duration::from_millis(60);
 
 /// The check whether an engine crashed when a connection to it was interrupted.
 pub(crate) struct PendingCrashCheck(JoinHandle<()>);
@@ -80,30 +90,53 @@
         let (router, id) = (self.router.clone(), self.payload.caller.id.clone());
         // A separate task: the result counts even if the caller disconnects meanwhile.
         PendingCrashCheck(tokio::task::spawn_local(async move {
-            let is_alive = router.survived_interruption(&engine).await;
-            router.metrics.on_liveness_probe(is_alive);
-            if is_alive {
-                decision_log::survived_interruption(&id, &engine);
-                router.on_unconfirmed_crash(&suspects, &engine);
-            } else {
-                router.on_engine_crash(&suspects, &engine);
+            match router.probe_liveness(&engine).await {
+                Liveness::Running => {
+                    decision_log::survived_interruption(&id, &engine);
+                    router.on_unconfirmed_crash(&suspects, &engine);
+                    tokio::task::spawn_local(router.clone().probe_later(suspects, engine));
+                }
+                Liveness::Unknown => router.on_unconfirmed_crash(&suspects, &engine),
+                Liveness::Ended => router.on_engine_crash(&suspects, &engine),
             }
         }))
     }
 
+    /// Handles the end of a successful response that seems whole.
+    pub fn on_whole_response(&self, headers: &HeaderMap, engine: &BackEndName) {
+        if ends_with_connection(headers) {
+            self.on_ended_with_connection(engine);
+        } else {
+            self.on_request_succeeded();
+        }
+    }
+
+    /// Handles a whole response whose end is that of its connection. An engine that crashes may
+    /// end its connections in the same way, so the request has succeeded only if the engine runs
+    /// on.
+    fn on_ended_with_connection(&self, engine: &BackEndName) {
+        let (router, suspects, engine) = (self.router.clone(), self.suspects(), engine.clone());
+        tokio::task::spawn_local(async move {
+            sleep(EXIT_TIME).await;
+            match router.probe_liveness(&engine).await {
+                Liveness::Running => router.on_succeeded(&suspects),
+                Liveness::Unknown => {}
+                Liveness::Ended => router.on_engine_crash(&suspects, &engine),
+            }
+        });
+    }
+
     /// Records a complete response, which shows that neither the request nor one of its parts
     /// crashes engines.
-    pub fn on_request_succeeded(&self) {
-        let now = self.router.now();
-        let mut tracker = self.router.crash_tracker.borrow_mut();
-        let has_suspects = tracker.has_suspects();
-        // A later crash elsewhere is no evidence against a part that has just succeeded here.
-        let shared_parts = &self.payload.caller.shared_parts;
-        shared_parts.iter().for_each(|part| tracker.on_request_succeeded(now, part));
-        if has_suspects {
-            tracker.on_request_succeeded(now, &self.fingerprint());
-            self.router.crash_report_due.notify_one();
-        }
+    fn on_request_succeeded(&self) {
+        // Successes of parts count for crashes that follow; the request's own is needed only if it
+        // is suspected already.
+        let has_suspects = self.router.crash_tracker.borrow().has_suspects();
+        let succeeded = match has_suspects {
+            true => self.suspects(),
+            false => self.payload.caller.shared_parts.clone(),
+        };
+        self.router.on_succeeded(&succeeded);
     }
 }
 
@@ -115,6 +148,21 @@
         self.crash_report_due.notify_one();
     }
 
+    /// Probes an engine again that accepted a connection as it crashed.
+    async fn probe_later(self: Rc<Self>, suspects: Vec<Fingerprint>, engine: BackEndName) {
+        sleep(EXIT_TIME).await;
+        if self.probe_liveness(&engine).await == Liveness::Ended {
+            self.on_engine_crash(&suspects, &engine);
+        }
+    }
+
+    /// Records that a request succeeded, with its fingerprint and those of its shared parts.
+    fn on_succeeded(&self, request: &[Fingerprint]) {
+        let (now, mut tracker) = (self.now(), self.crash_tracker.borrow_mut());
+        request.iter().for_each(|succeeded| tracker.on_request_succeeded(now, succeeded));
+        self.crash_report_due.notify_one();
+    }
+
     /// The same for an engine that still accepts connections.
     fn on_unconfirmed_crash(&self, suspects: &[Fingerprint], engine: &BackEndName) {
         let (now, mut tracker) = (self.now(), self.crash_tracker.borrow_mut());
--- a/crates/gateway/src/liveness_probe.rs
+++ b/crates/gateway/src/liveness_probe.rs
@@ -25,7 +25,29 @@
 /// of them may have to be asked.
 const RELAYED_PROBE_TIMEOUT: Duration = Duration::from_millis(180);
 
-type Probe = Shared<LocalBoxFuture<'static, bool>>;
+/// Whether an engine still runs, as far as a probe can tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Liveness {
+    /// It accepts connections.
+    Running,
+    /// It accepts none, or has left.
+    Ended,
+    /// This router is isolated and no other one could be asked.
+    Unknown,
+}
+
+impl Liveness {
+    /// The result as written in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Running => "lives",
+            Self::Ended => "ended",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+type Probe = Shared<LocalBoxFuture<'static, Liveness>>;
 
 /// Running probes, one per engine: when an engine crashes, all its requests are interrupted at the
 /// same moment.
@@ -35,29 +57,31 @@
 }
 
 impl Router {
-    /// Whether an engine is still running after one of its connections was interrupted. An unknown
-    /// engine is not.
-    pub(crate) async fn survived_interruption(self: &Rc<Self>, engine: &BackEndName) -> bool {
+    /// Whether an engine is still running after one of its connections has ended. An engine that the
+    /// directory does not know has ended.
+    pub(crate) async fn probe_liveness(self: &Rc<Self>, engine: &BackEndName) -> Liveness {
         let running = self.liveness_probes.running.borrow().get(engine).cloned();
         let probe = running.unwrap_or_else(|| self.start_probe(engine));
-        probe.await
+        let liveness = probe.await;
+        self.metrics.on_liveness_probe(liveness);
+        liveness
     }
 
-    /// Whether an engine accepts a connection from here or from another router. An isolated router
-    /// that finds no other one can't tell, and counts the engine as running.
-    async fn reaches(self: &Rc<Self>, engine: &EngineRecord) -> bool {
+    /// Whether an engine accepts a connection from here or from another router.
+    async fn reaches(self: &Rc<Self>, engine: &EngineRecord) -> Liveness {
         if self.pool.accepts_connections(engine, PROBE_SETTLE).await {
-            return true;
+            return Liveness::Running;
         }
         self.on_connection_failed(&engine.notice.engine);
         match timeout(RELAYED_PROBE_TIMEOUT, self.connect_through_relay(engine)).await {
             Ok(Some(Ok(connection))) => {
                 self.on_detour(&engine.notice.engine);
                 self.pool.release(&engine.notice.engine, connection, None);
-                true
+                Liveness::Running
             }
-            Ok(Some(Err(RelayError::EngineUnreachable { .. }))) => false,
-            Ok(Some(Err(_)) | None) | Err(_) => self.is_isolated(),
+            Ok(Some(Err(RelayError::EngineUnreachable { .. }))) => Liveness::Ended,
+            Ok(Some(Err(_)) | None) | Err(_) if self.is_isolated() => Liveness::Unknown,
+            Ok(Some(Err(_)) | None) | Err(_) => Liveness::Ended,
         }
     }
 
@@ -70,14 +94,13 @@
         let (router, name) = (self.clone(), engine.clone());
         let probing = async move {
             let record = router.directory.borrow().get(&name).cloned();
-            let accepts = match record {
+            let liveness = match record {
                 Some(record) => router.reaches(&record).await,
-                None => false,
+                None => Liveness::Ended,
             };
-            // Its next incarnation may have accepted the connection.
-            let is_alive = accepts && router.has_not_left(&name);
             router.liveness_probes.running.borrow_mut().remove(&name);
-            is_alive
+            // Its next incarnation may have accepted the connection.
+            if router.has_not_left(&name) { liveness } else { Liveness::Ended }
         };
         let probe = probing.boxed_local().shared();
         self.liveness_probes.running.borrow_mut().insert(engine.clone(), probe.clone());
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a router, by OpenTelemetry under the usual Prometheus names. Label sets are bounded:
 //! reasons and ends are enumerations, and no label value comes from a request.
 
+use crate::liveness_probe::Liveness;
 use crate::refusal::Refusal;
 use stackpost_gateway_core::{AttemptEnd, BackoffChange};
 use stackpost_mesh::SentByKind;
@@ -194,10 +195,9 @@
         self.interrupted.add(1, &[]);
     }
 
-    /// Counts an interrupted response, by the result of the engine's liveness probe.
-    pub fn on_liveness_probe(&self, is_alive: bool) {
-        let engine = if is_alive { "lives" } else { "ended" };
-        self.liveness_probes.add(1, &[KeyValue::new("engine", engine)]);
+    /// Counts an ended connection, by the result of the engine's liveness probe.
+    pub fn on_liveness_probe(&self, liveness: Liveness) {
+        self.liveness_probes.add(1, &[KeyValue::new("engine", liveness.as_str())]);
     }
 
     pub fn on_malformed_datagram(&self) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,7 +1,7 @@
 //! Relays a stream of events to the caller, resuming it at another engine if the first one
 //! interrupts it.
 
-use crate::attempt::{ActiveAttempt, EngineResponse};
+use crate::attempt::{ActiveAttempt, EngineResponse, ends_with_connection};
 use crate::body::{GatewayBody, TruncatedBody};
 use crate::decision_log::{self, InterruptionPoint};
 use crate::request::{Progress, RequestContext, build_response};
@@ -11,7 +11,6 @@
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::body::Incoming;
-use hyper::header;
 use hyper::http::response;
 use stackpost_gateway_core::{AttemptEnd, Event, EventSplitter};
 use std::time::Duration;
@@ -55,13 +54,6 @@
 }
 
 impl StreamSource {
-    /// Whether the response has neither a length nor chunks, so that the end of the connection is
-    /// also that of the stream.
-    fn ends_with_connection(&self) -> bool {
-        !self.headers.contains_key(header::CONTENT_LENGTH)
-            && !self.headers.contains_key(header::TRANSFER_ENCODING)
-    }
-
     async fn next(&mut self) -> NextEvent {
         loop {
             if let Some(event) = self.splitter.next_event() {
@@ -97,7 +89,7 @@
             context.on_stream_began(&source.attempt);
             Ok(StartedStream { head, source, first: Some(event) })
         }
-        Ok(NextEvent::End) if !source.ends_with_connection() => {
+        Ok(NextEvent::End) if !ends_with_connection(&source.headers) => {
             Ok(StartedStream { head, source, first: None })
         }
         // Without an event, nothing tells a stream that ends with its connection from a crash.
@@ -164,8 +156,8 @@
                 }
                 Ok(NextEvent::End) => {
                     self.context.reservation.iter().for_each(Reservation::on_complete);
-                    self.context.on_request_succeeded();
                     let StreamSource { headers, attempt, .. } = source;
+                    self.context.on_whole_response(&headers, attempt.name());
                     return attempt.finish(AttemptEnd::Responded, Some(&headers));
                 }
                 Ok(end @ (NextEvent::Interrupted | NextEvent::Paused)) => {
@@ -309,7 +301,7 @@
 ) -> Response<GatewayBody> {
     let (sender, chunks) = mpsc::channel(MAX_BUFFERED_CHUNKS);
     let LargeResponse { head, start, body, attempt } = response;
-    let succeeded = head.status.is_success();
+    let (succeeded, headers) = (head.status.is_success(), head.headers.clone());
     tokio::task::spawn_local(async move {
         let forwarding = timeout_at(context.deadline.timer(), forward_body(&sender, start, body));
         let outcome = tokio::select! {
@@ -319,7 +311,7 @@
         match outcome {
             Ok(RelayOutcome::Complete) => {
                 if succeeded {
-                    context.on_request_succeeded();
+                    context.on_whole_response(&headers, attempt.name());
                 }
                 return attempt.finish(AttemptEnd::Responded, None);
             }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -450,6 +450,9 @@
         }
         let failed = head.status.is_server_error();
         let end = if failed { AttemptEnd::EngineError } else { AttemptEnd::Responded };
+        if head.status.is_success() {
+            self.on_whole_response(&head.headers, attempt.name());
+        }
         attempt.finish(end, Some(&head.headers));
         let buffered = BufferedResponse { head, body: buffered.freeze() };
         if failed {
@@ -457,9 +460,6 @@
             progress.failure = Some(buffered);
             return BufferOutcome::Failed;
         }
-        if buffered.head.status.is_success() {
-            self.on_request_succeeded();
-        }
         BufferOutcome::Final(buffered.into_response())
     }
 }
