Try quarantined parts that may be sound

Callers of sound requests were refused for minutes: a part that sound and harmful requests share was quarantined with the harmful one before any of its requests had succeeded, and while it is refused none can.

Why it works: a request with some of the quarantined parts but not all is admitted once or twice, at one router of the fleet. If it ends well its parts are cleared and the harmful one is left alone, which is never tried. At most two engines more are lost, within seconds of the quarantine.

The ranking of routers that records of streams use serves both, so it is a type of its own (RankedRouters).

--- a/crates/gateway-core/src/crash_tracker.rs
+++ b/crates/gateway-core/src/crash_tracker.rs
@@ -22,6 +22,7 @@
 use crate::quarantine::{
     CRASHES_TO_QUARANTINE, CrashSighting, INITIAL_QUARANTINE, QuarantineNotice,
 };
+use crate::quarantine_trials::ListedSuspect;
 use crate::recent_successes::RecentSuccesses;
 use serde::{Deserialize, Serialize};
 use stackpost_types::{BackEndName, Millis, Timestamp};
@@ -78,8 +79,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashTracker {
     notice: QuarantineNotice,
-    /// Quarantined requests of the notice, with the time at which this router first received them.
-    quarantined: BTreeMap<Fingerprint, Timestamp>,
+    /// Quarantined requests and parts of the notice.
+    quarantined: BTreeMap<Fingerprint, ListedSuspect>,
     tracked: VecDeque<TrackedSighting>,
     /// Crashes of engines that accepted connections afterwards, with their times, the oldest first.
     unconfirmed: VecDeque<(Timestamp, CrashSighting)>,
@@ -122,16 +123,35 @@
         if self.succeeded.contains(now, request) {
             return None;
         }
-        let Some(since) = self.quarantined.get(request) else {
+        let Some(listed) = self.quarantined.get(request) else {
             return self.own_quarantine_remaining(now, request, is_connected);
         };
-        let elapsed = now.since(*since);
+        let elapsed = now.since(listed.since);
         if elapsed < REVOCATION_TIME {
             return Some(REVOCATION_TIME);
         }
         Some(Millis(INITIAL_QUARANTINE.0.saturating_sub(elapsed.0)).max(REVOCATION_TIME))
     }
 
+    /// Whether a request may be sent although these parts of its prompt are refused, to learn
+    /// whether they are sound. Counts the trial if so.
+    pub fn begin_trial(&mut self, now: Timestamp, refused: &[Fingerprint]) -> bool {
+        let is_due = |part: &Fingerprint| {
+            self.quarantined.get(part).is_some_and(|listed| listed.may_be_tried(now))
+        };
+        let are_all_due = refused.iter().all(is_due);
+        let other_is_listed = self.quarantined.keys().any(|listed| !refused.contains(listed));
+        if !are_all_due || !other_is_listed {
+            return false;
+        }
+        for part in refused {
+            if let Some(listed) = self.quarantined.get_mut(part) {
+                listed.begin_trial(now);
+            }
+        }
+        true
+    }
+
     /// The remaining quarantine by this router's own sightings.
     fn own_quarantine_remaining(
         &self,
@@ -261,9 +281,11 @@
         }
         self.notice = notice;
         let before = std::mem::take(&mut self.quarantined);
-        let since = |request: &Fingerprint| before.get(request).copied().unwrap_or(now);
+        let entry = |suspect: &Fingerprint| {
+            before.get(suspect).copied().unwrap_or_else(|| ListedSuspect::new(now))
+        };
         let listed = self.notice.quarantined.iter();
-        self.quarantined = listed.map(|request| (*request, since(request))).collect();
+        self.quarantined = listed.map(|suspect| (*suspect, entry(suspect))).collect();
         let listed = self.notice.quarantined.iter().chain(&self.notice.suspected);
         let succeeded = listed.filter(|request| self.succeeded.contains(now, request));
         let newly_cleared: Vec<Fingerprint> = succeeded.copied().collect();
--- a/crates/gateway-core/src/fingerprint.rs
+++ b/crates/gateway-core/src/fingerprint.rs
@@ -42,6 +42,11 @@
         ]))
     }
 
+    /// The first 64 bits.
+    pub fn to_u64(self) -> u64 {
+        self.0.to_u64()
+    }
+
     /// The digest of the id of a part, the same for all tenants and routes.
     pub fn of_part(id: &str) -> Self {
         Self(Digest::of(&[PART_DOMAIN, id.as_bytes()]))
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -19,8 +19,8 @@
 //!   each router may send them one.
 //! - [`LoadShedder`]: which requests are admitted while demand exceeds the rates that engines
 //!   state.
-//! - [`StreamVersions`]: which software version began a stream; [`StreamRecorders`]: which routers
-//!   keep that record.
+//! - [`StreamVersions`]: which software version began a stream.
+//! - [`RankedRouters`]: which routers keep a record, or act for the fleet.
 //! - [`RetryBudget`]: how many requests may be sent to a further engine.
 //! - [`Fingerprint`]: identifies a request by its content, the same for every retry of it, or a part
 //!   of a prompt.
@@ -55,6 +55,8 @@
 mod picker;
 mod placement;
 mod quarantine;
+mod quarantine_trials;
+mod ranked_routers;
 mod rate_bucket;
 mod recent_successes;
 mod relay_routers;
@@ -94,10 +96,11 @@
     CRASHES_TO_QUARANTINE, CrashSighting, INITIAL_QUARANTINE, MAX_SUSPECTS, Quarantine,
     QuarantineChange, QuarantineNotice, Suspect,
 };
+pub use ranked_routers::RankedRouters;
 pub use relay_routers::RelayRouters;
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use route_table::{Admission, RouteTable, TenantMatch};
 pub use router_lists::{RouterEndpoint, RouterLists, ZoneRouters};
 pub use slot_shares::SlotShares;
 pub use stated_rates::{RateChange, RateStatement, RateUpdate, StatedRates};
-pub use stream_versions::{StreamKey, StreamRecorders, StreamVersions};
+pub use stream_versions::{StreamKey, StreamVersions};
--- a/crates/gateway-core/src/stream_versions.rs
+++ b/crates/gateway-core/src/stream_versions.rs
@@ -10,12 +10,10 @@
 //! after which no engine of another version is used; if two versions are recorded for one stream,
 //! none of them is returned.
 
-use crate::hashing::mix;
-use crate::router_lists::RouterEndpoint;
-use crate::slot_shares::router_hash;
+use crate::ranked_routers::RankedRouters;
 use serde::{Deserialize, Serialize};
-use stackpost_types::{Digest, Millis, SoftwareVersion, Timestamp, ZoneName};
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use stackpost_types::{Digest, Millis, SoftwareVersion, Timestamp};
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
 /// Number of routers, each in another zone, that record a stream.
@@ -35,6 +33,19 @@
     pub fn of(attempt_id: &str) -> Self {
         Self(Digest::of(&[attempt_id.as_bytes()]).to_u64())
     }
+
+    /// The routers that record the stream. In a fleet of one zone it is only one.
+    pub fn recorders(self, routers: &RankedRouters) -> Vec<SocketAddr> {
+        let mut ranked = self.candidates(routers);
+        ranked.truncate(RECORDERS);
+        ranked
+    }
+
+    /// The routers to ask for the record. The recorders are among them, also by a list of routers
+    /// that differs in one zone.
+    pub fn candidates(self, routers: &RankedRouters) -> Vec<SocketAddr> {
+        routers.best_of_zones(self.0)
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -84,39 +95,3 @@
         }
     }
 }
-
-/// The routers of the fleet, as recorders of streams.
-#[derive(Clone, Debug, Default)]
-pub struct StreamRecorders {
-    by_zone: BTreeMap<ZoneName, Vec<SocketAddr>>,
-}
-
-impl StreamRecorders {
-    /// Sets the running routers.
-    pub fn set_endpoints(&mut self, endpoints: &BTreeSet<RouterEndpoint>) {
-        self.by_zone.clear();
-        for endpoint in endpoints {
-            self.by_zone.entry(endpoint.zone.clone()).or_default().push(endpoint.address);
-        }
-    }
-
-    /// The routers that record a stream. In a fleet of one zone it is only one.
-    pub fn recorders(&self, stream: StreamKey) -> Vec<SocketAddr> {
-        let mut ranked = self.candidates(stream);
-        ranked.truncate(RECORDERS);
-        ranked
-    }
-
-    /// The best ranked router of each zone, the best of all first. The recorders are among them,
-    /// also by a list of routers that differs in one zone.
-    pub fn candidates(&self, stream: StreamKey) -> Vec<SocketAddr> {
-        let best_of = |routers: &Vec<SocketAddr>| {
-            let ranked =
-                routers.iter().map(|router| (mix(stream.0 ^ router_hash(*router)), *router));
-            ranked.min()
-        };
-        let mut best: Vec<(u64, SocketAddr)> = self.by_zone.values().filter_map(best_of).collect();
-        best.sort_unstable();
-        best.into_iter().map(|(_, router)| router).collect()
-    }
-}
--- a/crates/gateway-core/tests/stream_versions.rs
+++ b/crates/gateway-core/tests/stream_versions.rs
@@ -1,6 +1,6 @@
 //! Records of the software version that began a stream.
 
-use stackpost_gateway_core::{RouterEndpoint, StreamKey, StreamRecorders, StreamVersions};
+use stackpost_gateway_core::{RankedRouters, RouterEndpoint, StreamKey, StreamVersions};
 use stackpost_types::{SoftwareVersion, Timestamp};
 use std::collections::BTreeSet;
 
@@ -13,10 +13,10 @@
     RouterEndpoint { zone: format!("zone-{zone}").as_str().into(), address }
 }
 
-fn recorders_of(endpoints: &BTreeSet<RouterEndpoint>) -> StreamRecorders {
-    let mut recorders = StreamRecorders::default();
-    recorders.set_endpoints(endpoints);
-    recorders
+fn ranked(endpoints: &BTreeSet<RouterEndpoint>) -> RankedRouters {
+    let mut routers = RankedRouters::default();
+    routers.set_endpoints(&endpoint(0, 1), endpoints);
+    routers
 }
 
 fn fleet() -> BTreeSet<RouterEndpoint> {
@@ -30,10 +30,10 @@
 #[test]
 fn recorders_are_in_different_zones_and_share_the_load() {
     let fleet = fleet();
-    let recorders = recorders_of(&fleet);
+    let routers = ranked(&fleet);
     let mut used = BTreeSet::new();
     for stream in streams() {
-        let of_stream = recorders.recorders(stream);
+        let of_stream = stream.recorders(&routers);
         let zones: BTreeSet<_> = of_stream.iter().map(|router| router.ip().to_string()).collect();
         let zones: BTreeSet<_> = zones.iter().map(|ip| ip.split('.').nth(1)).collect();
         assert_eq!((of_stream.len(), zones.len()), (2, 2));
@@ -45,14 +45,14 @@
 #[test]
 fn routers_whose_lists_differ_by_one_router_find_a_recorder() {
     let fleet = fleet();
-    let recorders = recorders_of(&fleet);
+    let routers = ranked(&fleet);
     for missing in &fleet {
         let mut others = fleet.clone();
         others.remove(missing);
-        let asking = recorders_of(&others);
+        let asking = ranked(&others);
         for stream in streams() {
-            let asked = asking.candidates(stream);
-            assert!(recorders.recorders(stream).iter().any(|router| asked.contains(router)));
+            let asked = stream.candidates(&asking);
+            assert!(stream.recorders(&routers).iter().any(|router| asked.contains(router)));
         }
     }
 }
--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -31,6 +31,13 @@
     }
 }
 
+/// A quarantined request or part.
+struct QuarantinedSuspect {
+    suspect: Fingerprint,
+    /// Time until another attempt makes sense.
+    remaining: Millis,
+}
+
 impl RequestContext {
     /// Fingerprint of the request's content, the same for every copy of it.
     pub fn fingerprint(&self) -> Fingerprint {
@@ -44,19 +51,25 @@
         })
     }
 
-    /// Refuses a quarantined request. A request that has crashed engines elsewhere, under another
-    /// id, would crash the next one here, so it is refused before it takes tokens or a slot.
+    /// Refuses a quarantined request, unless it is admitted as a trial. A request that has crashed
+    /// engines elsewhere, under another id, would crash the next one here, so it is refused before
+    /// it takes tokens or a slot.
     pub fn refuse_if_quarantined(&self) -> Result<(), Refusal> {
-        let Some(retry_after) = self.quarantine_remaining() else {
+        let quarantined = self.quarantined_suspects();
+        let Some(retry_after) = quarantined.iter().map(|suspect| suspect.remaining).max() else {
             return Ok(());
         };
+        if self.is_trial.get() || self.begin_trial(&quarantined) {
+            return Ok(());
+        }
         decision_log::quarantined(self, retry_after);
         Err(Refusal::CrashesEngines { retry_after })
     }
 
-    /// Whether this request is quarantined.
+    /// Whether the request or one of its parts is quarantined. A trial is, too, so that it is not
+    /// retried.
     pub fn is_quarantined(&self) -> bool {
-        self.quarantine_remaining().is_some()
+        !self.quarantined_suspects().is_empty()
     }
 
     /// The request's own fingerprint and those of the parts that it shares with others: what may
@@ -66,19 +79,34 @@
         iter::once(self.fingerprint()).chain(shared_parts).collect()
     }
 
-    /// Time until another attempt makes sense; `None` if neither the request nor one of its parts is
-    /// quarantined.
-    fn quarantine_remaining(&self) -> Option<Millis> {
+    fn quarantined_suspects(&self) -> Vec<QuarantinedSuspect> {
         let mut tracker = self.router.crash_tracker.borrow_mut();
         if !tracker.has_quarantine_candidates() {
-            return None;
+            return Vec::new();
         }
         let (now, is_connected) = (self.router.now(), self.router.is_connected_to_leader());
-        let suspects = self.suspects();
-        let remaining = suspects
-            .iter()
-            .filter_map(|suspect| tracker.quarantine_remaining(now, suspect, is_connected));
-        remaining.max()
+        let remaining_of = |suspect: Fingerprint| {
+            let remaining = tracker.quarantine_remaining(now, &suspect, is_connected)?;
+            Some(QuarantinedSuspect { suspect, remaining })
+        };
+        self.suspects().into_iter().filter_map(remaining_of).collect()
+    }
+
+    /// Admits the request as a trial of its quarantined parts, at one router of the fleet.
+    fn begin_trial(&self, quarantined: &[QuarantinedSuspect]) -> bool {
+        let parts: Vec<Fingerprint> = quarantined.iter().map(|listed| listed.suspect).collect();
+        let Some(first) = parts.iter().min().filter(|_| !parts.contains(&self.fingerprint()))
+        else {
+            return false;
+        };
+        let is_own_turn = self.router.ranked_routers.borrow().is_own_best(first.to_u64());
+        let now = self.router.now();
+        let begins = is_own_turn && self.router.crash_tracker.borrow_mut().begin_trial(now, &parts);
+        if begins {
+            self.is_trial.set(true);
+            decision_log::quarantine_trial(self, &parts);
+        }
+        begins
     }
 
     /// Handles an interrupted response: the engine may have crashed under this request. The
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -5,7 +5,7 @@
 use crate::request::RequestContext;
 use crate::router::Router;
 use hyper::StatusCode;
-use stackpost_gateway_core::RateChange;
+use stackpost_gateway_core::{Fingerprint, RateChange};
 use stackpost_prepaid::BudgetForecast;
 use stackpost_types::{BackEndName, Millis, TenantName, Tokens};
 use std::time::Duration;
@@ -209,6 +209,17 @@
     );
 }
 
+/// A request is admitted although parts of its prompt are quarantined, to learn whether they are
+/// sound.
+pub(crate) fn quarantine_trial(context: &RequestContext, parts: &[Fingerprint]) {
+    let parts: Vec<String> = parts.iter().map(ToString::to_string).collect();
+    log::info!(
+        request = context.payload.caller.id.as_str(),
+        parts = parts.join(",").as_str();
+        "quarantined parts are tried"
+    );
+}
+
 /// The first event of a stream that the caller resumes has been received, with the software version
 /// of the engine that continues it.
 pub(crate) fn caller_resumed_stream(context: &RequestContext, attempt: &ActiveAttempt) {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -54,6 +54,8 @@
     pub arrived: Instant,
     /// Time left to wait for permits, over all attempts.
     pub permit_wait_left: Cell<Duration>,
+    /// Whether it was admitted to learn whether its quarantined parts are sound.
+    pub is_trial: Cell<bool>,
     /// The software version that began the stream, from its first event on. Further attempts use
     /// engines of this version only.
     pub stream_version: OnceCell<SoftwareVersion>,
@@ -150,6 +152,7 @@
         deadline,
         arrived,
         permit_wait_left,
+        is_trial: Cell::new(false),
         stream_version: OnceCell::new(),
     };
     context.refuse_if_quarantined()?;
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -15,8 +15,8 @@
 use stackpost_coordinator::{Document, DocumentCodec, DocumentDelta};
 use stackpost_gateway_core::{
     AccountOwners, CrashTracker, DepartureDelta, EngineDirectory, EnginePicker, EngineReachability,
-    Evacuations, LoadShedder, Placement, RelayRouters, RetryBudget, RetryLimits, RouteTable,
-    ServiceAvailability,
+    Evacuations, LoadShedder, Placement, RankedRouters, RelayRouters, RetryBudget, RetryLimits,
+    RouteTable, ServiceAvailability,
 };
 use stackpost_prepaid::{BudgetForecast, Wallet};
 use stackpost_telemetry::{LineLimit, Meter};
@@ -95,6 +95,8 @@
     pub(crate) permits: PermitPool,
     /// Sheds requests while the engines' rate limits are below the demand.
     pub(crate) shedding: RefCell<LoadShedder>,
+    /// The running routers, ranked for any subject.
+    pub(crate) ranked_routers: RefCell<RankedRouters>,
     /// The software versions that began streams.
     pub(crate) stream_records: StreamRecords,
     malformed_header_lines: LineLimit,
@@ -144,6 +146,7 @@
             urgent_update_tokens: Cell::new(Tokens(u64::MAX)),
             permits: PermitPool::default(),
             shedding: RefCell::default(),
+            ranked_routers: RefCell::default(),
             stream_records: StreamRecords::default(),
             malformed_header_lines: LineLimit::default(),
             document: RefCell::default(),
--- a/crates/gateway/src/stream_records.rs
+++ b/crates/gateway/src/stream_records.rs
@@ -5,10 +5,9 @@
 use crate::peer_socket::{PeerDatagram, PeerSocket};
 use crate::router::Router;
 use serde::{Deserialize, Serialize};
-use stackpost_gateway_core::{RouterEndpoint, StreamKey, StreamRecorders, StreamVersions};
+use stackpost_gateway_core::{StreamKey, StreamVersions};
 use stackpost_types::SoftwareVersion;
 use std::cell::{OnceCell, RefCell};
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,7 +33,6 @@
 #[derive(Default)]
 pub(crate) struct StreamRecords {
     versions: RefCell<StreamVersions>,
-    recorders: RefCell<StreamRecorders>,
     /// Notified when another router's record arrives.
     arrived: Notify,
     socket: OnceCell<Rc<PeerSocket>>,
@@ -47,11 +45,6 @@
         let _ = self.socket.set(socket);
     }
 
-    /// Called when the list of running routers has changed.
-    pub fn set_endpoints(&self, endpoints: &BTreeSet<RouterEndpoint>) {
-        self.recorders.borrow_mut().set_endpoints(endpoints);
-    }
-
     fn send(&self, routers: &[SocketAddr], message: &StreamMessage) {
         let Some(socket) = self.socket.get() else {
             return;
@@ -66,7 +59,7 @@
     pub(crate) fn record_stream(&self, stream: StreamKey, version: &SoftwareVersion) {
         let records = &self.stream_records;
         records.versions.borrow_mut().record(self.now(), stream, version.clone());
-        let recorders = records.recorders.borrow().recorders(stream);
+        let recorders = stream.recorders(&self.ranked_routers.borrow());
         records.send(&recorders, &StreamMessage::Began { stream, version: version.clone() });
     }
 
@@ -97,7 +90,7 @@
             if let Some(version) = self.recorded_version(stream) {
                 return Some(version);
             }
-            let candidates = self.stream_records.recorders.borrow().candidates(stream);
+            let candidates = stream.candidates(&self.ranked_routers.borrow());
             self.stream_records.send(&candidates, &StreamMessage::Query { stream });
             let next_query = Instant::now() + QUERY_INTERVAL;
             self.wait_for_record(stream, next_query).await;
--- a/crates/gateway/tests/fleet/crashing_requests.rs
+++ b/crates/gateway/tests/fleet/crashing_requests.rs
@@ -152,3 +152,32 @@
         assert_eq!(fleet.crashed_engines(), before);
     });
 }
+
+/// Guards against refusing a sound part of a prompt for minutes because it was quarantined together
+/// with a harmful one before any request with it had succeeded.
+#[test]
+fn sound_part_is_served_again_after_it_was_quarantined_with_a_harmful_one() {
+    run_local(async {
+        let fleet = RestartingFleet::start().await;
+        let crash = format!("/plain-stream/{}", CrashPoint::BeforeFirstEvent.path_segment());
+        for number in 0..CRASHES_ALLOWED {
+            let (path, id) = (format!("{crash}?{number}"), format!("crash-{number}"));
+            let headers = [("id", &*id), ("key", KEY), ("parts", "system,harmful")];
+            fleet.fleet.ask_with(&path, &headers).await;
+            fleet.restart_engines().await;
+        }
+        tokio::time::sleep(PROPAGATION_TIME).await;
+        let mut served = 0;
+        for number in 0..COPIES {
+            let (path, id) = (format!("/plain-stream/{number}"), format!("sound-{number}"));
+            let headers = [("id", &*id), ("key", KEY), ("parts", "system")];
+            let callers = [fleet.fleet.callers, fleet.second.borrow().callers][number % 2];
+            served += usize::from(ask_at(callers, &path, &headers).await.status == 200);
+            tokio::time::sleep(PROPAGATION_TIME / COPIES as u32).await;
+        }
+        assert!(served * 2 >= COPIES, "{served} of {COPIES} sound requests served");
+        let harmful = [("id", "late"), ("key", KEY), ("parts", "system,harmful")];
+        assert_eq!(fleet.fleet.ask_with(&format!("{crash}?late"), &harmful).await.status, 503);
+        assert_eq!(fleet.crashed_engines(), CRASHES_ALLOWED);
+    });
+}
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -331,7 +331,7 @@
     ask_at(callers, "/stream/1", &[("id", id), ("key", KEY), ("generation", "1")]).await
 }
 
-async fn ask_at(callers: SocketAddr, path: &str, headers: &[(&str, &str)]) -> CallerResponse {
+pub async fn ask_at(callers: SocketAddr, path: &str, headers: &[(&str, &str)]) -> CallerResponse {
     let stream = TcpStream::connect(callers).await.expect("connected");
     let (mut sender, connection) =
         hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.expect("connected");
