--- a/crates/gateway/src/caller_resumption.rs
+++ b/crates/gateway/src/caller_resumption.rs
@@ -8,8 +8,7 @@
 use crate::decision_log;
 use crate::refusal::Refusal;
 use crate::request::RequestContext;
-use stackpost_gateway_core::EngineRecord;
-use stackpost_gateway_core::StreamKey;
+use stackpost_gateway_core::{EngineRecord, StreamKey};
 use stackpost_types::{BackEndName, SoftwareVersion};
 
 impl RequestContext {
@@ -68,14 +67,15 @@
             return Vec::new();
         }
         let directory = self.router.directory.borrow();
-        let of_service = directory.in_service().filter(|it| it.notice.service == self.service);
-        let others = of_service.filter(|engine| !self.fits_stream(engine));
+        let others = directory
+            .in_service()
+            .filter(|engine| engine.notice.service == self.service && !self.fits_stream(engine));
         others.map(|engine| engine.notice.engine.clone()).collect()
     }
 
     fn has_engine_for_stream(&self) -> bool {
         let directory = self.router.directory.borrow();
-        let mut of_service = directory.in_service().filter(|it| it.notice.service == self.service);
-        of_service.any(|engine| self.fits_stream(engine))
+        let mut in_service = directory.in_service();
+        in_service.any(|engine| engine.notice.service == self.service && self.fits_stream(engine))
     }
 }
