--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -176,6 +176,13 @@
         self.crash_report_due.notify_one();
     }
 
+    /// The same for an engine that still accepts connections.
+    fn on_unconfirmed_crash(&self, suspects: &[Fingerprint], engine: &BackEndName) {
+        let (now, mut tracker) = (self.now(), self.crash_tracker.borrow_mut());
+        sightings(suspects, engine)
+            .for_each(|sighting| tracker.on_unconfirmed_crash(now, sighting));
+    }
+
     /// Probes an engine again that accepted a connection as it crashed.
     async fn probe_later(self: Rc<Self>, suspects: Vec<Fingerprint>, engine: BackEndName) {
         sleep(EXIT_TIME).await;
@@ -190,13 +197,6 @@
         request.iter().for_each(|succeeded| tracker.on_request_succeeded(now, succeeded));
         self.crash_report_due.notify_one();
     }
-
-    /// The same for an engine that still accepts connections.
-    fn on_unconfirmed_crash(&self, suspects: &[Fingerprint], engine: &BackEndName) {
-        let (now, mut tracker) = (self.now(), self.crash_tracker.borrow_mut());
-        sightings(suspects, engine)
-            .for_each(|sighting| tracker.on_unconfirmed_crash(now, sighting));
-    }
 }
 
 fn sightings<'a>(
