--- /dev/null
+++ b/crates/gateway/src/buffered_response.rs
@@ -0,0 +1,99 @@
+//! Responses of engines that are buffered before anything is sent to the caller, so that an
+//! interrupted one can be retried.
+
+use crate::attempt::EngineResponse;
+use crate::body::GatewayBody;
+use crate::decision_log::InterruptionPoint;
+use crate::relay::LargeResponse;
+use crate::request::{Progress, RequestContext, build_response};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::http::response;
+use stackpost_gateway_core::AttemptEnd;
+use tokio::time::timeout_at;
+
+/// Largest response that is buffered before it is forwarded.
+const BUFFER_LIMIT_BYTES: usize = 256 * 1024;
+
+/// A complete response of an engine.
+pub(crate) struct BufferedResponse {
+    head: response::Parts,
+    body: Bytes,
+}
+
+/// Outcome of buffering a response.
+pub(crate) enum BufferOutcome {
+    /// The complete response.
+    Final(Response<GatewayBody>),
+    /// A response above the buffer limit, whose remainder is to be forwarded.
+    Large(Box<LargeResponse>),
+    /// The attempt has failed; an error response of the engine is kept in [`Progress::failure`].
+    Failed,
+}
+
+impl RequestContext {
+    /// Buffers a response that is not a stream, so that an interrupted one can be retried.
+    pub async fn buffer_response(
+        &self,
+        response: EngineResponse,
+        progress: &mut Progress,
+    ) -> BufferOutcome {
+        let EngineResponse { head, mut body, attempt } = response;
+        let mut buffered = BytesMut::new();
+        let read = async {
+            while let Some(frame) = body.frame().await {
+                if let Ok(data) = frame.map_err(|_| ())?.into_data() {
+                    buffered.extend_from_slice(&data);
+                }
+                if buffered.len() > BUFFER_LIMIT_BYTES {
+                    return Ok(false);
+                }
+            }
+            Ok::<bool, ()>(true)
+        };
+        match timeout_at(self.deadline.timer(), read).await {
+            Ok(Ok(true)) => {}
+            Ok(Ok(false)) => {
+                let start = buffered.freeze();
+                return BufferOutcome::Large(Box::new(LargeResponse {
+                    head,
+                    start,
+                    body,
+                    attempt,
+                }));
+            }
+            Ok(Err(())) => {
+                let crash_check = self.on_interrupted(attempt.name(), InterruptionPoint::Body);
+                attempt.finish(AttemptEnd::Interrupted, None);
+                crash_check.wait().await;
+                progress.may_have_run = true;
+                return BufferOutcome::Failed;
+            }
+            Err(_) => {
+                attempt.finish(AttemptEnd::Interrupted, None);
+                progress.may_have_run = true;
+                return BufferOutcome::Failed;
+            }
+        }
+        let failed = head.status.is_server_error();
+        let end = if failed { AttemptEnd::EngineError } else { AttemptEnd::Responded };
+        if head.status.is_success() {
+            self.on_whole_response(&head.headers, attempt.name());
+        }
+        attempt.finish(end, Some(&head.headers));
+        let buffered = BufferedResponse { head, body: buffered.freeze() };
+        if failed {
+            progress.may_have_run = true;
+            progress.failure = Some(buffered);
+            return BufferOutcome::Failed;
+        }
+        BufferOutcome::Final(buffered.into_response())
+    }
+}
+
+impl BufferedResponse {
+    pub fn into_response(self) -> Response<GatewayBody> {
+        build_response(self.head, GatewayBody::buffered(self.body))
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod attempt;
 mod body;
+mod buffered_response;
 mod caller_resumption;
 pub mod congestion;
 mod connection_pool;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,11 +4,12 @@
     self, AttemptResult, EngineResponse, Payload, SelectedEngine, strip_connection_headers,
 };
 use crate::body::GatewayBody;
+use crate::buffered_response::{BufferOutcome, BufferedResponse};
 use crate::deadline::Deadline;
 use crate::decision_log::InterruptionPoint;
 use crate::header_codec::{CallerRequest, EngineRequestHeaders};
 use crate::refusal::Refusal;
-use crate::relay::{self, LargeResponse};
+use crate::relay;
 use crate::reservation::{Reservation, ReservationRequest};
 use crate::router::Router;
 use crate::select_engine::max_permit_wait;
@@ -18,7 +19,7 @@
 use hyper::header;
 use hyper::http::request;
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
-use stackpost_gateway_core::{Admission, AttemptEnd, Route, RouteTable, Tenant};
+use stackpost_gateway_core::{Admission, Route, RouteTable, Tenant};
 use stackpost_types::{BackEndName, Digest, Millis, ServiceName, SoftwareVersion};
 use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
@@ -33,8 +34,6 @@
 const TOKEN_WAIT_PERCENT: u64 = 22;
 /// Connection failures after which a request is not retried.
 const MAX_UNREACHABLE: u32 = 4;
-/// Largest response that is buffered before it is forwarded.
-pub(crate) const BUFFER_LIMIT_BYTES: usize = 256 * 1024;
 /// Timeout of requests whose caller states none.
 const DEFAULT_CALLER_TIMEOUT: Millis = Millis(15_000);
 
@@ -75,12 +74,6 @@
     pub failure: Option<BufferedResponse>,
 }
 
-/// A complete response of an engine.
-pub(crate) struct BufferedResponse {
-    head: hyper::http::response::Parts,
-    body: Bytes,
-}
-
 /// Serves one request. The future is dropped when the caller disconnects, which cancels the attempt
 /// in progress.
 pub(crate) async fn serve(router: Rc<Router>, request: Request<Incoming>) -> Response<GatewayBody> {
@@ -407,79 +400,6 @@
             (false, false) => Refusal::EnginesFull,
         })
     }
-
-    /// Buffers a response that is not a stream, so that an interrupted one can be retried.
-    async fn buffer_response(
-        &self,
-        response: EngineResponse,
-        progress: &mut Progress,
-    ) -> BufferOutcome {
-        let EngineResponse { head, mut body, attempt } = response;
-        let mut buffered = BytesMut::new();
-        let read = async {
-            while let Some(frame) = body.frame().await {
-                if let Ok(data) = frame.map_err(|_| ())?.into_data() {
-                    buffered.extend_from_slice(&data);
-                }
-                if buffered.len() > BUFFER_LIMIT_BYTES {
-                    return Ok(false);
-                }
-            }
-            Ok::<bool, ()>(true)
-        };
-        match timeout_at(self.deadline.timer(), read).await {
-            Ok(Ok(true)) => {}
-            Ok(Ok(false)) => {
-                let start = buffered.freeze();
-                return BufferOutcome::Large(Box::new(LargeResponse {
-                    head,
-                    start,
-                    body,
-                    attempt,
-                }));
-            }
-            Ok(Err(())) => {
-                let crash_check = self.on_interrupted(attempt.name(), InterruptionPoint::Body);
-                attempt.finish(AttemptEnd::Interrupted, None);
-                crash_check.wait().await;
-                progress.may_have_run = true;
-                return BufferOutcome::Failed;
-            }
-            Err(_) => {
-                attempt.finish(AttemptEnd::Interrupted, None);
-                progress.may_have_run = true;
-                return BufferOutcome::Failed;
-            }
-        }
-        let failed = head.status.is_server_error();
-        let end = if failed { AttemptEnd::EngineError } else { AttemptEnd::Responded };
-        if head.status.is_success() {
-            self.on_whole_response(&head.headers, attempt.name());
-        }
-        attempt.finish(end, Some(&head.headers));
-        let buffered = BufferedResponse { head, body: buffered.freeze() };
-        if failed {
-            progress.may_have_run = true;
-            progress.failure = Some(buffered);
-            return BufferOutcome::Failed;
-        }
-        BufferOutcome::Final(buffered.into_response())
-    }
-}
-
-enum BufferOutcome {
-    /// The complete response.
-    Final(Response<GatewayBody>),
-    /// A response above the buffer limit, whose remainder is to be forwarded.
-    Large(Box<LargeResponse>),
-    /// The attempt has failed; an error response of the engine is kept in [`Progress::failure`].
-    Failed,
-}
-
-impl BufferedResponse {
-    fn into_response(self) -> Response<GatewayBody> {
-        build_response(self.head, GatewayBody::buffered(self.body))
-    }
 }
 
 /// Combines the head of an engine's response with a new body.
