--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod api;
 pub mod app;
 pub mod attempt;
+mod caller_connection;
 pub mod chat;
 pub mod envelope;
 pub mod metrics;
--- a/crates/router/src/request_task.rs
+++ b/crates/router/src/request_task.rs
@@ -2,6 +2,7 @@
 //! response to the caller.
 
 use crate::attempt::{self, AttemptEvent, Payload, PlainBody, Timeouts};
+use crate::caller_connection::{CallerConnection, with_identifying_headers};
 use crate::chat::ChatRequest;
 use crate::envelope::{refusal_answer, refusal_body};
 use crate::server::RouterServer;
@@ -16,8 +17,6 @@
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, oneshot};
 
-/// Maximum number of chunks that wait for a slow caller before the back end has to wait.
-const CALLER_CHANNEL_CAPACITY: usize = 64;
 /// Maximum number of an attempt's events that wait for the request task.
 const EVENT_CHANNEL_CAPACITY: usize = 64;
 /// Time between two checks whether the caller is still connected.
@@ -83,13 +82,6 @@
     pub arrived_at: Instant,
 }
 
-/// The response channel to the caller.
-struct CallerConnection {
-    reply: Option<oneshot::Sender<Answer>>,
-    chunks: Option<mpsc::Sender<Result<Bytes, BodyAborted>>>,
-    disconnected: bool,
-}
-
 /// A running attempt and the parts of its response not yet sent.
 struct RunningAttempt {
     dispatch: Dispatch,
@@ -439,62 +431,6 @@
     }
 }
 
-impl CallerConnection {
-    /// Sends the head of a response whose body follows in chunks.
-    fn start_response(
-        &mut self,
-        status: StatusCode,
-        headers: HeaderMap,
-        request: RequestId,
-        server: &RouterServer,
-        back_end: Option<&str>,
-    ) {
-        let (sender, chunks) = mpsc::channel(CALLER_CHANNEL_CAPACITY);
-        self.chunks = Some(sender);
-        let answer = Answer { status, headers, body: AnswerBody::Stream(chunks) };
-        self.reply_with(with_identifying_headers(answer, request, server, back_end));
-    }
-
-    fn reply_with(&mut self, answer: Answer) {
-        if let Some(reply) = self.reply.take() {
-            // An error means that the caller has disconnected, which the caller check detects.
-            let _ = reply.send(answer);
-        }
-    }
-
-    async fn send_chunk(&mut self, chunk: Bytes) {
-        if let Some(chunks) = &self.chunks
-            && chunks.send(Ok(chunk)).await.is_err()
-        {
-            self.chunks = None;
-        }
-    }
-
-    /// Aborts the response, so that the caller can't take it for complete.
-    async fn abort(&mut self) {
-        if let Some(chunks) = self.chunks.take() {
-            let _ = chunks.send(Err(BodyAborted)).await;
-        }
-    }
-}
-
-/// Adds the headers that identify the request, its trace and its back end.
-fn with_identifying_headers(
-    answer: Answer,
-    request: RequestId,
-    server: &RouterServer,
-    back_end: Option<&str>,
-) -> Answer {
-    let decision = format!("{request}@{}", server.machine());
-    let answer = answer
-        .with_header("x-request-id", &request.to_string())
-        .with_header("x-stackpost-decision", &decision);
-    match back_end {
-        Some(name) => answer.with_header("x-stackpost-back-end", name),
-        None => answer,
-    }
-}
-
 async fn next_attempt_event(running: &mut Option<RunningAttempt>) -> Option<AttemptEvent> {
     match running {
         Some(running) if !running.ended => running.events.recv().await,
