--- a/crates/bench/src/refusals.rs
+++ b/crates/bench/src/refusals.rs
@@ -108,7 +108,7 @@
         },
     ];
     println!(
-        "{:<8} {:<22} {:>8} {:>8} {:>6} {:>8} {:>8} {:>8} {:>10}  reasons",
+        "{:<11} {:<22} {:>8} {:>8} {:>6} {:>8} {:>8} {:>8} {:>10}  reasons",
         "fleet",
         "setting",
         "requests",
@@ -119,12 +119,14 @@
         "central",
         "overspend"
     );
-    for (name, shape) in [("lagos", FleetShape::lagos()), ("bogota", FleetShape::bogota())] {
+    for (name, shape) in
+        [("three zones", FleetShape::three_zones()), ("four zones", FleetShape::four_zones())]
+    {
         for scenario in &scenarios {
             let measured = measure(&shape, scenario, minutes * 60_000, scale);
             let share = 100.0 * measured.false_refusals as f64 / measured.requests as f64;
             println!(
-                "{name:<8} {:<22} {:>8} {:>8} {:>6} {share:>7.3}% {:>8} {:>8} {:>10}  {:?}{}",
+                "{name:<11} {:<22} {:>8} {:>8} {:>6} {share:>7.3}% {:>8} {:>8} {:>10}  {:?}{}",
                 scenario.name,
                 measured.requests,
                 measured.answered,
--- a/crates/sim/src/fleet.rs
+++ b/crates/sim/src/fleet.rs
@@ -36,9 +36,9 @@
 
 impl FleetShape {
     /// Three zones with two routers each, where false refusals are weighted most.
-    pub fn lagos() -> Self {
+    pub fn three_zones() -> Self {
         Self {
-            zones: vec!["marina", "ikorodu", "badore"],
+            zones: vec!["east", "west", "north"],
             routers_per_zone: 2,
             engines_per_zone: 3,
             limits: vec![60_000, 40_000, 20_000, 6_000],
@@ -48,9 +48,9 @@
     }
 
     /// Four zones with two routers each, where overspend is weighted most.
-    pub fn bogota() -> Self {
+    pub fn four_zones() -> Self {
         Self {
-            zones: vec!["norte", "sur", "occ", "chia"],
+            zones: vec!["north", "south", "east", "west"],
             routers_per_zone: 2,
             engines_per_zone: 3,
             limits: vec![50_000, 30_000, 20_000, 6_000],
--- a/crates/sim/tests/golden.rs
+++ b/crates/sim/tests/golden.rs
@@ -122,11 +122,11 @@
 }
 
 #[test]
-fn lagos_session_matches_golden_file() {
-    compare("lagos.txt", &session(FleetShape::lagos(), 11));
+fn session_of_three_zones_matches_golden_file() {
+    compare("three_zones.txt", &session(FleetShape::three_zones(), 11));
 }
 
 #[test]
-fn bogota_session_matches_golden_file() {
-    compare("bogota.txt", &session(FleetShape::bogota(), 12));
+fn session_of_four_zones_matches_golden_file() {
+    compare("four_zones.txt", &session(FleetShape::four_zones(), 12));
 }
--- a/crates/sim/tests/smoke.rs
+++ b/crates/sim/tests/smoke.rs
@@ -15,7 +15,7 @@
 
 #[test]
 fn a_fleet_without_faults_keeps_all_invariants() {
-    for shape in [FleetShape::lagos(), FleetShape::bogota()] {
+    for shape in [FleetShape::three_zones(), FleetShape::four_zones()] {
         let world = run(shape, 1);
         let found = check(&world);
         assert!(found.is_empty(), "{found:#?}\n{}", world.history.text());
@@ -26,8 +26,8 @@
 
 #[test]
 fn the_same_seed_gives_the_same_history() {
-    let first = run(FleetShape::lagos(), 7).history.text();
-    let second = run(FleetShape::lagos(), 7).history.text();
+    let first = run(FleetShape::three_zones(), 7).history.text();
+    let second = run(FleetShape::three_zones(), 7).history.text();
     assert_eq!(first, second);
-    assert_ne!(first, run(FleetShape::lagos(), 8).history.text());
+    assert_ne!(first, run(FleetShape::three_zones(), 8).history.text());
 }
--- a/crates/sim/tests/support/mod.rs
+++ b/crates/sim/tests/support/mod.rs
@@ -35,8 +35,11 @@
 
 /// Runs one cell: workload, faults, healing and checks.
 pub fn run_cell(cell: Cell, defect: Defect, keep_history: bool) -> Outcome {
-    let shape =
-        if cell.seed.is_multiple_of(2) { FleetShape::lagos() } else { FleetShape::bogota() };
+    let shape = if cell.seed.is_multiple_of(2) {
+        FleetShape::three_zones()
+    } else {
+        FleetShape::four_zones()
+    };
     let mut world = World::new(shape, cell.seed, defect, keep_history);
     world.boot();
     let begin = world.now;
