Wait for conditions instead of fixed times in tests of the gateway

Three waits for a quarantine or for the end of a backoff slept a fixed time. The test of a sound part is stricter: it had to be served in half of twelve requests, and now must be served by both routers and then twelve times in a row. The one sleep that is left in backoff.rs paces requests and waits for nothing.

Router::quarantined_suspects tells what the tests wait for.

--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -187,6 +187,11 @@
         directory.in_service().count()
     }
 
+    /// Number of requests and parts of prompts that the control processes report as quarantined.
+    pub fn quarantined_suspects(&self) -> usize {
+        self.crash_tracker.borrow().quarantined()
+    }
+
     /// Number of this router's requests in flight at engines.
     pub fn in_flight_requests(&self) -> u64 {
         let picker = self.picker.borrow();
--- a/crates/gateway/tests/fleet/backoff.rs
+++ b/crates/gateway/tests/fleet/backoff.rs
@@ -137,19 +137,18 @@
             assert!(response.body.expect("a complete body").contains("engines_rest"));
         }
         fleet.set_behaviours(Behaviour::Respond, Behaviour::Respond);
-        tokio::time::sleep(BACKOFF).await;
         wait_until_served(&fleet).await;
     });
 }
 
 /// Waits until a generation is served.
 async fn wait_until_served(fleet: &Fleet) {
-    for number in 0.. {
-        if fleet.generate(&format!("served-{number}")).await.status == 200 {
-            return;
-        }
-        tokio::time::sleep(REQUEST_INTERVAL).await;
-    }
+    let mut number = 0;
+    wait_until_async(async || {
+        number += 1;
+        fleet.generate(&format!("served-{number}")).await.status == 200
+    })
+    .await;
 }
 
 #[test]
--- a/crates/gateway/tests/fleet/crashing_requests.rs
+++ b/crates/gateway/tests/fleet/crashing_requests.rs
@@ -71,6 +71,14 @@
         self.wait_until_all_known().await;
     }
 
+    /// Waits until both routers know a quarantine, at most for [`PROPAGATION_TIME`].
+    async fn wait_until_quarantined(&self) -> bool {
+        let second = self.second.borrow().router.clone();
+        let is_known =
+            || [&self.fleet.router, &second].iter().all(|router| router.quarantined_suspects() > 0);
+        holds_within(PROPAGATION_TIME, is_known).await
+    }
+
     /// Sends a request to one of the two routers.
     async fn ask(&self, number: usize, path: &str, id: &str) -> CallerResponse {
         if number.is_multiple_of(2) {
@@ -88,7 +96,8 @@
             if self.crashed_engines() >= CRASHES_ALLOWED
                 && !std::mem::replace(&mut has_waited, true)
             {
-                tokio::time::sleep(PROPAGATION_TIME).await;
+                // One of the crashes may not be confirmed yet; the bound on crashes decides.
+                let _ = self.wait_until_quarantined().await;
             }
             self.ask(number, path, &format!("{path}-{number}")).await;
             self.restart_engines().await;
@@ -166,16 +175,28 @@
             fleet.fleet.ask_with(&path, &headers).await;
             fleet.restart_engines().await;
         }
-        tokio::time::sleep(PROPAGATION_TIME).await;
-        let mut served = 0;
-        for number in 0..COPIES {
-            let (path, id) = (format!("/plain-stream/{number}"), format!("sound-{number}"));
+        assert!(fleet.wait_until_quarantined().await, "the quarantine is late");
+        let mut sent = 0;
+        let mut is_sound_served = async |router: usize| {
+            sent += 1;
+            let (path, id) = (format!("/plain-stream/{sent}"), format!("sound-{sent}"));
             let headers = [("id", &*id), ("key", KEY), ("parts", "system")];
-            let callers = [fleet.fleet.callers, fleet.second.borrow().callers][number % 2];
-            served += usize::from(ask_at(callers, &path, &headers).await.status == 200);
-            tokio::time::sleep(PROPAGATION_TIME / COPIES as u32).await;
+            let callers = [fleet.fleet.callers, fleet.second.borrow().callers][router];
+            ask_at(callers, &path, &headers).await.status == 200
+        };
+        // One router of the two tries the part; which one is up to its fingerprint.
+        let mut asked = 0;
+        wait_until_async(async || {
+            asked += 1;
+            is_sound_served(asked % 2).await
+        })
+        .await;
+        for router in [0, 1] {
+            wait_until_async(async || is_sound_served(router).await).await;
+        }
+        for copy in 0..COPIES {
+            assert!(is_sound_served(copy % 2).await, "sound requests are served from now on");
         }
-        assert!(served * 2 >= COPIES, "{served} of {COPIES} sound requests served");
         let harmful = [("id", "late"), ("key", KEY), ("parts", "system,harmful")];
         assert_eq!(fleet.fleet.ask_with(&format!("{crash}?late"), &harmful).await.status, 503);
         assert_eq!(fleet.crashed_engines(), CRASHES_ALLOWED);
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -24,7 +24,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU16, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
 pub const PREPAID: u64 = 10_000;
@@ -33,8 +33,10 @@
 pub const MAX_GENERATED: u64 = 50;
 pub const TOKENS_PER_EVENT: u64 = 5;
 pub const KEY: &str = "ferry-key";
-/// Polling interval of conditions; a test that never ends is stopped by its runner.
+/// Polling interval of conditions.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Longest wait for a condition before the test fails.
+const CONDITION_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// A response as received by a caller.
 #[derive(Debug)]
@@ -204,9 +206,21 @@
     )
 }
 
-/// Waits until `condition` holds.
+/// Waits until `condition` holds, and fails if it does not in time.
 pub async fn wait_until(mut condition: impl FnMut() -> bool) {
-    while !condition() {
+    wait_until_async(async || condition()).await;
+}
+
+/// Whether `condition` holds within `limit`.
+pub async fn holds_within(limit: Duration, condition: impl FnMut() -> bool) -> bool {
+    tokio::time::timeout(limit, wait_until(condition)).await.is_ok()
+}
+
+/// The same as [`wait_until`] for a condition that is checked by requests.
+pub async fn wait_until_async(mut condition: impl AsyncFnMut() -> bool) {
+    let started = Instant::now();
+    while !condition().await {
+        assert!(started.elapsed() < CONDITION_TIMEOUT, "timed out waiting for a condition");
         tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
