--- a/crates/gateway/src/stream_records.rs
+++ b/crates/gateway/src/stream_records.rs
@@ -1,6 +1,6 @@
 //! Exchanges records of the software version that began each stream, by datagrams.
 //!
-//! A record that is lost only costs its caller the resumption, so records are not acknowledged.
+//! Records are not acknowledged: without one, a resumption is refused and nothing else fails.
 
 use crate::peer_socket::{PeerDatagram, PeerSocket};
 use crate::router::Router;
