Log which requests an engine may not have read when it departs

Nothing in the logs told requests that were sent in time and read late from requests that a router sent without knowing of the departure. A router now logs, as it learns that an engine departs, its requests in flight there, those that the engine may not have read, the age of the oldest and when the engine was last heard; an attempt that ends without a response says whether the engine has sent anything since it was dispatched; control logs how long an acknowledgement waited. No decision changes.

--- a/crates/coordinator/src/engine_updates.rs
+++ b/crates/coordinator/src/engine_updates.rs
@@ -106,9 +106,10 @@
         if self.is_outdated(&departure) || self.state.borrow().departures.covers(&departure) {
             return Ok(());
         }
+        let started = self.now();
         let result = self.commit_departure(departure.clone()).await;
         self.metrics.on_departure(departure.state, result.is_ok());
-        log_departure(&departure, result);
+        log_departure(&departure, self.now().since(started), result);
         Ok(result?)
     }
 
@@ -232,10 +233,14 @@
     }
 }
 
-fn log_departure(departure: &DepartureRecord, result: Result<(), NotCommitted>) {
+fn log_departure(departure: &DepartureRecord, waited: Millis, result: Result<(), NotCommitted>) {
     let (engine, state) = (departure.engine.as_str(), departure.state.as_str());
     match result {
-        Ok(()) => log::info!(engine = engine, state = state; "departure written down"),
-        Err(error) => log::warn!(engine = engine, state = state; "not acknowledged: {error}"),
+        Ok(()) => {
+            log::info!(engine = engine, state = state, waited_ms = waited.0; "departure written down")
+        }
+        Err(error) => {
+            log::warn!(engine = engine, state = state, waited_ms = waited.0; "not acknowledged: {error}")
+        }
     }
 }
--- a/crates/gateway-core/src/engine_health.rs
+++ b/crates/gateway-core/src/engine_health.rs
@@ -1,6 +1,7 @@
 //! The health of an engine as seen by one router's requests, and its ejection after failures.
 
 use crate::engine_silence::EngineSilence;
+use crate::unread_requests::UnreadRequests;
 use stackpost_types::{Millis, Timestamp};
 use std::collections::VecDeque;
 
@@ -33,6 +34,8 @@
     pub responded_at: Option<Timestamp>,
     /// How long nothing was received from it.
     pub silence: EngineSilence,
+    /// Requests that it may not have read.
+    pub unread: UnreadRequests,
     /// Send times of the newest requests, newest last.
     recent_sends: VecDeque<Timestamp>,
 }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -98,6 +98,7 @@
 mod stated_rates;
 mod stream_buffers;
 mod stream_versions;
+mod unread_requests;
 mod withdrawal;
 mod work_time;
 mod zone_pressure;
@@ -162,6 +163,7 @@
     may_have_ended_unread,
 };
 pub use stream_versions::{StreamKey, StreamVersions};
+pub use unread_requests::{READ_MARGIN, UNREAD_EXPIRY, UnreadRequests};
 pub use withdrawal::{Withdrawal, WithdrawalPolicy};
 pub use work_time::ResponseTiming;
 pub use zone_pressure::{LinkLoad, Neighbours, PressureReport, ZonePressure};
--- a/crates/gateway-core/src/picker/silence.rs
+++ b/crates/gateway-core/src/picker/silence.rs
@@ -3,6 +3,7 @@
 use super::{EnginePicker, engines_in_service};
 use crate::directory::EngineDirectory;
 use crate::engine_silence::EngineSilence;
+use crate::unread_requests::UnreadRequests;
 use stackpost_types::{BackEndName, Millis, ServiceName, Timestamp};
 
 impl EnginePicker {
@@ -10,9 +11,30 @@
     pub fn on_heard(&mut self, now: Timestamp, engine: &BackEndName) {
         if let Some(health) = self.engines.get_mut(engine) {
             health.silence.on_heard(now, health.in_flight);
+            health.unread.on_heard(now);
         }
     }
 
+    /// Records that a request is written to a connection to an engine.
+    pub fn on_dispatched(&mut self, now: Timestamp, engine: &BackEndName) {
+        if let Some(health) = self.engines.get_mut(engine) {
+            health.unread.on_dispatched(now);
+        }
+    }
+
+    /// Records that an engine has responded to the request dispatched at `sent_at`, or that nothing
+    /// of that request was sent after all.
+    pub fn on_read(&mut self, engine: &BackEndName, sent_at: Timestamp) {
+        if let Some(health) = self.engines.get_mut(engine) {
+            health.unread.remove(sent_at);
+        }
+    }
+
+    /// The requests of this router that an engine may not have read.
+    pub fn unread(&self, engine: &BackEndName) -> Option<&UnreadRequests> {
+        self.engines.get(engine).map(|health| &health.unread)
+    }
+
     /// How long an engine has been silent towards this router.
     pub fn silence(&self, engine: &BackEndName) -> EngineSilence {
         self.engines.get(engine).map(|health| health.silence).unwrap_or_default()
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -106,6 +106,8 @@
 /// [`Self::finish`], the connection is closed so that the engine stops working on the request.
 pub(crate) struct ActiveAttempt {
     router: Rc<Router>,
+    /// The id of the request.
+    request: String,
     engine: Rc<EngineRecord>,
     placement: Option<Placement>,
     expected: Option<PlainExpectation>,
@@ -113,6 +115,8 @@
     started: Instant,
     /// The same instant on the router's clock.
     sent_at: Timestamp,
+    /// When the request was written to the connection.
+    dispatched_at: Option<Timestamp>,
     last_heard: LastHeard,
     connection: Option<EngineConnection>,
     /// Held while the engine works on the request.
@@ -121,19 +125,26 @@
 }
 
 impl ActiveAttempt {
-    fn new(router: Rc<Router>, selected: SelectedEngine, last_heard: LastHeard) -> Self {
+    fn new(
+        router: Rc<Router>,
+        request: String,
+        selected: SelectedEngine,
+        last_heard: LastHeard,
+    ) -> Self {
         let SelectedEngine { choice, permit } = selected;
         let EngineChoice { engine, placement, expected, standing } = choice;
         router.on_placed(&engine.notice.engine, placement.as_ref());
         let (started, sent_at) = (Instant::now(), router.now());
         Self {
             router,
+            request,
             engine: Rc::new(engine),
             placement,
             expected,
             standing,
             started,
             sent_at,
+            dispatched_at: None,
             last_heard,
             connection: None,
             _permit: permit,
@@ -162,8 +173,23 @@
         took
     }
 
+    /// Records that the request is about to be written to the connection.
+    fn on_dispatched(&mut self) {
+        let now = self.router.now();
+        self.dispatched_at = Some(now);
+        self.router.picker.borrow_mut().on_dispatched(now, self.name());
+    }
+
+    /// Records that the engine has read the request, or that nothing of it was written after all.
+    fn on_not_unread(&mut self) {
+        if let Some(dispatched_at) = self.dispatched_at.take() {
+            self.router.picker.borrow_mut().on_read(self.name(), dispatched_at);
+        }
+    }
+
     /// Records that the head of the response was received. Callers wait for what follows it.
-    fn on_head(&self) {
+    fn on_head(&mut self) {
+        self.on_not_unread();
         self.router.picker.borrow_mut().on_heard(self.router.now(), self.name());
     }
 
@@ -194,6 +220,15 @@
         }
     }
 
+    pub fn router(&self) -> &Router {
+        &self.router
+    }
+
+    /// The id of the request.
+    pub fn request(&self) -> &str {
+        &self.request
+    }
+
     /// The engine's standing when it was selected.
     pub fn standing(&self) -> Standing {
         self.standing
@@ -226,6 +261,9 @@
     fn end(&mut self, end: AttemptEnd) {
         if !std::mem::replace(&mut self.ended, true) {
             let now = self.router.now();
+            if let Some(dispatched_at) = self.dispatched_at {
+                decision_log::ended_without_response(self, dispatched_at, end);
+            }
             self.router.metrics.on_attempt_end(end);
             let sent = self.placement.as_ref();
             if sent.is_none() && end == AttemptEnd::Responded {
@@ -261,7 +299,10 @@
 ) -> AttemptResult {
     let AttemptRequest { payload, engine_headers, deadline } = request;
     let AttemptStart { selected, fresh_connection, last_heard } = start;
-    let mut attempt = ActiveAttempt::new(router.clone(), selected, last_heard);
+    let mut attempt = {
+        let id = payload.caller.id.clone();
+        ActiveAttempt::new(router.clone(), id, selected, last_heard)
+    };
     let connecting = router.connect(&attempt.engine, fresh_connection);
     let mut connection = match timeout_at(deadline, connecting).await {
         Ok(Ok(connection)) => connection,
@@ -288,6 +329,7 @@
     }
     let request = engine_request(router, payload, &engine_headers);
     on_sent();
+    attempt.on_dispatched();
     let response_future = connection.sender.try_send_request(request);
     attempt.connection = Some(connection);
     match timeout_at(deadline, response_future).await {
@@ -300,6 +342,7 @@
             let not_sent = error.take_message().is_some();
             log_end(payload, &attempt, "send", &error.into_error().to_string());
             if not_sent {
+                attempt.on_not_unread();
                 attempt.finish(AttemptEnd::Abandoned, None);
                 return AttemptResult::Unreachable;
             }
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -6,11 +6,11 @@
 use crate::router::Router;
 use hyper::StatusCode;
 use stackpost_gateway_core::{
-    CutOff, EngineProfile, EngineRecord, Fingerprint, HolderChange, KnownCapacity, RateChange,
-    ShortageChange,
+    AttemptEnd, CutOff, DepartureRecord, EngineProfile, EngineRecord, Fingerprint, HolderChange,
+    KnownCapacity, RateChange, ShortageChange,
 };
 use stackpost_prepaid::BudgetForecast;
-use stackpost_types::{BackEndName, Millis, ServiceName, TenantName, Tokens};
+use stackpost_types::{BackEndName, Millis, ServiceName, TenantName, Timestamp, Tokens};
 use std::time::Duration;
 
 /// A request is refused because its tenant's budget does not cover it at present. `step` is what
@@ -86,6 +86,54 @@
     );
 }
 
+/// An attempt ended before its engine had responded. Logs whether the engine has sent anything
+/// since the request was written: if not, it may still read the request.
+pub(crate) fn ended_without_response(
+    attempt: &ActiveAttempt,
+    dispatched_at: Timestamp,
+    end: AttemptEnd,
+) {
+    let router = attempt.router();
+    let heard_at = router.picker.borrow().silence(attempt.name()).heard_at();
+    log::info!(
+        request = attempt.request(),
+        engine = attempt.name().as_str(),
+        end = end.as_str(),
+        sent_before_ms = router.now().since(dispatched_at).0,
+        engine_heard_since = heard_at.is_some_and(|heard_at| heard_at >= dispatched_at);
+        "attempt ended without a response"
+    );
+}
+
+/// An engine accepts no more requests, as told by `peer`. Logs the requests of this router that the
+/// engine may not have read, the time since the oldest of them was sent, and the time since
+/// anything was received from the engine.
+pub(crate) fn engine_departs(
+    router: &Router,
+    record: &DepartureRecord,
+    peer: &str,
+    age: Option<Millis>,
+    sent_since: Option<usize>,
+) {
+    let (now, picker) = (router.now(), router.picker.borrow());
+    let unread = picker.unread(&record.engine);
+    let oldest = unread.and_then(|unread| unread.oldest(now));
+    let heard_at = picker.silence(&record.engine).heard_at();
+    log::info!(
+        engine = record.engine.as_str(),
+        state = record.state.as_str(),
+        sequence = record.sequence,
+        age_ms = age.map(|age| age.0),
+        sent_since = sent_since,
+        in_flight = picker.in_flight(&record.engine),
+        unread = unread.map_or(0, |unread| unread.count(now)),
+        oldest_unread_ms = oldest.map(|oldest| now.since(oldest).0),
+        heard_before_ms = heard_at.map(|heard_at| now.since(heard_at).0),
+        peer = peer;
+        "engine goes"
+    );
+}
+
 /// An engine asked for a backoff. Logs the requests in flight there: with few of them, the backoff
 /// is caused by other routers' requests, or the engine rejects every request.
 pub(crate) fn backoff_started(
--- a/crates/gateway/src/fleet_link/engine_updates.rs
+++ b/crates/gateway/src/fleet_link/engine_updates.rs
@@ -1,6 +1,7 @@
 //! Handles engine updates of control processes.
 
 use super::FleetLink;
+use crate::decision_log;
 use stackpost_coordinator::{FleetMessage, SilentEnginesDelta};
 use stackpost_gateway_core::{
     ColdDelta, DepartureDelta, DepartureRecord, DirectoryDelta, EngineNotice, EngineState,
@@ -105,15 +106,7 @@
             self.router.metrics.on_departure(age, sent_since);
             sent_since
         });
-        log::info!(
-            engine = record.engine.as_str(),
-            state = record.state.as_str(),
-            sequence = record.sequence,
-            age_ms = age.map(|age| age.0),
-            sent_since = sent_since,
-            peer = self.name_of(link).as_str();
-            "engine goes"
-        );
+        decision_log::engine_departs(&self.router, record, &self.name_of(link), age, sent_since);
     }
 
     fn log_arrivals(&self, link: LinkId, arrivals: &[EngineNotice]) {
--- a/crates/gateway/tests/fleet/departure_log.rs
+++ b/crates/gateway/tests/fleet/departure_log.rs
@@ -21,6 +21,7 @@
     let departure = &log_lines_with("engine goes", "engine", &[ENGINE])[0];
     assert_eq!((departure["state"].as_str(), departure["sequence"].as_str()), ("draining", "9"));
     assert_eq!(departure["sent_since"], "0");
+    assert_eq!((departure["in_flight"].as_str(), departure["unread"].as_str()), ("0", "0"));
     assert!(
         departure["peer"].contains('#') && departure["age_ms"].parse::<u64>().is_ok(),
         "{departure:?}"
