--- a/crates/coordinator/tests/delivery.rs
+++ b/crates/coordinator/tests/delivery.rs
@@ -26,3 +26,14 @@
     delivery.confirm(5);
     assert_eq!(delivery.begin_send(LATER, 5), None);
 }
+
+#[test]
+fn lost_version_is_resent_while_later_ones_follow() {
+    let mut delivery = DeliveryTracker::default();
+    let bases = (0..20u64).map(|step| {
+        let now = Timestamp(NOW.0 + step * 100);
+        delivery.begin_send(now, step + 1)
+    });
+    let resent = bases.skip(1).filter(|base| *base == Some(0)).count();
+    assert!(resent >= 2, "nothing was confirmed for two seconds, and {resent} deltas had its base");
+}
