--- a/crates/coordinator/src/router_updates.rs
+++ b/crates/coordinator/src/router_updates.rs
@@ -17,7 +17,7 @@
 const LIST_PAUSE_PER_ROUTER: Millis = Millis(4);
 
 /// Delivery state of each kind of update on one connection.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PeerDelivery {
     /// Versions of the configuration.
     pub document: DeliveryTracker,
