Do not acknowledge a departure that is not in force

What engines saw: one that announces a departure under a number below that of a known `ready` was answered 200, and routers sent on for as long as it served. Cause: is_outdated returned success for an announcement that changes nothing.

--- a/crates/coordinator/src/engine_updates.rs
+++ b/crates/coordinator/src/engine_updates.rs
@@ -22,6 +22,10 @@
     /// The engine is known to belong to another service. The state is unchanged.
     #[error("the engine belongs to another service")]
     ServiceMismatch,
+    /// The engine is known to have announced later that it accepts requests, so the departure is not
+    /// in force. The state is unchanged.
+    #[error("the engine has announced later that it accepts requests")]
+    Outdated,
     /// The engine's departure is not committed and may be lost with this process. All connected
     /// processes have received it.
     #[error(transparent)]
@@ -103,7 +107,10 @@
             self.submit_departure(departure);
             return Ok(());
         }
-        if self.is_outdated(&departure) || self.state.borrow().departures.covers(&departure) {
+        if self.is_outdated(&departure) {
+            return Err(AnnouncementError::Outdated);
+        }
+        if self.state.borrow().departures.covers(&departure) {
             return Ok(());
         }
         let started = self.now();
