Acknowledge a departure only once nothing more reaches the engine

What engines saw: requests arrived more than DrainMs after their departure was acknowledged, two at the same millisecond from different routers. Cause: sent was taken for received. The acknowledgement waited for a majority of control replicas, not for routers to stop, nor for the engine to have read what they had sent: an engine that reads nothing for a while is acknowledged and reads requests seconds later, also those that routers have given up. What a machine has received is read even after a reset, so routers can't take it back. Change: routers tell the leader which departures they know and which departing engines may not have read all their requests; engines with unread requests are probed by a health check. Control answers 503 until the engine is quiescent. A router that is connected and does not confirm delays that by 2.5 s at most, one that is silent by 1 s, a request whose engine shows nothing by 10 s. Routers stop sending at the commit, as before.

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -6,6 +6,7 @@
 use crate::departures::UncommittedDepartures;
 use crate::links::Links;
 use crate::message::{ControlStatus, FleetMessage, RouterStatus};
+use crate::quiescence::QuiescenceTracker;
 use crate::replica_api::{PutReply, ReadReply, ReplicaEffect, ReplicaEvent};
 use crate::replica_thread::{ReplicaHandle, ReplicaView};
 use crate::router_updates::RouterList;
@@ -74,6 +75,8 @@
             cold: ColdEngines::default(),
             departures: KnownDepartures::default(),
             uncommitted: UncommittedDepartures::default(),
+            quiescence: QuiescenceTracker::default(),
+            quiescence_replies: HashMap::new(),
             refreshed: BTreeSet::new(),
             links: Links::default(),
             control_peers: BTreeSet::new(),
@@ -143,7 +146,7 @@
         self.replica.view()
     }
 
-    fn new_token(&self) -> u64 {
+    pub(crate) fn new_token(&self) -> u64 {
         let mut state = self.state.borrow_mut();
         state.next_token += 1;
         state.next_token
@@ -253,6 +256,16 @@
             FleetMessage::EvacuationsConfirmed(revision) => {
                 self.on_evacuations_confirmed(link, revision);
             }
+            FleetMessage::DepartureProgress(progress) => {
+                let now = self.now();
+                self.state.borrow_mut().quiescence.on_progress(now, peer, progress);
+            }
+            FleetMessage::QuiescenceQuery { token, engine } => {
+                self.on_quiescence_query(link, token, &engine);
+            }
+            FleetMessage::QuiescenceReply { token, quiescence } => {
+                self.on_quiescence_reply(token, quiescence);
+            }
             FleetMessage::FinalUsage(spent) => {
                 self.replica.send(ReplicaEvent::RouterFinalUsage { router: peer, spent });
             }
@@ -405,6 +418,8 @@
         }
         state.directory.remove_expired(now);
         state.departures.remove_expired(now);
+        let routers = state.links.active_routers(now);
+        state.quiescence.remove_expired(now, &self.replica.view().departures, &routers);
         state.cold.remove_expired(now);
         state.silent.remove_expired(now);
     }
--- a/crates/coordinator/src/control_state.rs
+++ b/crates/coordinator/src/control_state.rs
@@ -5,6 +5,7 @@
 use crate::links::Links;
 use crate::message::Document;
 use crate::packed_document::PackedDocument;
+use crate::quiescence::{Quiescence, QuiescenceTracker};
 use crate::replica_api::{PutReply, ReadReply};
 use crate::router_updates::RouterList;
 use crate::silent_engines::SilentEngineList;
@@ -26,6 +27,9 @@
     /// Committed departures, as applied by this process's replica or received from the leader.
     pub departures: KnownDepartures,
     pub uncommitted: UncommittedDepartures,
+    pub quiescence: QuiescenceTracker,
+    /// The leader's latest replies to this process's waiting calls, by token.
+    pub quiescence_replies: HashMap<u64, Quiescence>,
     /// Engines that have repeated their announcement since the last status.
     pub refreshed: BTreeSet<BackEndName>,
     pub links: Links,
--- a/crates/coordinator/src/departures.rs
+++ b/crates/coordinator/src/departures.rs
@@ -6,7 +6,9 @@
 //! notice.
 
 use crate::control_node::ControlNode;
+use crate::engine_updates::AnnouncementError;
 use crate::message::FleetMessage;
+use crate::quiescence::Quiescence;
 use crate::replica_api::ReplicaEvent;
 use stackpost_gateway_core::{DepartureDelta, DepartureRecord, KnownDepartures};
 use stackpost_mesh::LinkId;
@@ -14,10 +16,15 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep, timeout_at};
 
-/// Longest wait for a departure to be committed: engines time out a call after one second.
-const COMMIT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest wait for a departure to be committed and its engine to be quiescent: engines time out a
+/// call after one second.
+const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Pause before the leader is asked again whether an engine is quiescent: about the time in which
+/// routers confirm a departure. It is doubled each time up to the limit.
+const FIRST_QUIESCENCE_PAUSE: Duration = Duration::from_millis(2);
+const MAX_QUIESCENCE_PAUSE: Duration = Duration::from_millis(50);
 /// How long the commit of a departure is retried. The departure is valid whether or not it was
 /// acknowledged.
 const COMMIT_RETRY_PERIOD: Millis = Millis(30_000);
@@ -27,6 +34,11 @@
 #[error("engine departure: not committed by a majority of the control replicas")]
 pub struct NotCommitted;
 
+/// Requests may still reach the engine, so its departure can't be acknowledged yet.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("engine departure: {0}")]
+pub struct NotQuiescent(pub Quiescence);
+
 /// Departure records that this process has received and that are not committed yet.
 #[derive(Debug, Default)]
 pub(crate) struct UncommittedDepartures {
@@ -49,19 +61,89 @@
 }
 
 impl ControlNode {
+    /// Waits until a departure is in force and nothing more reaches the engine.
+    pub(crate) async fn settle_departure(
+        &self,
+        departure: &DepartureRecord,
+    ) -> Result<(), AnnouncementError> {
+        let deadline = Instant::now() + ACKNOWLEDGEMENT_TIMEOUT;
+        if !self.state.borrow().departures.covers(departure) {
+            self.commit_departure(departure.clone(), deadline).await?;
+        }
+        Ok(self.wait_until_quiescent(&departure.engine, deadline).await?)
+    }
+
     /// Submits a departure and waits until it, or a newer one of that engine, is committed.
-    pub(crate) async fn commit_departure(
+    async fn commit_departure(
         &self,
         departure: DepartureRecord,
+        deadline: Instant,
     ) -> Result<(), NotCommitted> {
         let mut revision = self.committed_departures_revision.subscribe();
         self.submit_departure(departure.clone());
         let is_covered = |_: &u64| self.state.borrow().departures.covers(&departure);
-        let result = timeout(COMMIT_TIMEOUT, revision.wait_for(is_covered)).await;
+        let result = timeout_at(deadline, revision.wait_for(is_covered)).await;
         let is_committed = result.is_ok_and(|revision| revision.is_ok());
         if is_committed { Ok(()) } else { Err(NotCommitted) }
     }
 
+    /// Waits until a departing engine is quiescent.
+    async fn wait_until_quiescent(
+        &self,
+        engine: &BackEndName,
+        deadline: Instant,
+    ) -> Result<(), NotQuiescent> {
+        let token = self.new_token();
+        let mut pause = FIRST_QUIESCENCE_PAUSE;
+        let quiescence = loop {
+            let quiescence = self.ask_quiescence(token, engine);
+            if quiescence == Quiescence::Quiescent || Instant::now() >= deadline {
+                break quiescence;
+            }
+            sleep(pause).await;
+            pause = (pause * 2).min(MAX_QUIESCENCE_PAUSE);
+        };
+        self.state.borrow_mut().quiescence_replies.remove(&token);
+        if quiescence == Quiescence::Quiescent { Ok(()) } else { Err(NotQuiescent(quiescence)) }
+    }
+
+    /// The state of a departing engine as known to the leader, which is asked if this process does
+    /// not lead. Its reply is returned by a later call with the same token.
+    fn ask_quiescence(&self, token: u64, engine: &BackEndName) -> Quiescence {
+        let view = self.replica.view();
+        if view.is_leader() {
+            return self.quiescence(engine);
+        }
+        if let Some(leader) = view.leader {
+            let query = FleetMessage::QuiescenceQuery { token, engine: engine.clone() };
+            self.send_to_control(&leader, &query);
+        }
+        let state = &mut *self.state.borrow_mut();
+        state.quiescence_replies.entry(token).or_insert(Quiescence::Unknown).clone()
+    }
+
+    /// The state of a departing engine as known here, which is current only if this process leads.
+    fn quiescence(&self, engine: &BackEndName) -> Quiescence {
+        let (now, departures) = (self.now(), self.replica.view().departures);
+        let state = &mut *self.state.borrow_mut();
+        let routers = state.links.active_routers(now);
+        state.quiescence.state(now, engine, &departures, &routers)
+    }
+
+    pub(crate) fn on_quiescence_query(&self, link: LinkId, token: u64, engine: &BackEndName) {
+        if self.replica.view().is_leader() {
+            let quiescence = self.quiescence(engine);
+            self.mesh.send(link, &FleetMessage::QuiescenceReply { token, quiescence });
+        }
+    }
+
+    /// Keeps a reply of the leader if a call still waits for it.
+    pub(crate) fn on_quiescence_reply(&self, token: u64, quiescence: Quiescence) {
+        if let Some(reply) = self.state.borrow_mut().quiescence_replies.get_mut(&token) {
+            *reply = quiescence;
+        }
+    }
+
     /// Submits a departure without waiting for the commit, if the replicated state lacks it.
     pub(crate) fn submit_departure(&self, departure: DepartureRecord) {
         if self.state.borrow().departures.lacks(&departure) {
--- a/crates/coordinator/src/engine_updates.rs
+++ b/crates/coordinator/src/engine_updates.rs
@@ -2,7 +2,7 @@
 //! control processes, and crash reports of routers.
 
 use crate::control_node::ControlNode;
-use crate::departures::NotCommitted;
+use crate::departures::{NotCommitted, NotQuiescent};
 use crate::message::FleetMessage;
 use crate::replica_api::ReplicaEvent;
 use stackpost_gateway_core::{
@@ -14,7 +14,7 @@
 use thiserror::Error;
 
 /// The reason why an announcement is not acknowledged.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum AnnouncementError {
     /// The configuration in force has no such service. The state is unchanged.
     #[error("the configuration names no such service")]
@@ -30,6 +30,9 @@
     /// processes have received it.
     #[error(transparent)]
     NotCommitted(#[from] NotCommitted),
+    /// The departure is committed, but requests may still reach the engine.
+    #[error(transparent)]
+    NotQuiescent(#[from] NotQuiescent),
 }
 
 impl ControlNode {
@@ -100,7 +103,7 @@
         merge
     }
 
-    /// Commits an engine's departure. That an engine is ready again is submitted without waiting
+    /// Commits an engine's departure, and waits until nothing more reaches the engine. That an engine is ready again is submitted without waiting
     /// for the commit: it is acknowledged like any other announcement.
     async fn acknowledge(&self, departure: DepartureRecord) -> Result<(), AnnouncementError> {
         if departure.state == EngineState::Ready {
@@ -110,14 +113,14 @@
         if self.is_outdated(&departure) {
             return Err(AnnouncementError::Outdated);
         }
-        if self.state.borrow().departures.covers(&departure) {
-            return Ok(());
-        }
+        let is_repeated = self.state.borrow().departures.covers(&departure);
         let started = self.now();
-        let result = self.commit_departure(departure.clone()).await;
-        self.metrics.on_departure(departure.state, result.is_ok());
-        log_departure(&departure, self.now().since(started), result);
-        Ok(result?)
+        let result = self.settle_departure(&departure).await;
+        if !is_repeated || result.is_err() {
+            self.metrics.on_departure(departure.state, result.is_ok());
+            log_departure(&departure, self.now().since(started), &result);
+        }
+        result
     }
 
     /// Whether the engine is known to have become ready again after `departure`.
@@ -240,14 +243,20 @@
     }
 }
 
-fn log_departure(departure: &DepartureRecord, waited: Millis, result: Result<(), NotCommitted>) {
+fn log_departure(
+    departure: &DepartureRecord,
+    waited: Millis,
+    result: &Result<(), AnnouncementError>,
+) {
     let (engine, state) = (departure.engine.as_str(), departure.state.as_str());
     match result {
-        Ok(()) => {
-            log::info!(engine = engine, state = state, waited_ms = waited.0; "departure written down")
-        }
-        Err(error) => {
-            log::warn!(engine = engine, state = state, waited_ms = waited.0; "not acknowledged: {error}")
-        }
+        Ok(()) => log::info!(
+            engine = engine, state = state, waited_ms = waited.0;
+            "departure acknowledged"
+        ),
+        Err(error) => log::warn!(
+            engine = engine, state = state, waited_ms = waited.0;
+            "not acknowledged: {error}"
+        ),
     }
 }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -23,6 +23,7 @@
 mod message;
 mod packed_document;
 mod prepaid_planner;
+mod quiescence;
 mod replica;
 mod replica_api;
 mod replica_bootstrap;
@@ -37,7 +38,7 @@
 pub use control_metrics::ControlMetrics;
 pub use control_node::{ControlNode, ControlSettings};
 pub use delivery::DeliveryTracker;
-pub use departures::NotCommitted;
+pub use departures::{NotCommitted, NotQuiescent};
 pub use document_delta::DocumentDelta;
 pub use engine_updates::AnnouncementError;
 pub use evacuations::UnknownZone;
@@ -46,6 +47,7 @@
     BorrowResult, ClockEcho, ControlStatus, Document, FleetMessage, RouterStatus, RouterVersions,
 };
 pub use packed_document::PackedDocument;
+pub use quiescence::{CONFIRMATION_TIMEOUT, Quiescence, QuiescenceTracker};
 pub use replica::Replica;
 pub use replica_api::{
     PutReply, ReadReply, ReplicaConfig, ReplicaEffect, ReplicaError, ReplicaEvent,
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -2,12 +2,13 @@
 
 use crate::document_delta::DocumentDelta;
 use crate::packed_document::PackedDocument;
+use crate::quiescence::Quiescence;
 use crate::silent_engines::SilentEnginesDelta;
 use serde::{Deserialize, Serialize};
 use stackpost_consensus::Envelope;
 use stackpost_gateway_core::{
-    ColdDelta, ColdNotice, CrashReport, DepartureDelta, DepartureRecord, DirectoryDelta,
-    EngineListDigest, EngineNotice, Evacuations, QuarantineNotice, ZoneRouters,
+    ColdDelta, ColdNotice, CrashReport, DepartureDelta, DepartureProgress, DepartureRecord,
+    DirectoryDelta, EngineListDigest, EngineNotice, Evacuations, QuarantineNotice, ZoneRouters,
 };
 use stackpost_mesh::MessageKind;
 use stackpost_prepaid::{AccountReport, Allotment, BootTimestamp, BudgetForecast};
@@ -198,6 +199,23 @@
     EngineListWanted(bool),
     /// From a control process to routers: the digest of its list of engines.
     EngineListDigest(EngineListDigest),
+    /// From a router to the leader: the departures that it knows, and the engines that may not have
+    /// read all its requests.
+    DepartureProgress(DepartureProgress),
+    /// From a control process to the leader: whether an engine that departs is quiescent.
+    QuiescenceQuery {
+        /// Identifies the reply.
+        token: u64,
+        /// The engine.
+        engine: BackEndName,
+    },
+    /// Reply to `QuiescenceQuery`.
+    QuiescenceReply {
+        /// That of the query.
+        token: u64,
+        /// The state of the engine.
+        quiescence: Quiescence,
+    },
 }
 
 impl MessageKind for FleetMessage {
@@ -235,6 +253,9 @@
             Self::SilentChanges(..) => "silent_changes",
             Self::EngineListWanted(..) => "engine_list_wanted",
             Self::EngineListDigest(..) => "engine_list_digest",
+            Self::DepartureProgress(..) => "departure_progress",
+            Self::QuiescenceQuery { .. } => "quiescence_query",
+            Self::QuiescenceReply { .. } => "quiescence_reply",
         }
     }
 }
--- a/crates/gateway-core/src/config.rs
+++ b/crates/gateway-core/src/config.rs
@@ -94,6 +94,8 @@
 /// A group of interchangeable engines.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Service {
+    /// Path of the engines' health check, if they have one.
+    pub health_path: Option<String>,
     /// Connections that an engine accepts from all callers together.
     pub max_connections: u32,
     /// Set for model engines.
--- a/crates/gateway-core/src/departures.rs
+++ b/crates/gateway-core/src/departures.rs
@@ -153,6 +153,12 @@
         self.records.get(engine).map(|held| &held.record)
     }
 
+    /// The revision of an engine's record if the engine departs.
+    pub fn departure_revision(&self, engine: &BackEndName) -> Option<u64> {
+        let held = self.records.get(engine)?;
+        (held.record.state != EngineState::Ready).then_some(held.revision)
+    }
+
     /// The engines with a record, each with the revision that added it.
     pub fn revisions(&self) -> impl Iterator<Item = (&BackEndName, u64)> {
         self.records.iter().map(|(engine, held)| (engine, held.revision))
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -11,6 +11,8 @@
 //!   and its slow periods.
 //! - [`EngineReachability`]: whether this router can open connections to the engines.
 //! - [`EngineSilence`]: for how long an engine has sent nothing although it has requests.
+//! - [`UnreadRequests`]: requests that an engine may have received without having read them;
+//!   [`ProgressReporter`]: what of them the leader is told once the engine departs.
 //! - [`RelayRouters`]: which other routers relay connections to engines meanwhile.
 //! - [`BackoffTracker`]: engines that have asked to receive no requests for some time, or that
 //!   leave.
@@ -57,6 +59,7 @@
 mod connection_shedding;
 mod crash_tracker;
 mod decode_speed;
+mod departure_progress;
 mod departures;
 mod directory;
 mod engine_choice;
@@ -122,6 +125,7 @@
 };
 pub use crash_tracker::{CrashReport, CrashTracker};
 pub use decode_speed::DecodeSpeed;
+pub use departure_progress::{DepartureProgress, EngineTraffic, ProgressReporter, UnreadEngine};
 pub use departures::{
     DepartureChange, DepartureDelta, DepartureRecord, Departures, KnownDepartures, MAX_DEPARTURES,
 };
@@ -163,7 +167,7 @@
     may_have_ended_unread,
 };
 pub use stream_versions::{StreamKey, StreamVersions};
-pub use unread_requests::{READ_MARGIN, UNREAD_EXPIRY, UnreadRequests};
+pub use unread_requests::{ConnectionUse, UNREAD_EXPIRY, UnreadRequests};
 pub use withdrawal::{Withdrawal, WithdrawalPolicy};
 pub use work_time::ResponseTiming;
 pub use zone_pressure::{LinkLoad, Neighbours, PressureReport, ZonePressure};
--- a/crates/gateway-core/src/picker/silence.rs
+++ b/crates/gateway-core/src/picker/silence.rs
@@ -3,7 +3,7 @@
 use super::{EnginePicker, engines_in_service};
 use crate::directory::EngineDirectory;
 use crate::engine_silence::EngineSilence;
-use crate::unread_requests::UnreadRequests;
+use crate::unread_requests::{ConnectionUse, UnreadRequests};
 use stackpost_types::{BackEndName, Millis, ServiceName, Timestamp};
 
 impl EnginePicker {
@@ -16,9 +16,21 @@
     }
 
     /// Records that a request is written to a connection to an engine.
-    pub fn on_dispatched(&mut self, now: Timestamp, engine: &BackEndName) {
+    pub fn on_dispatched(
+        &mut self,
+        now: Timestamp,
+        engine: &BackEndName,
+        connection: ConnectionUse,
+    ) {
+        if let Some(health) = self.engines.get_mut(engine) {
+            health.unread.on_dispatched(now, connection);
+        }
+    }
+
+    /// Records that an engine has responded over a new connection that was opened at `opened_at`.
+    pub fn on_probe_answered(&mut self, engine: &BackEndName, opened_at: Timestamp) {
         if let Some(health) = self.engines.get_mut(engine) {
-            health.unread.on_dispatched(now);
+            health.unread.on_probe_answered(opened_at);
         }
     }
 
--- a/crates/gateway-core/src/unread_requests.rs
+++ b/crates/gateway-core/src/unread_requests.rs
@@ -1,51 +1,72 @@
 //! The requests of one router that an engine may have received without having read them.
 //!
 //! Bytes that an engine's machine has received are read later, even if the router has closed the
-//! connection meanwhile. Only a sign of life from the engine shows that a request is no longer
-//! unread: the response to it, or anything received on another connection some time after it was
-//! sent.
+//! connection meanwhile. Only the engine itself shows that it has read a request: by responding to
+//! it, by responding to a probe over a connection that was opened later, or, if it had read the
+//! connection before, by sending anything a while later.
 
 use stackpost_types::{Millis, Timestamp};
 use std::collections::VecDeque;
 
-/// Time in which an engine that sends anything reads what it has received before.
-pub const READ_MARGIN: Millis = Millis(100);
-/// Time after which an engine that has sent nothing since counts as ended.
+/// Time in which an engine that sends anything reads what has arrived on connections in use.
+const READ_MARGIN: Millis = Millis(100);
+/// Time after which an engine that has shown nothing since counts as ended.
 pub const UNREAD_EXPIRY: Millis = Millis(10_000);
+/// Maximum number of requests kept: more than the connections that an engine accepts.
+const MAX_UNREAD: usize = 1_024;
 
-/// Number of the newest requests that are kept. Whatever shows that the newest one was read shows
-/// it of all earlier ones.
-const MAX_UNREAD: usize = 64;
+/// Whether the engine has read anything from a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionUse {
+    /// It may not even have accepted the connection.
+    New,
+    /// It has responded over the connection.
+    Reused,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Dispatched {
+    sent_at: Timestamp,
+    connection: ConnectionUse,
+}
 
-/// When the requests were sent that an engine may not have read.
+/// When the requests were sent that an engine may not have read, oldest first.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct UnreadRequests {
-    sent_at: VecDeque<Timestamp>,
+    requests: VecDeque<Dispatched>,
 }
 
 impl UnreadRequests {
     /// Records that a request is written to a connection.
-    pub fn on_dispatched(&mut self, now: Timestamp) {
-        if self.sent_at.len() == MAX_UNREAD {
-            self.sent_at.pop_front();
+    pub fn on_dispatched(&mut self, now: Timestamp, connection: ConnectionUse) {
+        if self.requests.len() == MAX_UNREAD {
+            self.requests.pop_front();
         }
-        self.sent_at.push_back(now);
+        self.requests.push_back(Dispatched { sent_at: now, connection });
     }
 
     /// Records that the engine has responded to the request dispatched at `sent_at`, or that nothing
     /// of it was sent after all.
     pub fn remove(&mut self, sent_at: Timestamp) {
-        if let Some(index) = self.sent_at.iter().position(|other| *other == sent_at) {
-            self.sent_at.remove(index);
+        if let Some(index) = self.requests.iter().position(|request| request.sent_at == sent_at) {
+            self.requests.remove(index);
         }
     }
 
     /// Records that something was received from the engine, on any connection.
     pub fn on_heard(&mut self, now: Timestamp) {
-        self.sent_at.retain(|sent_at| now.since(*sent_at) < READ_MARGIN);
+        self.requests.retain(|request| {
+            request.connection == ConnectionUse::New || now.since(request.sent_at) < READ_MARGIN
+        });
+    }
+
+    /// Records that the engine has responded over a new connection that was opened at `opened_at`.
+    /// Connections are accepted in the order in which they were opened.
+    pub fn on_probe_answered(&mut self, opened_at: Timestamp) {
+        self.requests.retain(|request| request.sent_at >= opened_at);
     }
 
-    /// Number of unread requests, at most some dozens.
+    /// Number of unread requests.
     pub fn count(&self, now: Timestamp) -> usize {
         self.unexpired(now).count()
     }
@@ -61,6 +82,7 @@
     }
 
     fn unexpired(&self, now: Timestamp) -> impl Iterator<Item = Timestamp> {
-        self.sent_at.iter().copied().filter(move |sent_at| now.since(*sent_at) < UNREAD_EXPIRY)
+        let sent_at = self.requests.iter().map(|request| request.sent_at);
+        sent_at.filter(move |sent_at| now.since(*sent_at) < UNREAD_EXPIRY)
     }
 }
--- a/crates/gateway-core/tests/routing.rs
+++ b/crates/gateway-core/tests/routing.rs
@@ -31,7 +31,7 @@
 }
 
 fn config() -> RoutingConfig {
-    let tickets = Service { max_connections: 96, engine: None, cold_rate: None };
+    let tickets = Service { health_path: None, max_connections: 96, engine: None, cold_rate: None };
     RoutingConfig {
         version: 7,
         routes: vec![route("all", "/"), route("boarding", "/pass/"), route("late", "/pass/late/")],
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,7 +13,7 @@
 use hyper::http::response;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use stackpost_gateway_core::{
-    AttemptEnd, EngineChoice, EngineRecord, Placement, PlainExpectation, Standing,
+    AttemptEnd, ConnectionUse, EngineChoice, EngineRecord, Placement, PlainExpectation, Standing,
 };
 use stackpost_types::{BackEndName, Millis, Timestamp};
 use std::cell::Cell;
@@ -174,10 +174,14 @@
     }
 
     /// Records that the request is about to be written to the connection.
-    fn on_dispatched(&mut self) {
+    fn on_dispatched(&mut self, connection: &EngineConnection) {
         let now = self.router.now();
         self.dispatched_at = Some(now);
-        self.router.picker.borrow_mut().on_dispatched(now, self.name());
+        let connection = match connection.reused {
+            true => ConnectionUse::Reused,
+            false => ConnectionUse::New,
+        };
+        self.router.picker.borrow_mut().on_dispatched(now, self.name(), connection);
     }
 
     /// Records that the engine has read the request, or that nothing of it was written after all.
@@ -329,7 +333,7 @@
     }
     let request = engine_request(router, payload, &engine_headers);
     on_sent();
-    attempt.on_dispatched();
+    attempt.on_dispatched(&connection);
     let response_future = connection.sender.try_send_request(request);
     attempt.connection = Some(connection);
     match timeout_at(deadline, response_future).await {
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -1,5 +1,6 @@
 //! Keeps a router's state up to date over the fleet's connections to control and to other routers.
 
+mod departure_progress;
 mod engine_list;
 mod engine_updates;
 mod final_usage;
@@ -14,7 +15,8 @@
 use crate::router::Router;
 use stackpost_coordinator::{ClockEcho, ControlStatus, FleetMessage, RouterStatus, RouterVersions};
 use stackpost_gateway_core::{
-    EngineListDigest, EngineSubscription, RouterEndpoint, RouterLists, ZoneRouters,
+    EngineListDigest, EngineSubscription, ProgressReporter, RouterEndpoint, RouterLists,
+    ZoneRouters,
 };
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
 use stackpost_prepaid::{AccountReport, Allotment, BootTimestamp};
@@ -51,6 +53,7 @@
     /// The revision of the cold engines received from each control process.
     cold_revisions: RefCell<BTreeMap<LinkId, u64>>,
     engine_subscription: RefCell<EngineSubscription<LinkId>>,
+    departure_progress: RefCell<ProgressReporter>,
     /// Digest of the own list of engines, with the revision and number of records that it is of.
     own_digest: Cell<Option<(u64, usize, EngineListDigest)>>,
     started: BootTimestamp,
@@ -108,6 +111,7 @@
             versions: RefCell::default(),
             cold_revisions: RefCell::default(),
             engine_subscription: RefCell::default(),
+            departure_progress: RefCell::default(),
             own_digest: Cell::new(None),
             started,
             reported: RefCell::default(),
@@ -185,6 +189,7 @@
                     self.subscribe_if_due();
                     self.send_loan_queries();
                     self.forward_relayed_usage();
+                    self.report_departure_progress();
                 }
                 _ = eviction.tick() => {
                     self.evict_old();
@@ -328,6 +333,9 @@
             | FleetMessage::ColdNotices(_)
             | FleetMessage::ColdEnginesConfirmed(_)
             | FleetMessage::EngineListWanted(_)
+            | FleetMessage::DepartureProgress(_)
+            | FleetMessage::QuiescenceQuery { .. }
+            | FleetMessage::QuiescenceReply { .. }
             | FleetMessage::FinalUsage(_) => {}
         }
     }
@@ -345,6 +353,7 @@
             self.leader_contact.set(Some(received_at));
             self.router.on_leader_contact(status.document_version, status.departures);
             if leader_is_new {
+                self.send_departure_progress(link);
                 self.reported.borrow_mut().clear();
                 self.report();
                 self.router.crash_tracker.borrow_mut().on_new_leader(self.router.now());
--- a/crates/gateway/src/fleet_link/engine_updates.rs
+++ b/crates/gateway/src/fleet_link/engine_updates.rs
@@ -61,9 +61,11 @@
             if has_changed && record.state != EngineState::Ready {
                 self.on_departure(now, link, record, None);
             }
+            self.watch_departure(now, record);
         }
         self.router.on_engines_changed();
         self.router.on_departures_received(delta);
+        self.send_departure_progress(link);
         self.send_status(link);
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 mod permits;
 mod pressure_control;
 mod rate_exchange;
+mod read_probe;
 mod refusal;
 mod relay;
 mod request;
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -13,6 +13,7 @@
 use crate::metrics::RouterMetrics;
 use crate::permits::PermitPool;
 use crate::pressure_control::PressureControl;
+use crate::read_probe::ReadProbes;
 use crate::stream_records::StreamRecords;
 use stackpost_clock::{BootInstant, MachineClock};
 use stackpost_coordinator::{Document, DocumentCodec, DocumentDelta};
@@ -115,6 +116,8 @@
     document: RefCell<Option<Document>>,
     /// The departure records of engines are known completely up to this revision.
     departures_revision: Cell<u64>,
+    /// Health checks of departing engines.
+    pub(crate) read_probes: ReadProbes,
     /// The newest known revision of the evacuated zones.
     evacuations_revision: Cell<u64>,
     table: RefCell<Option<Rc<RouteTable>>>,
@@ -175,6 +178,7 @@
             malformed_header_lines: LineLimit::default(),
             document: RefCell::default(),
             departures_revision: Cell::new(0),
+            read_probes: ReadProbes::default(),
             evacuations_revision: Cell::new(0),
             table: RefCell::default(),
             confirmed: Cell::new(false),
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -276,10 +276,10 @@
 }
 
 /// Repeats an engine's call until it is acknowledged, as engines do: on a busy disk the commit may
-/// take longer than one call.
+/// take longer than one call, and so may an engine that has not read its requests.
 async fn wait_until_acknowledged(mut call: impl AsyncFnMut() -> Result<(), AnnouncementError>) {
     wait_until_async(async || match call().await {
-        Err(AnnouncementError::NotCommitted(_)) => false,
+        Err(AnnouncementError::NotCommitted(_) | AnnouncementError::NotQuiescent(_)) => false,
         reply => reply.is_ok() || panic!("the call is refused: {reply:?}"),
     })
     .await;
--- a/crates/gateway/tests/fleet/support/test_codecs.rs
+++ b/crates/gateway/tests/fleet/support/test_codecs.rs
@@ -117,7 +117,12 @@
             cache_tokens: Tokens(super::ENGINE_MEMORY),
             tokens_per_event: TOKENS_PER_EVENT,
         };
-        let service = Service { max_connections: 100, engine: Some(engine), cold_rate: None };
+        let service = Service {
+            health_path: None,
+            max_connections: 100,
+            engine: Some(engine),
+            cold_rate: None,
+        };
         Ok(RoutingConfig {
             version,
             routes: vec![
