Bound responses without end: heads in time, events and bodies in size

What callers saw: an engine that sends a header line every 0.1 s held a caller until its deadline (10 s in the test, answered 504); an event or a body without end was read for as long, an event into memory without a bound. Change: a head must end within 1 s of its first byte (informational responses start anew), an event within 1 MiB, the body of a response that is no stream within 64 MiB. Then the connection is closed; requests that may repeat go to another engine, others are answered 502 with the outcome unknown, and a body that has begun is truncated. Tests endless_responses: head, event and body failed before (504, 504, 10.1 s), pass now; bytes without end after a whole response and retries at another engine passed before as well.

--- a/crates/gateway-core/src/event_stream.rs
+++ b/crates/gateway-core/src/event_stream.rs
@@ -2,6 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Maximum size of an event.
+pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 /// One whole event, byte for byte as received.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
@@ -36,6 +39,11 @@
         Some(Event { bytes, id })
     }
 
+    /// Whether an incomplete event is too large for more of it to be buffered.
+    pub fn is_oversized(&self) -> bool {
+        self.pending.len() > MAX_EVENT_BYTES
+    }
+
     /// Whether bytes of an incomplete event are buffered.
     pub fn is_mid_event(&self) -> bool {
         !self.pending.is_empty()
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,6 +5,7 @@
 use crate::header_codec::{CallerRequest, EngineDirectives, EngineRequestHeaders, ResponseClass};
 use crate::metrics::ConnectionOutcome;
 use crate::permits::Permit;
+use crate::response_head::{self, ResponseHead};
 use crate::router::Router;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -334,15 +335,20 @@
     let request = engine_request(router, payload, &engine_headers);
     on_sent();
     attempt.on_dispatched(&connection);
-    let response_future = connection.sender.try_send_request(request);
+    let exchange = response_head::send_request(&mut connection, request);
     attempt.connection = Some(connection);
-    match timeout_at(deadline, response_future).await {
-        Err(_) => {
+    match exchange.head(deadline).await {
+        ResponseHead::DeadlineExceeded => {
             log_end(payload, &attempt, "head", "no response head before the deadline");
             attempt.finish(AttemptEnd::Interrupted, None);
             AttemptResult::HeadTimeout
         }
-        Ok(Err(mut error)) => {
+        ResponseHead::Incomplete => {
+            log_end(payload, &attempt, "head", "the response head does not end");
+            attempt.finish(AttemptEnd::Interrupted, None);
+            AttemptResult::InvalidResponse
+        }
+        ResponseHead::Failed(mut error) => {
             let not_sent = error.take_message().is_some();
             log_end(payload, &attempt, "send", &error.into_error().to_string());
             if not_sent {
@@ -356,7 +362,7 @@
             attempt.finish(AttemptEnd::Interrupted, None);
             AttemptResult::Interrupted
         }
-        Ok(Ok(response)) => {
+        ResponseHead::Received(response) => {
             attempt.on_head();
             if shows_reachability {
                 router.on_connection_succeeded(attempt.name(), attempt.sent_at);
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -19,6 +19,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
@@ -63,6 +64,8 @@
     pub path: ConnectionPath,
     opened: Instant,
     driver: AbortHandle,
+    /// Notified whenever bytes are received.
+    pub received: Rc<Notify>,
     /// Whether it has carried a request before.
     pub reused: bool,
 }
@@ -205,6 +208,7 @@
         S: AsyncRead + AsyncWrite + Unpin + 'static,
     {
         let stream = MeteredStream::to_engine(stream, self.meter.clone());
+        let received = stream.received();
         let (sender, connection) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
             .await
@@ -214,7 +218,7 @@
             let _ = connection.await;
         });
         let (opened, driver) = (Instant::now(), driver.abort_handle());
-        Ok(EngineConnection { sender, path, opened, driver, reused: false })
+        Ok(EngineConnection { sender, path, opened, driver, received, reused: false })
     }
 }
 
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -134,6 +134,16 @@
     );
 }
 
+/// A response that is not a stream is cut because its body exceeds `limit` bytes.
+pub(crate) fn response_oversized(context: &RequestContext, engine: &BackEndName, limit: usize) {
+    log::warn!(
+        request = context.payload.caller.id.as_str(),
+        engine = engine.as_str(),
+        limit_bytes = limit;
+        "response too large"
+    );
+}
+
 /// An engine asked for a backoff. Logs the requests in flight there: with few of them, the backoff
 /// is caused by other routers' requests, or the engine rejects every request.
 pub(crate) fn backoff_started(
--- a/crates/gateway/src/large_response.rs
+++ b/crates/gateway/src/large_response.rs
@@ -2,7 +2,7 @@
 
 use crate::attempt::{ActiveAttempt, ends_with_connection};
 use crate::body::{ChunkSender, GatewayBody};
-use crate::decision_log::InterruptionPoint;
+use crate::decision_log::{self, InterruptionPoint};
 use crate::relay::was_unread;
 use crate::request::{RequestContext, build_response};
 use bytes::Bytes;
@@ -14,6 +14,9 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
+/// Maximum size of the body of a response that is not a stream.
+const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
+
 /// A response that is too large to be buffered.
 pub(crate) struct LargeResponse {
     pub head: response::Parts,
@@ -28,6 +31,8 @@
     Complete,
     /// The engine interrupted it.
     Interrupted,
+    /// It exceeds the maximum size.
+    Oversized,
     CallerGone,
 }
 
@@ -62,6 +67,10 @@
             Ok(RelayOutcome::Interrupted) => {
                 context.on_interrupted(attempt.name(), InterruptionPoint::Body).wait().await
             }
+            Ok(RelayOutcome::Oversized) => {
+                decision_log::response_oversized(&context, attempt.name(), MAX_RESPONSE_BYTES);
+                attempt.finish(AttemptEnd::Interrupted, None);
+            }
             Err(_) => {}
         }
         sender.truncate().await;
@@ -77,11 +86,16 @@
     longest_unread: &mut Duration,
 ) -> RelayOutcome {
     let mut chunk = Some(start);
+    let mut received = 0;
     loop {
-        if let Some(data) = chunk.take()
-            && sender.send(data).await.is_err()
-        {
-            return RelayOutcome::CallerGone;
+        if let Some(data) = chunk.take() {
+            received += data.len();
+            if received > MAX_RESPONSE_BYTES {
+                return RelayOutcome::Oversized;
+            }
+            if sender.send(data).await.is_err() {
+                return RelayOutcome::CallerGone;
+            }
         }
         let unread_since = Instant::now();
         if sender.room().await.is_err() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -49,6 +49,7 @@
 mod relay;
 mod request;
 mod reservation;
+mod response_head;
 mod retry;
 mod router;
 mod select_engine;
--- a/crates/gateway/src/metered_stream.rs
+++ b/crates/gateway/src/metered_stream.rs
@@ -12,6 +12,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::sync::Notify;
 
 /// Bytes that a packet carries.
 const PACKET_PAYLOAD: usize = 1_448;
@@ -104,20 +105,28 @@
     young_until: Cell<Option<Instant>>,
     /// Bytes of this connection alone.
     bytes: Rc<Cell<u64>>,
+    /// Notified whenever bytes are received.
+    received: Rc<Notify>,
 }
 
 impl<S> MeteredStream<S> {
     /// A new connection to an engine.
     pub fn to_engine(stream: S, meter: Rc<LinkMeter>) -> Self {
         meter.on_opened(false);
-        Self { stream, meter, young_until: Cell::new(None), bytes: Rc::default() }
+        let young_until = Cell::new(None);
+        Self { stream, meter, young_until, bytes: Rc::default(), received: Rc::default() }
     }
 
     /// A new connection of a caller. `bytes` counts its bytes alone.
     pub fn of_caller(stream: S, meter: Rc<LinkMeter>, bytes: Rc<Cell<u64>>) -> Self {
         meter.on_opened(true);
         let young_until = Cell::new(Some(Instant::now() + YOUNG_AGE));
-        Self { stream, meter, young_until, bytes }
+        Self { stream, meter, young_until, bytes, received: Rc::default() }
+    }
+
+    /// Notified whenever bytes are received.
+    pub fn received(&self) -> Rc<Notify> {
+        self.received.clone()
     }
 
     fn count(&self, direction: Direction, payload: usize) {
@@ -144,7 +153,11 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        self.count(Direction::Received, buffer.filled().len() - before);
+        let received = buffer.filled().len() - before;
+        self.count(Direction::Received, received);
+        if received > 0 {
+            self.received.notify_one();
+        }
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -49,7 +49,7 @@
     Event(Event),
     /// The stream ended after a complete event.
     End,
-    /// The engine interrupted the stream.
+    /// The engine interrupted the stream, or sends an event without end.
     Interrupted,
 }
 
@@ -96,6 +96,9 @@
             if let Some(event) = self.splitter.next_event() {
                 return NextEvent::Event(event);
             }
+            if self.splitter.is_oversized() {
+                return NextEvent::Interrupted;
+            }
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     self.attempt.on_heard();
--- a/crates/gateway/tests/fleet/main.rs
+++ b/crates/gateway/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod crashing_requests;
 mod departure_log;
 mod departures;
+mod endless_responses;
 mod engine_model;
 mod evacuations;
 mod final_usage;
