Prefer engines that stay while departures can't be known

What callers saw: a router that is disconnected from the leader keeps sending to engines whose departure it can't learn, until they end under its requests. Connected routers choose as before.

--- a/crates/coordinator/tests/quiescence.rs
+++ b/crates/coordinator/tests/quiescence.rs
@@ -119,7 +119,7 @@
             }
             return;
         }
-        let is_due = now.0 / STEP_MS % REPORT_STEPS == 0;
+        let is_due = (now.0 / STEP_MS).is_multiple_of(REPORT_STEPS);
         if is_due && now.since(router.learns_at) >= PROBE_AFTER && router.unread.count(now) > 0 {
             router.probe_opened_at.get_or_insert(now);
         }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`EngineSilence`]: for how long an engine has sent nothing although it has requests.
 //! - [`UnreadRequests`]: requests that an engine may have received without having read them;
 //!   [`ProgressReporter`]: what of them the leader is told once the engine departs.
+//! - [`LeaveHints`]: which engines may be leaving, while departures can't be known.
 //! - [`RelayRouters`]: which other routers relay connections to engines meanwhile.
 //! - [`BackoffTracker`]: engines that have asked to receive no requests for some time, or that
 //!   leave.
@@ -77,6 +78,7 @@
 mod generation_load;
 mod hashing;
 mod hedging;
+mod leave_hints;
 mod lender_replies;
 mod load_shedding;
 mod machine_pressure;
@@ -142,6 +144,7 @@
 pub use fingerprint::{Fingerprint, RequestContent};
 pub use generation_load::{GenerationLoad, GenerationLoadReport};
 pub use hedging::{HedgeStep, HedgeTerms, Hedging, Sightings};
+pub use leave_hints::LeaveHints;
 pub use lender_replies::LenderReplies;
 pub use load_shedding::LoadShedder;
 pub use machine_pressure::{
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -414,6 +414,8 @@
             let directives =
                 router.header_codec.read_directives(&payload.caller, head.status, &head.headers);
             router.picker.borrow_mut().on_accepted(attempt.name(), attempt.sent_at);
+            let (now, closes) = (router.now(), asks_to_close(&head.headers));
+            router.leave_hints.borrow_mut().on_response(now, attempt.name(), closes);
             router.on_directives(&payload.caller.id, attempt.name(), attempt.sent_at, &directives);
             AttemptResult::Responded(Box::new(EngineResponse { head, body, attempt }))
         }
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -463,6 +463,7 @@
         let mut directory = self.router.directory.borrow_mut();
         directory.remove_expired(self.router.now());
         self.router.picker.borrow_mut().remove_unknown(self.router.now(), &directory);
+        self.router.leave_hints.borrow_mut().remove_unknown(&directory);
         self.router.pool.evict_idle(&directory);
         self.router.permits.remove_expired(self.router.now(), &directory);
         self.router.shedding.borrow_mut().remove_expired(self.router.now());
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -19,9 +19,9 @@
 use stackpost_coordinator::{Document, DocumentCodec, DocumentDelta};
 use stackpost_gateway_core::{
     AccountHolders, AccountOwners, AdmissionOrder, BufferLimits, CrashTracker, DepartureDelta,
-    EngineDirectory, EnginePicker, EngineReachability, Evacuations, LoadShedder, Placement,
-    RankedRouters, RelayRouters, RetryBudget, RetryLimits, RouteTable, ServiceAvailability,
-    StreamBuffers,
+    EngineDirectory, EnginePicker, EngineReachability, Evacuations, LeaveHints, LoadShedder,
+    Placement, RankedRouters, RelayRouters, RetryBudget, RetryLimits, RouteTable,
+    ServiceAvailability, StreamBuffers,
 };
 use stackpost_prepaid::{BudgetForecast, Wallet};
 use stackpost_telemetry::{LineLimit, Meter};
@@ -118,6 +118,7 @@
     departures_revision: Cell<u64>,
     /// Health checks of departing engines.
     pub(crate) read_probes: ReadProbes,
+    pub(crate) leave_hints: RefCell<LeaveHints>,
     /// The newest known revision of the evacuated zones.
     evacuations_revision: Cell<u64>,
     table: RefCell<Option<Rc<RouteTable>>>,
@@ -179,6 +180,7 @@
             document: RefCell::default(),
             departures_revision: Cell::new(0),
             read_probes: ReadProbes::default(),
+            leave_hints: RefCell::default(),
             evacuations_revision: Cell::new(0),
             table: RefCell::default(),
             confirmed: Cell::new(false),
@@ -304,6 +306,11 @@
         self.picker.borrow().may_send(self.now(), &self.directory.borrow(), engine)
     }
 
+    /// Whether an engine's latest response was one of an engine that leaves.
+    pub(crate) fn may_be_leaving(&self, engine: &BackEndName) -> bool {
+        self.leave_hints.borrow().may_leave(self.now(), engine)
+    }
+
     /// Availability of a service's engines.
     pub(crate) fn availability(&self, service: &ServiceName) -> ServiceAvailability {
         self.picker.borrow().availability(self.now(), &self.directory.borrow(), service)
--- a/crates/gateway/src/select_engine.rs
+++ b/crates/gateway/src/select_engine.rs
@@ -181,7 +181,14 @@
         scope: PermitScope,
     ) -> Option<EngineChoice> {
         let now = self.router.now();
-        self.pick(progress, &|engine| self.router.permits.has_room(now, engine, scope))
+        let has_room = |engine: &EngineRecord| self.router.permits.has_room(now, engine, scope);
+        if self.router.is_connected_to_leader() {
+            return self.pick(progress, &has_room);
+        }
+        // Departures may have been missed.
+        let stays = |engine: &EngineRecord| !self.router.may_be_leaving(&engine.notice.engine);
+        self.pick(progress, &|engine| has_room(engine) && stays(engine))
+            .or_else(|| self.pick(progress, &has_room))
     }
 
     /// The engine for which another router has lent a permit, with the expected placement of a
