--- a/crates/bench/src/departures.rs
+++ b/crates/bench/src/departures.rs
@@ -23,7 +23,7 @@
 const START: Timestamp = Timestamp::PROCESS_START;
 
 /// Delivery state from one control process to one router.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Default)]
 struct Link {
     engines: DeliveryTracker,
     departures: DeliveryTracker,
@@ -68,7 +68,7 @@
         let router = || Router {
             directory: EngineDirectory::follower(),
             departures: KnownDepartures::default(),
-            links: [Link::default(); CONTROL_PROCESSES],
+            links: Default::default(),
         };
         let mut simulation = Self {
             control: vec![EngineDirectory::default(); CONTROL_PROCESSES],
