Tell apart connections over which an engine has responded

A connection that a liveness probe had opened counted as one that the engine reads, although the engine may not have accepted it; two requests of one millisecond could be taken for each other. Unread requests now carry the use of their connection.

--- a/crates/coordinator/src/engine_updates.rs
+++ b/crates/coordinator/src/engine_updates.rs
@@ -103,8 +103,9 @@
         merge
     }
 
-    /// Commits an engine's departure, and waits until nothing more reaches the engine. That an engine is ready again is submitted without waiting
-    /// for the commit: it is acknowledged like any other announcement.
+    /// Commits an engine's departure, and waits until nothing more reaches the engine. That an
+    /// engine is ready again is submitted without waiting for the commit: it is acknowledged like
+    /// any other announcement.
     async fn acknowledge(&self, departure: DepartureRecord) -> Result<(), AnnouncementError> {
         if departure.state == EngineState::Ready {
             self.submit_departure(departure);
--- a/crates/coordinator/tests/quiescence.rs
+++ b/crates/coordinator/tests/quiescence.rs
@@ -5,8 +5,9 @@
 use rand_chacha::ChaCha8Rng;
 use stackpost_coordinator::{CONFIRMATION_TIMEOUT, Quiescence, QuiescenceTracker};
 use stackpost_gateway_core::{
-    ConnectionUse, DepartureChange, DepartureProgress, DepartureRecord, Departures, EngineState,
-    EngineTraffic, ProgressReporter, UNREAD_EXPIRY, UnreadEngine, UnreadRequests,
+    ConnectionUse, DepartureChange, DepartureProgress, DepartureRecord, Departures,
+    DispatchedRequest, EngineState, EngineTraffic, ProgressReporter, UNREAD_EXPIRY, UnreadEngine,
+    UnreadRequests,
 };
 use stackpost_types::{BackEndName, Incarnation, MachineName, Millis, NodeId, Timestamp};
 use std::collections::BTreeSet;
@@ -43,7 +44,7 @@
 #[derive(Clone, Copy)]
 struct Waiting {
     router: usize,
-    sent_at: Timestamp,
+    request: DispatchedRequest,
 }
 
 struct Router {
@@ -132,8 +133,9 @@
     fn send_request(&mut self, router: usize) {
         let connection =
             if self.rng.random_bool(0.5) { ConnectionUse::New } else { ConnectionUse::Reused };
-        self.routers[router].unread.on_dispatched(self.now, connection);
-        self.waiting.push(Waiting { router, sent_at: self.now });
+        let request = DispatchedRequest { sent_at: self.now, connection };
+        self.routers[router].unread.on_dispatched(request);
+        self.waiting.push(Waiting { router, request });
     }
 
     fn send_report(&mut self, router: usize, report: DepartureProgress) {
@@ -148,7 +150,7 @@
         for read in std::mem::take(&mut self.waiting) {
             let unread = &mut self.routers[read.router].unread;
             if self.rng.random_bool(0.7) {
-                unread.remove(read.sent_at);
+                unread.remove(read.request);
                 unread.on_heard(self.now);
             }
         }
--- a/crates/gateway-core/src/picker/silence.rs
+++ b/crates/gateway-core/src/picker/silence.rs
@@ -3,7 +3,7 @@
 use super::{EnginePicker, engines_in_service};
 use crate::directory::EngineDirectory;
 use crate::engine_silence::EngineSilence;
-use crate::unread_requests::{ConnectionUse, UnreadRequests};
+use crate::unread_requests::{DispatchedRequest, UnreadRequests};
 use stackpost_types::{BackEndName, Millis, ServiceName, Timestamp};
 
 impl EnginePicker {
@@ -16,14 +16,9 @@
     }
 
     /// Records that a request is written to a connection to an engine.
-    pub fn on_dispatched(
-        &mut self,
-        now: Timestamp,
-        engine: &BackEndName,
-        connection: ConnectionUse,
-    ) {
+    pub fn on_dispatched(&mut self, engine: &BackEndName, request: DispatchedRequest) {
         if let Some(health) = self.engines.get_mut(engine) {
-            health.unread.on_dispatched(now, connection);
+            health.unread.on_dispatched(request);
         }
     }
 
@@ -34,11 +29,10 @@
         }
     }
 
-    /// Records that an engine has responded to the request dispatched at `sent_at`, or that nothing
-    /// of that request was sent after all.
-    pub fn on_read(&mut self, engine: &BackEndName, sent_at: Timestamp) {
+    /// Records that an engine has responded to a request, or that nothing of it was sent after all.
+    pub fn on_read(&mut self, engine: &BackEndName, request: DispatchedRequest) {
         if let Some(health) = self.engines.get_mut(engine) {
-            health.unread.remove(sent_at);
+            health.unread.remove(request);
         }
     }
 
--- a/crates/gateway-core/src/unread_requests.rs
+++ b/crates/gateway-core/src/unread_requests.rs
@@ -24,31 +24,33 @@
     Reused,
 }
 
+/// A request that was written to a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Dispatched {
-    sent_at: Timestamp,
-    connection: ConnectionUse,
+pub struct DispatchedRequest {
+    /// When it was written.
+    pub sent_at: Timestamp,
+    /// The connection.
+    pub connection: ConnectionUse,
 }
 
 /// When the requests were sent that an engine may not have read, oldest first.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct UnreadRequests {
-    requests: VecDeque<Dispatched>,
+    requests: VecDeque<DispatchedRequest>,
 }
 
 impl UnreadRequests {
     /// Records that a request is written to a connection.
-    pub fn on_dispatched(&mut self, now: Timestamp, connection: ConnectionUse) {
+    pub fn on_dispatched(&mut self, request: DispatchedRequest) {
         if self.requests.len() == MAX_UNREAD {
             self.requests.pop_front();
         }
-        self.requests.push_back(Dispatched { sent_at: now, connection });
+        self.requests.push_back(request);
     }
 
-    /// Records that the engine has responded to the request dispatched at `sent_at`, or that nothing
-    /// of it was sent after all.
-    pub fn remove(&mut self, sent_at: Timestamp) {
-        if let Some(index) = self.requests.iter().position(|request| request.sent_at == sent_at) {
+    /// Records that the engine has responded to a request, or that nothing of it was sent after all.
+    pub fn remove(&mut self, request: DispatchedRequest) {
+        if let Some(index) = self.requests.iter().position(|other| *other == request) {
             self.requests.remove(index);
         }
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,7 +14,8 @@
 use hyper::http::response;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use stackpost_gateway_core::{
-    AttemptEnd, ConnectionUse, EngineChoice, EngineRecord, Placement, PlainExpectation, Standing,
+    AttemptEnd, ConnectionUse, DispatchedRequest, EngineChoice, EngineRecord, Placement,
+    PlainExpectation, Standing,
 };
 use stackpost_types::{BackEndName, Millis, Timestamp};
 use std::cell::Cell;
@@ -116,8 +117,8 @@
     started: Instant,
     /// The same instant on the router's clock.
     sent_at: Timestamp,
-    /// When the request was written to the connection.
-    dispatched_at: Option<Timestamp>,
+    /// The request as written to the connection, until the engine has responded.
+    dispatched: Option<DispatchedRequest>,
     last_heard: LastHeard,
     connection: Option<EngineConnection>,
     /// Held while the engine works on the request.
@@ -145,7 +146,7 @@
             standing,
             started,
             sent_at,
-            dispatched_at: None,
+            dispatched: None,
             last_heard,
             connection: None,
             _permit: permit,
@@ -176,25 +177,25 @@
 
     /// Records that the request is about to be written to the connection.
     fn on_dispatched(&mut self, connection: &EngineConnection) {
-        let now = self.router.now();
-        self.dispatched_at = Some(now);
-        let connection = match connection.reused {
+        let connection = match connection.has_responded {
             true => ConnectionUse::Reused,
             false => ConnectionUse::New,
         };
-        self.router.picker.borrow_mut().on_dispatched(now, self.name(), connection);
+        let request = DispatchedRequest { sent_at: self.router.now(), connection };
+        self.dispatched = Some(request);
+        self.router.picker.borrow_mut().on_dispatched(self.name(), request);
     }
 
     /// Records that the engine has read the request, or that nothing of it was written after all.
-    fn on_not_unread(&mut self) {
-        if let Some(dispatched_at) = self.dispatched_at.take() {
-            self.router.picker.borrow_mut().on_read(self.name(), dispatched_at);
+    fn clear_unread(&mut self) {
+        if let Some(request) = self.dispatched.take() {
+            self.router.picker.borrow_mut().on_read(self.name(), request);
         }
     }
 
     /// Records that the head of the response was received. Callers wait for what follows it.
     fn on_head(&mut self) {
-        self.on_not_unread();
+        self.clear_unread();
         self.router.picker.borrow_mut().on_heard(self.router.now(), self.name());
     }
 
@@ -225,6 +226,7 @@
         }
     }
 
+    /// The router that makes the attempt.
     pub fn router(&self) -> &Router {
         &self.router
     }
@@ -251,11 +253,12 @@
     /// was received completely and does not ask to close the connection.
     pub fn finish(mut self, end: AttemptEnd, keep: Option<&HeaderMap>) {
         self.end(end);
-        let Some(connection) = self.connection.take() else {
+        let Some(mut connection) = self.connection.take() else {
             return;
         };
         match keep {
             Some(headers) if !asks_to_close(headers) => {
+                connection.has_responded = true;
                 let idle_limit = keep_alive_timeout(headers);
                 self.router.pool.release(&self.engine.notice.engine, connection, idle_limit);
             }
@@ -266,8 +269,8 @@
     fn end(&mut self, end: AttemptEnd) {
         if !std::mem::replace(&mut self.ended, true) {
             let now = self.router.now();
-            if let Some(dispatched_at) = self.dispatched_at {
-                decision_log::ended_without_response(self, dispatched_at, end);
+            if let Some(request) = self.dispatched {
+                decision_log::ended_without_response(self, request.sent_at, end);
             }
             self.router.metrics.on_attempt_end(end);
             let sent = self.placement.as_ref();
@@ -304,10 +307,8 @@
 ) -> AttemptResult {
     let AttemptRequest { payload, engine_headers, deadline } = request;
     let AttemptStart { selected, fresh_connection, last_heard } = start;
-    let mut attempt = {
-        let id = payload.caller.id.clone();
-        ActiveAttempt::new(router.clone(), id, selected, last_heard)
-    };
+    let id = payload.caller.id.clone();
+    let mut attempt = ActiveAttempt::new(router.clone(), id, selected, last_heard);
     let connecting = router.connect(&attempt.engine, fresh_connection);
     let mut connection = match timeout_at(deadline, connecting).await {
         Ok(Ok(connection)) => connection,
@@ -352,7 +353,7 @@
             let not_sent = error.take_message().is_some();
             log_end(payload, &attempt, "send", &error.into_error().to_string());
             if not_sent {
-                attempt.on_not_unread();
+                attempt.clear_unread();
                 attempt.finish(AttemptEnd::Abandoned, None);
                 return AttemptResult::Unreachable;
             }
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -68,6 +68,8 @@
     pub received: Rc<Notify>,
     /// Whether it has carried a request before.
     pub reused: bool,
+    /// Whether the engine has responded over it.
+    pub has_responded: bool,
 }
 
 impl EngineConnection {
@@ -218,7 +220,15 @@
             let _ = connection.await;
         });
         let (opened, driver) = (Instant::now(), driver.abort_handle());
-        Ok(EngineConnection { sender, path, opened, driver, received, reused: false })
+        Ok(EngineConnection {
+            sender,
+            path,
+            opened,
+            driver,
+            received,
+            reused: false,
+            has_responded: false,
+        })
     }
 }
 
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -88,19 +88,15 @@
 
 /// An attempt ended before its engine had responded. Logs whether the engine has sent anything
 /// since the request was written: if not, it may still read the request.
-pub(crate) fn ended_without_response(
-    attempt: &ActiveAttempt,
-    dispatched_at: Timestamp,
-    end: AttemptEnd,
-) {
+pub(crate) fn ended_without_response(attempt: &ActiveAttempt, sent_at: Timestamp, end: AttemptEnd) {
     let router = attempt.router();
     let heard_at = router.picker.borrow().silence(attempt.name()).heard_at();
     log::info!(
         request = attempt.request(),
         engine = attempt.name().as_str(),
         end = end.as_str(),
-        sent_before_ms = router.now().since(dispatched_at).0,
-        engine_heard_since = heard_at.is_some_and(|heard_at| heard_at >= dispatched_at);
+        sent_before_ms = router.now().since(sent_at).0,
+        engine_heard_since = heard_at.is_some_and(|heard_at| heard_at >= sent_at);
         "attempt ended without a response"
     );
 }
