Routers hold requests back after a stall until their state is current

Callers saw nothing; engines did: a router that stood still for longer than the leader waits for it (1 s) is not asked before departures are acknowledged. When it ran again it read requests before the updates it had missed, and sent them to engines whose departure had been acknowledged seconds before.

A router now notices that it has not run for 1 s, whichever task runs first. It then holds requests back until the leader has stated its revisions, 100 ms after the stall or later, and the router has all of them; for 500 ms at most, after which it goes on as a router without a leader. Why this is enough: the updates are read in order, and a statement read 100 ms later was made after the stall.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -28,6 +28,7 @@
 //!   each router may send them one.
 //! - [`LoadShedder`]: which requests are admitted while demand exceeds the rates that engines
 //!   state.
+//! - [`StallGuard`]: holds requests back after the process stood still.
 //! - [`StreamBuffers`]: when a router stops reading for a caller that reads slowly, and which caller
 //!   is cut off.
 //! - [`AdmissionOrder`]: the same for every plain service that is short of capacity, with or without
@@ -100,6 +101,7 @@
 mod router_lists;
 mod service_clock;
 mod slot_shares;
+mod stall_guard;
 mod stated_rates;
 mod stream_buffers;
 mod stream_versions;
@@ -164,6 +166,7 @@
 pub use route_table::{Admission, RouteTable, TenantMatch};
 pub use router_lists::{RouterEndpoint, RouterLists, ZoneRouters};
 pub use slot_shares::SlotShares;
+pub use stall_guard::StallGuard;
 pub use stated_rates::{RateChange, RateStatement, RateUpdate, StatedRates};
 pub use stream_buffers::{
     BufferId, BufferLimits, CutOff, CutOffReason, ReaderTerms, StoreOutcome, StreamBuffers,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -326,6 +326,7 @@
     };
     let shows_reachability = !connection.reused && connection.path == ConnectionPath::Direct;
     router.metrics.on_engine_connection(connection_outcome(&connection));
+    router.wait_until_current().await;
     // While the request waited for a permit or a connection, the engine may have left, or asked for
     // a backoff in another response.
     if !router.may_send(attempt.name()) {
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -184,6 +184,7 @@
                 () = self.router.crash_report_due.notified() => self.report_crashes(),
                 () = self.router.wallet_insufficient.notified() => self.report(),
                 _ = reports.tick() => {
+                    self.router.watch_for_stalls();
                     self.report();
                     self.apply_router_lists();
                     self.subscribe_if_due();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -55,6 +55,7 @@
 mod select_engine;
 mod server;
 mod socket_options;
+mod stalls;
 mod stream_records;
 mod tenant_accounts;
 mod unservable;
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -14,6 +14,7 @@
 use crate::permits::PermitPool;
 use crate::pressure_control::PressureControl;
 use crate::read_probe::ReadProbes;
+use crate::stalls::Stalls;
 use crate::stream_records::StreamRecords;
 use stackpost_clock::{BootInstant, MachineClock};
 use stackpost_coordinator::{Document, DocumentCodec, DocumentDelta};
@@ -119,6 +120,7 @@
     /// Health checks of departing engines.
     pub(crate) read_probes: ReadProbes,
     pub(crate) leave_hints: RefCell<LeaveHints>,
+    pub(crate) stalls: Stalls,
     /// The newest known revision of the evacuated zones.
     evacuations_revision: Cell<u64>,
     table: RefCell<Option<Rc<RouteTable>>>,
@@ -181,6 +183,7 @@
             departures_revision: Cell::new(0),
             read_probes: ReadProbes::default(),
             leave_hints: RefCell::default(),
+            stalls: Stalls::default(),
             evacuations_revision: Cell::new(0),
             table: RefCell::default(),
             confirmed: Cell::new(false),
@@ -450,6 +453,7 @@
         let has_document = document_version > 0 && self.document_version() >= document_version;
         if has_document && has_departures {
             self.confirmed.set(true);
+            self.on_state_confirmed();
         }
     }
 }
--- a/crates/gateway/src/select_engine.rs
+++ b/crates/gateway/src/select_engine.rs
@@ -40,6 +40,7 @@
     /// limited to slots only while engines are brittle: else engines queue them and report their
     /// load by other means.
     pub async fn select_engine(&self, progress: &Progress) -> Option<SelectedEngine> {
+        self.router.wait_until_current().await;
         let selected = self.select_permitted(progress).await;
         if self.router.load_settings().admission_order {
             self.note_permit(selected.is_some(), self.scope());
