--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`UnreadRequests`]: requests that an engine may have received without having read them;
 //!   [`ProgressReporter`]: what of them the leader is told once the engine departs.
 //! - [`LeaveHints`]: which engines may be leaving, while departures can't be known.
+//! - [`StallGuard`]: holds requests back after the process stood still.
 //! - [`RelayRouters`]: which other routers relay connections to engines meanwhile.
 //! - [`BackoffTracker`]: engines that have asked to receive no requests for some time, or that
 //!   leave.
@@ -28,7 +29,6 @@
 //!   each router may send them one.
 //! - [`LoadShedder`]: which requests are admitted while demand exceeds the rates that engines
 //!   state.
-//! - [`StallGuard`]: holds requests back after the process stood still.
 //! - [`StreamBuffers`]: when a router stops reading for a caller that reads slowly, and which caller
 //!   is cut off.
 //! - [`AdmissionOrder`]: the same for every plain service that is short of capacity, with or without
