--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -19,7 +19,7 @@
 use stackpost_types::{MachineName, Millis, NodeId, Timestamp};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -41,6 +41,8 @@
 pub struct ControlSettings {
     /// Address at which it accepts connections of the fleet.
     pub mesh_address: SocketAddr,
+    /// Address from which it opens connections; `None` leaves it to the system.
+    pub source: Option<IpAddr>,
     /// Addresses at which other control processes may listen.
     pub seeds: Vec<SocketAddr>,
 }
@@ -67,7 +69,8 @@
         effects: mpsc::UnboundedReceiver<ReplicaEffect>,
         metrics: ControlMetrics,
     ) -> Result<Self, stackpost_types::PeerError> {
-        let (mesh, events) = Mesh::new(own);
+        let own_address = own.listen_address;
+        let (mesh, events) = Mesh::with_source(own, settings.source);
         mesh.listen(settings.mesh_address).await?;
         let state = ControlState {
             directory: EngineDirectory::default(),
@@ -92,7 +95,7 @@
         let node = Self {
             mesh,
             replica,
-            own_address: settings.mesh_address,
+            own_address,
             started: BootInstant::now(),
             state: Rc::new(RefCell::new(state)),
             metrics,
--- a/crates/gateway/src/engine_dialer.rs
+++ b/crates/gateway/src/engine_dialer.rs
@@ -2,9 +2,10 @@
 
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
+use stackpost_mesh::open_tcp;
 use std::fmt::Debug;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use tokio::net::TcpStream;
 
 /// Opens TCP connections to engines.
@@ -16,10 +17,13 @@
 
 /// Dials over the machine's network.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct TcpDialer;
+pub struct TcpDialer {
+    /// Address from which connections are opened; `None` leaves it to the system.
+    pub source: Option<IpAddr>,
+}
 
 impl EngineDialer for TcpDialer {
     fn dial(&self, engine: SocketAddr) -> LocalBoxFuture<'static, io::Result<TcpStream>> {
-        TcpStream::connect(engine).boxed_local()
+        open_tcp(self.source, engine).boxed_local()
     }
 }
--- a/crates/gateway/src/engine_paths.rs
+++ b/crates/gateway/src/engine_paths.rs
@@ -182,7 +182,7 @@
         let candidates = self.relay_routers.borrow().candidates(self.now(), name);
         let mut refused = None;
         for router in candidates {
-            match engine_relay::connect(router, name).await {
+            match engine_relay::connect(self.source, router, name).await {
                 Ok(stream) => {
                     self.relay_routers.borrow_mut().on_relayed(router);
                     match self.pool.start_relayed(stream).await {
--- a/crates/gateway/src/engine_relay/client.rs
+++ b/crates/gateway/src/engine_relay/client.rs
@@ -2,12 +2,12 @@
 
 use super::{RelayReply, RelayRequest, RelayedStream, read_message, relay_address, write_message};
 use crate::socket_options::set_options;
+use stackpost_mesh::open_tcp;
 use stackpost_types::BackEndName;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use thiserror::Error;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 /// Timeout for the connection to the relay.
@@ -29,14 +29,16 @@
     Io { relay: SocketAddr, source: io::Error },
 }
 
-/// Connects to an engine through the router with the fleet address `router`.
+/// Connects to an engine through the router with the fleet address `router`, from the address
+/// `source` if there is one.
 pub(crate) async fn connect(
+    source: Option<IpAddr>,
     router: SocketAddr,
     engine: &BackEndName,
 ) -> Result<RelayedStream, RelayError> {
     let relay = relay_address(router);
     let io_error = |source| RelayError::Io { relay, source };
-    let mut stream = within(DIAL_TIMEOUT, TcpStream::connect(relay)).await.map_err(io_error)?;
+    let mut stream = within(DIAL_TIMEOUT, open_tcp(source, relay)).await.map_err(io_error)?;
     set_options(&stream);
     let asking = async {
         write_message(&mut stream, &RelayRequest { engine: engine.clone() }).await?;
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -92,13 +92,26 @@
         seeds: &[SocketAddr],
     ) -> Result<Rc<Self>, PeerError> {
         let listen_address = own.listen_address;
-        let endpoint = RouterEndpoint { zone: own.zone.clone(), address: listen_address };
+        Self::start_at(own, listen_address, router, seeds).await
+    }
+
+    /// The same for a router that other processes reach at another address than the one at which it
+    /// listens.
+    pub async fn start_at(
+        own: PeerInfo,
+        listen_address: SocketAddr,
+        router: Rc<Router>,
+        seeds: &[SocketAddr],
+    ) -> Result<Rc<Self>, PeerError> {
+        let advertised = own.listen_address;
+        let endpoint = RouterEndpoint { zone: own.zone.clone(), address: advertised };
         let node = own.node.clone();
         let started = machine_time(&router.clock);
-        let (mesh, events) = Mesh::new(own);
+        let (mesh, events) = Mesh::with_source(own, router.source);
         mesh.listen(listen_address).await?;
         let incarnation = Digest::of(&[node.to_string().as_bytes()]).to_u64();
-        let exchange = LoadExchange::start(incarnation, listen_address, router.clone()).await?;
+        let exchange =
+            LoadExchange::start_at(incarnation, listen_address, advertised, router.clone()).await?;
         RelayServer::start(listen_address, router.clone()).await?;
         let link = Rc::new(Self {
             node,
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -75,10 +75,20 @@
         incarnation: u64,
         address: SocketAddr,
         router: Rc<Router>,
+    ) -> Result<Rc<Self>, PeerError> {
+        Self::start_at(incarnation, address, address, router).await
+    }
+
+    /// The same for a router that others reach as `advertised`.
+    pub async fn start_at(
+        incarnation: u64,
+        address: SocketAddr,
+        advertised: SocketAddr,
+        router: Rc<Router>,
     ) -> Result<Rc<Self>, PeerError> {
         let meter = router.pressure_control.meter.clone();
         let socket = Rc::new(PeerSocket::bind(address, meter).await?);
-        router.permits.open(incarnation, address, socket.clone());
+        router.permits.open(incarnation, advertised, socket.clone());
         router.stream_records.open(socket.clone());
         let exchange = Rc::new(Self { incarnation, router, socket, peers: RefCell::default() });
         tokio::task::spawn_local(exchange.clone().listen());
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -29,6 +29,7 @@
 use stackpost_types::{BackEndName, Millis, ServiceName, TenantName, Timestamp, Tokens, ZoneName};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -58,6 +59,8 @@
     pub clock: MachineClock,
     /// Opens the connections to engines.
     pub dialer: Rc<dyn EngineDialer>,
+    /// Address from which connections to other processes are opened; `None` leaves it to the system.
+    pub source: Option<IpAddr>,
     /// How the router behaves under load.
     pub load: LoadSettings,
 }
@@ -68,6 +71,7 @@
     pub(crate) codec: Arc<dyn DocumentCodec>,
     pub(crate) metrics: RouterMetrics,
     pub(crate) clock: MachineClock,
+    pub(crate) source: Option<IpAddr>,
     pub(crate) pool: ConnectionPool,
     pub(crate) liveness_probes: LivenessProbes,
     pub(crate) reachability: RefCell<EngineReachability>,
@@ -148,6 +152,7 @@
         Rc::new(Self {
             header_codec,
             codec,
+            source: settings.source,
             metrics: RouterMetrics::new(meter),
             pool: ConnectionPool::new(settings.clock.clone(), settings.dialer, link_meter),
             liveness_probes: LivenessProbes::default(),
--- a/crates/gateway/tests/fleet/load_exchange.rs
+++ b/crates/gateway/tests/fleet/load_exchange.rs
@@ -60,7 +60,7 @@
 
 fn router_with_engine_model(engine_model: bool) -> Rc<Router> {
     let load = LoadSettings { engine_model, ..LoadSettings::default() };
-    router_with_load(MachineClock::default(), Rc::new(TcpDialer), load)
+    router_with_load(MachineClock::default(), Rc::new(TcpDialer::default()), load)
 }
 
 /// Guards against routers that know only their own plain requests, and against reports between
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -74,7 +74,7 @@
 impl RouterMachine {
     /// Starts a router with control at `control`.
     pub async fn start(control: SocketAddr) -> Self {
-        Self::start_with(control, Rc::new(TcpDialer)).await
+        Self::start_with(control, Rc::new(TcpDialer::default())).await
     }
 
     /// Starts a router that dials engines with `dialer`.
@@ -163,7 +163,8 @@
         let metrics = ControlMetrics::new(&metrics_registry.meter());
         let (replica, effects) =
             ReplicaThread::start(config, folder.path(), metrics.clone()).expect("started");
-        let settings = ControlSettings { mesh_address: address, seeds: vec![address] };
+        let settings =
+            ControlSettings { mesh_address: address, source: None, seeds: vec![address] };
         let own = peer(PeerRole::Control, name.as_str(), address);
         let control =
             ControlNode::start(own, settings, replica, effects, metrics).await.expect("started");
@@ -228,7 +229,11 @@
 
 /// A router without configuration or engines.
 pub fn router() -> Rc<Router> {
-    router_with_load(MachineClock::default(), Rc::new(TcpDialer), LoadSettings::default())
+    router_with_load(
+        MachineClock::default(),
+        Rc::new(TcpDialer::default()),
+        LoadSettings::default(),
+    )
 }
 
 /// A router with other settings of its behaviour under load.
@@ -249,7 +254,7 @@
 ) -> Rc<Router> {
     let retry_limits = RetryLimits { permille: 200, extra: 200, window: Millis(10_000) };
     Router::new(
-        RouterSettings { zone: "hall".into(), retry_limits, clock, dialer, load },
+        RouterSettings { zone: "hall".into(), retry_limits, clock, dialer, source: None, load },
         Box::new(TestHeaderCodec),
         Arc::new(TestDocumentCodec),
         &metrics.meter(),
@@ -293,7 +298,8 @@
 
     /// Starts the fleet with engines of these software versions.
     pub async fn start_with_software(versions: [&str; 2]) -> Self {
-        Self::start_with_settings(versions, Rc::new(TcpDialer), LoadSettings::default()).await
+        Self::start_with_settings(versions, Rc::new(TcpDialer::default()), LoadSettings::default())
+            .await
     }
 
     /// Starts the fleet with a router that dials engines with `dialer`.
@@ -303,7 +309,7 @@
 
     /// Starts the fleet with a router that has these settings of its behaviour under load.
     pub async fn start_with_load(load: LoadSettings) -> Self {
-        Self::start_with_settings(["", ""], Rc::new(TcpDialer), load).await
+        Self::start_with_settings(["", ""], Rc::new(TcpDialer::default()), load).await
     }
 
     async fn start_with_settings(
@@ -406,7 +412,8 @@
 
     /// Adds a router with other settings of its behaviour under load.
     pub async fn add_router_with_load(&self, load: LoadSettings) -> RouterMachine {
-        RouterMachine::start_with_load(self.control_address, Rc::new(TcpDialer), load).await
+        RouterMachine::start_with_load(self.control_address, Rc::new(TcpDialer::default()), load)
+            .await
     }
 
     /// Adds a router to the fleet.
--- a/crates/mesh/src/connection.rs
+++ b/crates/mesh/src/connection.rs
@@ -5,9 +5,9 @@
 use futures::{SinkExt, StreamExt};
 use socket2::SockRef;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -17,9 +17,22 @@
 
 pub(crate) type FrameStream = Framed<TcpStream, LengthDelimitedCodec>;
 
+/// Opens a TCP connection, from the address `source` if there is one.
+pub async fn open_tcp(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = if source.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 /// Opens a connection to `address`.
-pub(crate) async fn connect(address: SocketAddr) -> io::Result<FrameStream> {
-    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+pub(crate) async fn connect(
+    source: Option<IpAddr>,
+    address: SocketAddr,
+) -> io::Result<FrameStream> {
+    let connecting = timeout(CONNECT_TIMEOUT, open_tcp(source, address));
     let stream = connecting.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     Ok(frame_stream(stream))
 }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -11,7 +11,7 @@
 mod mesh;
 mod traffic;
 
-pub use connection::CONNECT_TIMEOUT;
+pub use connection::{CONNECT_TIMEOUT, open_tcp};
 pub use mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
 pub use traffic::{MessageKind, SentByKind, SentMessages};
 
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -11,7 +11,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::marker::PhantomData;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
@@ -44,7 +44,7 @@
     pub role: PeerRole,
     /// The zone of the machine.
     pub zone: ZoneName,
-    /// Address at which it accepts connections of the fleet.
+    /// Address at which other processes reach it.
     pub listen_address: SocketAddr,
 }
 
@@ -92,6 +92,8 @@
 
 struct Shared<M> {
     own: PeerInfo,
+    /// Address from which connections are opened; `None` leaves it to the system.
+    source: Option<IpAddr>,
     events: mpsc::UnboundedSender<LinkEvent<M>>,
     links: RefCell<BTreeMap<LinkId, mpsc::Sender<Bytes>>>,
     dialed: RefCell<BTreeSet<SocketAddr>>,
@@ -110,9 +112,18 @@
 impl<M: MessageKind + Serialize + DeserializeOwned + 'static> Mesh<M> {
     /// Creates a mesh without connections, and the receiver of its events.
     pub fn new(own: PeerInfo) -> (Self, mpsc::UnboundedReceiver<LinkEvent<M>>) {
+        Self::with_source(own, None)
+    }
+
+    /// The same for a process that opens its connections from the address `source`.
+    pub fn with_source(
+        own: PeerInfo,
+        source: Option<IpAddr>,
+    ) -> (Self, mpsc::UnboundedReceiver<LinkEvent<M>>) {
         let (events, receiver) = mpsc::unbounded_channel();
         let shared = Shared {
             own,
+            source,
             events,
             links: RefCell::default(),
             dialed: RefCell::default(),
@@ -156,7 +167,7 @@
         tokio::task::spawn_local(async move {
             let mut pause = FIRST_RECONNECT_PAUSE;
             while mesh.shared.dialed.borrow().contains(&address) {
-                if let Ok(stream) = connection::connect(address).await {
+                if let Ok(stream) = connection::connect(mesh.shared.source, address).await {
                     mesh.serve(stream, Some(address)).await;
                     pause = FIRST_RECONNECT_PAUSE;
                 }
