Departures wait for every router in contact and for each request's own connection

Proof of reading. An answered health check counted for all older connections, and any byte for every connection in use. An engine may read one connection and leave another one. Now a request is settled only by its own connection: a response, or the engine's end of it. A request that is given up closes this router's direction only; the connection is observed until the engine shows what became of the request. A relay passes the router's end on.

Who is waited for. The leader waited for routers heard within 1 s, 2.5 s at most, and knew those connected at that moment. Every control process now keeps a lease of 3 s for each router that it hears; nothing that such a router has not confirmed is acknowledged, without a limit. A process that has started acknowledges nothing for a lease. Routers that have ended say so or are replaced by their next process. Reports repeat for 10 s after all is read.

Logs: whom an acknowledgement waited for and who is disconnected; how long a router had no leader and when its state was current again.

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -78,7 +78,7 @@
             cold: ColdEngines::default(),
             departures: KnownDepartures::default(),
             uncommitted: UncommittedDepartures::default(),
-            quiescence: QuiescenceTracker::default(),
+            quiescence: QuiescenceTracker::new(Timestamp::PROCESS_START),
             quiescence_replies: HashMap::new(),
             refreshed: BTreeSet::new(),
             links: Links::default(),
@@ -214,8 +214,11 @@
 
     fn on_up(&self, link: LinkId, peer: PeerInfo) {
         log::info!(peer = peer.node.to_string().as_str(); "connected");
-        let role = peer.role;
-        self.state.borrow_mut().links.up(self.now(), link, peer);
+        let (now, role) = (self.now(), peer.role);
+        if role == PeerRole::Router {
+            self.state.borrow_mut().quiescence.on_heard(now, &peer.node);
+        }
+        self.state.borrow_mut().links.up(now, link, peer);
         if role == PeerRole::Control {
             let notices = self.state.borrow().directory.notices(self.now());
             self.mesh.send(link, &FleetMessage::Engines(notices));
@@ -232,8 +235,19 @@
         }
     }
 
+    /// Records that something was received. Returns its sender; `None` if the connection is closed.
+    fn on_received(&self, link: LinkId) -> Option<NodeId> {
+        let now = self.now();
+        let state = &mut *self.state.borrow_mut();
+        let (peer, role) = state.links.on_received(now, link)?;
+        if role == PeerRole::Router {
+            state.quiescence.on_heard(now, &peer);
+        }
+        Some(peer)
+    }
+
     fn on_message(&self, link: LinkId, message: FleetMessage) {
-        let Some(peer) = self.state.borrow_mut().links.on_received(self.now(), link) else {
+        let Some(peer) = self.on_received(link) else {
             return;
         };
         match message {
@@ -261,7 +275,7 @@
             }
             FleetMessage::DepartureProgress(progress) => {
                 let now = self.now();
-                self.state.borrow_mut().quiescence.on_progress(now, peer, progress);
+                self.state.borrow_mut().quiescence.on_progress(now, &peer, progress);
             }
             FleetMessage::QuiescenceQuery { token, engine } => {
                 self.on_quiescence_query(link, token, &engine);
@@ -270,6 +284,7 @@
                 self.on_quiescence_reply(token, quiescence);
             }
             FleetMessage::FinalUsage(spent) => {
+                self.state.borrow_mut().quiescence.on_stopped(&peer);
                 self.replica.send(ReplicaEvent::RouterFinalUsage { router: peer, spent });
             }
             FleetMessage::RelayedFinalUsage(router, spent) => {
@@ -421,8 +436,7 @@
         }
         state.directory.remove_expired(now);
         state.departures.remove_expired(now);
-        let routers = state.links.active_routers(now);
-        state.quiescence.remove_expired(now, &self.replica.view().departures, &routers);
+        state.quiescence.remove_expired(now, &self.replica.view().departures);
         state.cold.remove_expired(now);
         state.silent.remove_expired(now);
     }
--- a/crates/coordinator/src/departures.rs
+++ b/crates/coordinator/src/departures.rs
@@ -8,7 +8,7 @@
 use crate::control_node::ControlNode;
 use crate::engine_updates::AnnouncementError;
 use crate::message::FleetMessage;
-use crate::quiescence::Quiescence;
+use crate::quiescence::{Quiescence, QuiescenceTracker};
 use crate::replica_api::ReplicaEvent;
 use stackpost_gateway_core::{DepartureDelta, DepartureRecord, KnownDepartures};
 use stackpost_mesh::LinkId;
@@ -125,9 +125,12 @@
     /// The state of a departing engine as known here, which is current only if this process leads.
     fn quiescence(&self, engine: &BackEndName) -> Quiescence {
         let (now, departures) = (self.now(), self.replica.view().departures);
-        let state = &mut *self.state.borrow_mut();
-        let routers = state.links.active_routers(now);
-        state.quiescence.state(now, engine, &departures, &routers)
+        let tracker = &mut self.state.borrow_mut().quiescence;
+        let quiescence = tracker.state(now, engine, &departures);
+        if quiescence == Quiescence::Quiescent && tracker.on_quiescent(engine) {
+            log_quiescent(now, engine, tracker);
+        }
+        quiescence
     }
 
     pub(crate) fn on_quiescence_query(&self, link: LinkId, token: u64, engine: &BackEndName) {
@@ -211,3 +214,14 @@
         }
     }
 }
+
+/// Logs the routers that were waited for, and those that were not because they are disconnected.
+fn log_quiescent(now: Timestamp, engine: &BackEndName, tracker: &QuiescenceTracker) {
+    let disconnected: Vec<String> = tracker.disconnected(now).map(ToString::to_string).collect();
+    log::info!(
+        engine = engine.as_str(),
+        routers = tracker.connected(now).count(),
+        disconnected = disconnected.join(" ").as_str();
+        "engine is quiescent"
+    );
+}
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -47,7 +47,7 @@
     BorrowResult, ClockEcho, ControlStatus, Document, FleetMessage, RouterStatus, RouterVersions,
 };
 pub use packed_document::PackedDocument;
-pub use quiescence::{CONFIRMATION_TIMEOUT, Quiescence, QuiescenceTracker};
+pub use quiescence::{Quiescence, QuiescenceTracker, ROUTER_LEASE};
 pub use replica::Replica;
 pub use replica_api::{
     PutReply, ReadReply, ReplicaConfig, ReplicaEffect, ReplicaError, ReplicaEvent,
--- a/crates/coordinator/src/links.rs
+++ b/crates/coordinator/src/links.rs
@@ -15,10 +15,6 @@
 /// counts as active.
 const ACTIVE_WITHIN: Millis = Millis(500);
 
-/// A router from which nothing was received for this long, more than two of its heartbeats, counts
-/// as disconnected.
-const ROUTER_SILENCE_LIMIT: Millis = Millis(1_000);
-
 /// One connection to another process.
 #[derive(Clone, Debug)]
 pub struct Link {
@@ -59,10 +55,10 @@
     }
 
     /// Records that a message was received. Returns its sender; `None` if the connection is closed.
-    pub fn on_received(&mut self, now: Timestamp, link: LinkId) -> Option<NodeId> {
+    pub fn on_received(&mut self, now: Timestamp, link: LinkId) -> Option<(NodeId, PeerRole)> {
         let entry = self.links.get_mut(&link)?;
         entry.last_received_at = now;
-        Some(entry.peer.node.clone())
+        Some((entry.peer.node.clone(), entry.peer.role))
     }
 
     /// The state of a connection.
@@ -122,15 +118,6 @@
         links.filter(move |(_, peer)| peer.role == role)
     }
 
-    /// The routers from which anything was received within some status intervals.
-    pub fn active_routers(&self, now: Timestamp) -> BTreeSet<NodeId> {
-        let is_active = |link: &&Link| {
-            link.peer.role == PeerRole::Router
-                && now.since(link.last_received_at) < ROUTER_SILENCE_LIMIT
-        };
-        self.links.values().filter(is_active).map(|link| link.peer.node.clone()).collect()
-    }
-
     /// Zone and listen address of the process at the other end.
     pub fn endpoint(&self, link: LinkId) -> Option<RouterEndpoint> {
         let peer = &self.links.get(&link)?.peer;
--- a/crates/coordinator/src/quiescence.rs
+++ b/crates/coordinator/src/quiescence.rs
@@ -1,12 +1,14 @@
 //! Whether a departing engine is quiescent: no router sends it further requests, and it has read
 //! all that routers had sent. Only then is its departure acknowledged.
 //!
-//! Routers report which departures they know, and which engines may not have read all that they
-//! sent. Reports may arrive late and twice, and at several leaders.
+//! Every control process hears every router that it can reach, so a new leader knows which routers
+//! to wait for. Routers report to the leader which departures they know, and which engines may not
+//! have read all that they sent. Reports may arrive late and twice, and at several leaders.
 //!
 //! Invariants: a router that has confirmed a departure never sends to that engine again, unless the
-//! engine returns. A router that does not report delays an acknowledgement for
-//! [`CONFIRMATION_TIMEOUT`] at most, an unread request for its expiry at most.
+//! engine returns. While a router's lease lasts, nothing that it has not confirmed is acknowledged.
+//! A router whose lease has expired was disconnected for that long, and receives every departure
+//! before it counts as connected again.
 
 use serde::{Deserialize, Serialize};
 use stackpost_gateway_core::{DepartureProgress, Departures, UNREAD_EXPIRY};
@@ -14,8 +16,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use thiserror::Error;
 
-/// Longest wait for routers that are connected and do not confirm a departure.
-pub const CONFIRMATION_TIMEOUT: Millis = Millis(2_500);
+/// Time since a router was last heard for which departures wait for it: several of its heartbeats
+/// and the time that it needs to connect again.
+pub const ROUTER_LEASE: Millis = Millis(3_000);
 
 /// The state of a departing engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Error)]
@@ -35,29 +38,93 @@
     /// The engine may not have read a request of this router.
     #[error("the engine may not have read a request of router {0}")]
     Unread(NodeId),
+    /// The leader's process has started so recently that it may not have heard every router.
+    #[error("the leader may not have heard every router since it started")]
+    Recovering,
 }
 
-/// What one router has reported.
-#[derive(Clone, Debug, Default)]
-struct RouterProgress {
+/// What is known of one router.
+#[derive(Clone, Debug)]
+struct KnownRouter {
+    heard_at: Timestamp,
+    /// Whether it has handled its last request.
+    has_stopped: bool,
+    /// Whether its machine has run another process since it was last heard.
+    is_replaced: bool,
     /// Revision up to which it knows every departure.
     revision: u64,
     /// When it sent the newest request that an engine may not have read.
     unread: BTreeMap<BackEndName, Timestamp>,
 }
 
-/// The reports of all routers.
-#[derive(Clone, Debug, Default)]
+impl KnownRouter {
+    fn new(heard_at: Timestamp) -> Self {
+        Self {
+            heard_at,
+            has_stopped: false,
+            is_replaced: false,
+            revision: 0,
+            unread: BTreeMap::new(),
+        }
+    }
+
+    fn holds_lease(&self, now: Timestamp) -> bool {
+        !self.has_ended() && now.since(self.heard_at) < ROUTER_LEASE
+    }
+
+    fn has_ended(&self) -> bool {
+        self.has_stopped || self.is_replaced
+    }
+
+    /// Whether an engine may not have read all that this router sent. Without the router nobody can
+    /// tell, so its requests expire.
+    fn may_be_unread(&self, now: Timestamp, engine: &BackEndName) -> bool {
+        let sent_at = self.unread.get(engine);
+        sent_at.is_some_and(|at| self.holds_lease(now) || now.since(*at) < UNREAD_EXPIRY)
+    }
+}
+
+/// The routers that this process hears, and their reports.
+#[derive(Clone, Debug)]
 pub struct QuiescenceTracker {
-    routers: BTreeMap<NodeId, RouterProgress>,
-    /// When this process was first asked about each departure.
-    asked_at: BTreeMap<BackEndName, Timestamp>,
+    started: Timestamp,
+    routers: BTreeMap<NodeId, KnownRouter>,
+    /// Departing engines that were found quiescent.
+    quiescent: BTreeSet<BackEndName>,
 }
 
 impl QuiescenceTracker {
+    /// Creates a tracker for a process that has started now.
+    pub fn new(now: Timestamp) -> Self {
+        Self { started: now, routers: BTreeMap::new(), quiescent: BTreeSet::new() }
+    }
+
+    /// Records that anything was received from a router.
+    pub fn on_heard(&mut self, now: Timestamp, router: &NodeId) {
+        if let Some(known) = self.routers.get_mut(router) {
+            known.heard_at = now;
+            known.is_replaced = false;
+            return;
+        }
+        for (other, known) in &mut self.routers {
+            known.is_replaced |= other.machine == router.machine;
+        }
+        self.routers.insert(router.clone(), KnownRouter::new(now));
+    }
+
+    /// Records that a router has handled its last request and ends.
+    pub fn on_stopped(&mut self, router: &NodeId) {
+        if let Some(known) = self.routers.get_mut(router) {
+            known.has_stopped = true;
+        }
+    }
+
     /// Records a router's report.
-    pub fn on_progress(&mut self, now: Timestamp, router: NodeId, progress: DepartureProgress) {
-        let known = self.routers.entry(router).or_default();
+    pub fn on_progress(&mut self, now: Timestamp, router: &NodeId, progress: DepartureProgress) {
+        self.on_heard(now, router);
+        let Some(known) = self.routers.get_mut(router) else {
+            return;
+        };
         if progress.revision < known.revision {
             return;
         }
@@ -67,53 +134,54 @@
         known.unread = unread.map(|one| (one.engine, sent_at(one.newest_age))).collect();
     }
 
-    /// The state of an engine, given the committed departures and the routers that are connected.
+    /// The state of an engine, given the committed departures.
     pub fn state(
-        &mut self,
+        &self,
         now: Timestamp,
         engine: &BackEndName,
         departures: &Departures,
-        connected: &BTreeSet<NodeId>,
     ) -> Quiescence {
         let Some(revision) = departures.departure_revision(engine) else {
             return Quiescence::NotDeparting;
         };
-        let asked_at = *self.asked_at.entry(engine.clone()).or_insert(now);
-        let unconfirmed = connected.iter().find(|router| !self.has_confirmed(router, revision));
-        if let Some(router) = unconfirmed
-            && now.since(asked_at) < CONFIRMATION_TIMEOUT
-        {
+        if now.since(self.started) < ROUTER_LEASE {
+            return Quiescence::Recovering;
+        }
+        let is_unconfirmed =
+            |known: &KnownRouter| known.holds_lease(now) && known.revision < revision;
+        if let Some(router) = self.find(is_unconfirmed) {
             return Quiescence::Unconfirmed(router.clone());
         }
-        match self.router_with_unread(now, engine) {
+        match self.find(|known| known.may_be_unread(now, engine)) {
             Some(router) => Quiescence::Unread(router.clone()),
             None => Quiescence::Quiescent,
         }
     }
 
-    /// Forgets engines that no longer depart, and routers whose reports say nothing any more.
-    pub fn remove_expired(
-        &mut self,
-        now: Timestamp,
-        departures: &Departures,
-        connected: &BTreeSet<NodeId>,
-    ) {
-        self.asked_at.retain(|engine, _| departures.departure_revision(engine).is_some());
-        self.routers.retain(|router, progress| {
-            progress.unread.retain(|_, sent_at| now.since(*sent_at) < UNREAD_EXPIRY);
-            connected.contains(router) || !progress.unread.is_empty()
-        });
+    /// Records that an engine is quiescent. Returns whether that is new.
+    pub fn on_quiescent(&mut self, engine: &BackEndName) -> bool {
+        self.quiescent.insert(engine.clone())
     }
 
-    fn has_confirmed(&self, router: &NodeId, revision: u64) -> bool {
-        self.routers.get(router).is_some_and(|progress| progress.revision >= revision)
+    /// The routers whose leases last.
+    pub fn connected(&self, now: Timestamp) -> impl Iterator<Item = &NodeId> {
+        self.routers.iter().filter(move |(_, known)| known.holds_lease(now)).map(|(name, _)| name)
     }
 
-    fn router_with_unread(&self, now: Timestamp, engine: &BackEndName) -> Option<&NodeId> {
-        let is_unread = |progress: &RouterProgress| {
-            let sent_at = progress.unread.get(engine);
-            sent_at.is_some_and(|sent_at| now.since(*sent_at) < UNREAD_EXPIRY)
-        };
-        self.routers.iter().find(|(_, progress)| is_unread(progress)).map(|(router, _)| router)
+    /// The routers whose leases have expired and whose processes are not known to have ended.
+    pub fn disconnected(&self, now: Timestamp) -> impl Iterator<Item = &NodeId> {
+        let is_disconnected =
+            move |known: &KnownRouter| !known.has_ended() && !known.holds_lease(now);
+        self.routers.iter().filter(move |(_, known)| is_disconnected(known)).map(|(name, _)| name)
+    }
+
+    /// Forgets engines that no longer depart, and routers that were not heard for a long time.
+    pub fn remove_expired(&mut self, now: Timestamp, departures: &Departures) {
+        self.quiescent.retain(|engine| departures.departure_revision(engine).is_some());
+        self.routers.retain(|_, known| now.since(known.heard_at) < UNREAD_EXPIRY);
+    }
+
+    fn find(&self, matches: impl Fn(&KnownRouter) -> bool) -> Option<&NodeId> {
+        self.routers.iter().find(|(_, known)| matches(known)).map(|(name, _)| name)
     }
 }
--- a/crates/gateway-core/src/departure_progress.rs
+++ b/crates/gateway-core/src/departure_progress.rs
@@ -1,11 +1,13 @@
 //! What a router tells the leader about departing engines: which departures it knows, and which
 //! engines may not have read all that it sent them.
 
-use crate::unread_requests::UNREAD_EXPIRY;
 use serde::{Deserialize, Serialize};
 use stackpost_types::{BackEndName, Millis, Timestamp};
 use std::collections::BTreeMap;
 
+/// Time for which an engine is reported after it has read all requests: many repetitions, any of
+/// which may be lost.
+const REPORT_TIME: Millis = Millis(10_000);
 /// Time after which an unchanged report is repeated, since a message may be lost.
 const REPEAT_AFTER: Millis = Millis(600);
 
@@ -41,7 +43,7 @@
 /// Decides when a router reports its progress. Without departures there is nothing to report.
 #[derive(Clone, Debug, Default)]
 pub struct ProgressReporter {
-    /// Departing engines, and when this router learned of each departure.
+    /// Departing engines, and since when each has read all requests, as far as this router knows.
     departing: BTreeMap<BackEndName, Timestamp>,
     reported_unread: Vec<BackEndName>,
     reported_at: Timestamp,
@@ -58,11 +60,6 @@
         self.departing.remove(engine);
     }
 
-    /// The departing engines, each with the time at which this router learned of its departure.
-    pub fn departing(&self) -> impl Iterator<Item = (&BackEndName, Timestamp)> {
-        self.departing.iter().map(|(engine, learned_at)| (engine, *learned_at))
-    }
-
     /// The complete report.
     pub fn report(
         &mut self,
@@ -70,8 +67,12 @@
         revision: u64,
         traffic: impl Fn(&BackEndName) -> EngineTraffic,
     ) -> DepartureProgress {
-        // By then everything that was sent before has expired.
-        self.departing.retain(|_, learned_at| now.since(*learned_at) < UNREAD_EXPIRY);
+        for (engine, settled_at) in &mut self.departing {
+            if traffic(engine) != EngineTraffic::AllRead {
+                *settled_at = now;
+            }
+        }
+        self.departing.retain(|_, settled_at| now.since(*settled_at) < REPORT_TIME);
         let unread: Vec<UnreadEngine> = self
             .departing
             .keys()
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -173,7 +173,7 @@
     may_have_ended_unread,
 };
 pub use stream_versions::{StreamKey, StreamVersions};
-pub use unread_requests::{ConnectionUse, DispatchedRequest, UNREAD_EXPIRY, UnreadRequests};
+pub use unread_requests::{DispatchedRequest, UNREAD_EXPIRY, UnreadRequests};
 pub use withdrawal::{Withdrawal, WithdrawalPolicy};
 pub use work_time::ResponseTiming;
 pub use zone_pressure::{LinkLoad, Neighbours, PressureReport, ZonePressure};
--- a/crates/gateway-core/src/picker/silence.rs
+++ b/crates/gateway-core/src/picker/silence.rs
@@ -11,28 +11,33 @@
     pub fn on_heard(&mut self, now: Timestamp, engine: &BackEndName) {
         if let Some(health) = self.engines.get_mut(engine) {
             health.silence.on_heard(now, health.in_flight);
-            health.unread.on_heard(now);
         }
     }
 
-    /// Records that a request is written to a connection to an engine.
-    pub fn on_dispatched(&mut self, engine: &BackEndName, request: DispatchedRequest) {
-        if let Some(health) = self.engines.get_mut(engine) {
-            health.unread.on_dispatched(request);
-        }
+    /// Records that a request is written to a connection to an engine. `None` if the engine is not
+    /// known any more.
+    pub fn on_dispatched(
+        &mut self,
+        now: Timestamp,
+        engine: &BackEndName,
+    ) -> Option<DispatchedRequest> {
+        let health = self.engines.get_mut(engine)?;
+        health.unread.remove_expired(now);
+        Some(health.unread.on_dispatched(now))
     }
 
-    /// Records that an engine has responded over a new connection that was opened at `opened_at`.
-    pub fn on_probe_answered(&mut self, engine: &BackEndName, opened_at: Timestamp) {
+    /// Records that an engine has read a request or never will.
+    pub fn on_request_settled(&mut self, engine: &BackEndName, request: DispatchedRequest) {
         if let Some(health) = self.engines.get_mut(engine) {
-            health.unread.on_probe_answered(opened_at);
+            health.unread.on_settled(request);
         }
     }
 
-    /// Records that an engine has responded to a request, or that nothing of it was sent after all.
-    pub fn on_read(&mut self, engine: &BackEndName, request: DispatchedRequest) {
+    /// Records that a request's connection is lost, so that it will not show what becomes of the
+    /// request.
+    pub fn on_connection_lost(&mut self, engine: &BackEndName, request: DispatchedRequest) {
         if let Some(health) = self.engines.get_mut(engine) {
-            health.unread.remove(request);
+            health.unread.on_connection_lost(request);
         }
     }
 
--- a/crates/gateway-core/src/unread_requests.rs
+++ b/crates/gateway-core/src/unread_requests.rs
@@ -1,90 +1,92 @@
 //! The requests of one router that an engine may have received without having read them.
 //!
 //! Bytes that an engine's machine has received are read later, even if the router has closed the
-//! connection meanwhile. Only the engine itself shows that it has read a request: by responding to
-//! it, by responding to a probe over a connection that was opened later, or, if it had read the
-//! connection before, by sending anything a while later.
+//! connection meanwhile. An engine may read one connection and answer health checks while it leaves
+//! another one unread, so only what it does with a request's own connection shows that the request
+//! was read or never will be: it responds, or it closes the connection.
 
 use stackpost_types::{Millis, Timestamp};
 use std::collections::VecDeque;
 
-/// Time in which an engine that sends anything reads what has arrived on connections in use.
-const READ_MARGIN: Millis = Millis(100);
-/// Time after which an engine that has shown nothing since counts as ended.
+/// Time since it was sent after which a request counts as read if its connection is lost and can
+/// show nothing any more.
 pub const UNREAD_EXPIRY: Millis = Millis(10_000);
 /// Maximum number of requests kept: more than the connections that an engine accepts.
 const MAX_UNREAD: usize = 1_024;
 
-/// Whether the engine has read anything from a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ConnectionUse {
-    /// It may not even have accepted the connection.
-    New,
-    /// It has responded over the connection.
-    Reused,
-}
-
-/// A request that was written to a connection.
+/// Identifies a request that was written to a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DispatchedRequest {
     /// When it was written.
     pub sent_at: Timestamp,
-    /// The connection.
-    pub connection: ConnectionUse,
+    number: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct UnreadRequest {
+    request: DispatchedRequest,
+    /// Whether its connection is open, so that the engine will show what becomes of the request.
+    is_observed: bool,
 }
 
-/// When the requests were sent that an engine may not have read, oldest first.
+/// The requests that an engine may not have read, oldest first.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct UnreadRequests {
-    requests: VecDeque<DispatchedRequest>,
+    requests: VecDeque<UnreadRequest>,
+    next_number: u64,
 }
 
 impl UnreadRequests {
     /// Records that a request is written to a connection.
-    pub fn on_dispatched(&mut self, request: DispatchedRequest) {
+    pub fn on_dispatched(&mut self, now: Timestamp) -> DispatchedRequest {
         if self.requests.len() == MAX_UNREAD {
             self.requests.pop_front();
         }
-        self.requests.push_back(request);
+        self.next_number += 1;
+        let request = DispatchedRequest { sent_at: now, number: self.next_number };
+        self.requests.push_back(UnreadRequest { request, is_observed: true });
+        request
     }
 
-    /// Records that the engine has responded to a request, or that nothing of it was sent after all.
-    pub fn remove(&mut self, request: DispatchedRequest) {
-        if let Some(index) = self.requests.iter().position(|other| *other == request) {
-            self.requests.remove(index);
-        }
+    /// Records that the engine has read a request or never will: it has responded or closed the
+    /// connection, or nothing of the request was sent after all.
+    pub fn on_settled(&mut self, request: DispatchedRequest) {
+        self.requests.retain(|unread| unread.request != request);
     }
 
-    /// Records that something was received from the engine, on any connection.
-    pub fn on_heard(&mut self, now: Timestamp) {
-        self.requests.retain(|request| {
-            request.connection == ConnectionUse::New || now.since(request.sent_at) < READ_MARGIN
-        });
+    /// Records that the connection is lost before the engine has shown anything.
+    pub fn on_connection_lost(&mut self, request: DispatchedRequest) {
+        for unread in self.requests.iter_mut().filter(|unread| unread.request == request) {
+            unread.is_observed = false;
+        }
     }
 
-    /// Records that the engine has responded over a new connection that was opened at `opened_at`.
-    /// Connections are accepted in the order in which they were opened.
-    pub fn on_probe_answered(&mut self, opened_at: Timestamp) {
-        self.requests.retain(|request| request.sent_at >= opened_at);
+    /// Removes requests that have expired.
+    pub fn remove_expired(&mut self, now: Timestamp) {
+        self.requests.retain(|unread| is_unread(now, unread));
     }
 
     /// Number of unread requests.
     pub fn count(&self, now: Timestamp) -> usize {
-        self.unexpired(now).count()
+        self.unread(now).count()
     }
 
     /// When the oldest one was sent.
     pub fn oldest(&self, now: Timestamp) -> Option<Timestamp> {
-        self.unexpired(now).next()
+        self.unread(now).next()
     }
 
     /// When the newest one was sent.
     pub fn newest(&self, now: Timestamp) -> Option<Timestamp> {
-        self.unexpired(now).last()
+        self.unread(now).last()
     }
 
-    fn unexpired(&self, now: Timestamp) -> impl Iterator<Item = Timestamp> {
-        let sent_at = self.requests.iter().map(|request| request.sent_at);
-        sent_at.filter(move |sent_at| now.since(*sent_at) < UNREAD_EXPIRY)
+    fn unread(&self, now: Timestamp) -> impl Iterator<Item = Timestamp> {
+        let unread = self.requests.iter().filter(move |unread| is_unread(now, unread));
+        unread.map(|unread| unread.request.sent_at)
     }
 }
+
+fn is_unread(now: Timestamp, unread: &UnreadRequest) -> bool {
+    unread.is_observed || now.since(unread.request.sent_at) < UNREAD_EXPIRY
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: a request is sent to one engine, up to the head of the response.
 
+use crate::abandoned_request::RequestFate;
 use crate::connection_pool::{ConnectionPath, EngineConnection};
 use crate::decision_log;
 use crate::header_codec::{CallerRequest, EngineDirectives, EngineRequestHeaders, ResponseClass};
@@ -14,8 +15,8 @@
 use hyper::http::response;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use stackpost_gateway_core::{
-    AttemptEnd, ConnectionUse, DispatchedRequest, EngineChoice, EngineRecord, Placement,
-    PlainExpectation, Standing,
+    AttemptEnd, DispatchedRequest, EngineChoice, EngineRecord, Placement, PlainExpectation,
+    Standing,
 };
 use stackpost_types::{BackEndName, Millis, Timestamp};
 use std::cell::Cell;
@@ -176,26 +177,22 @@
     }
 
     /// Records that the request is about to be written to the connection.
-    fn on_dispatched(&mut self, connection: &EngineConnection) {
-        let connection = match connection.has_responded {
-            true => ConnectionUse::Reused,
-            false => ConnectionUse::New,
-        };
-        let request = DispatchedRequest { sent_at: self.router.now(), connection };
-        self.dispatched = Some(request);
-        self.router.picker.borrow_mut().on_dispatched(self.name(), request);
+    fn on_dispatched(&mut self) {
+        let now = self.router.now();
+        self.dispatched = self.router.picker.borrow_mut().on_dispatched(now, self.name());
     }
 
-    /// Records that the engine has read the request, or that nothing of it was written after all.
-    fn clear_unread(&mut self) {
+    /// Records that the engine has read the request or never will, or that nothing of it was written
+    /// after all.
+    fn on_settled(&mut self) {
         if let Some(request) = self.dispatched.take() {
-            self.router.picker.borrow_mut().on_read(self.name(), request);
+            self.router.on_fate(self.name(), request, RequestFate::Settled);
         }
     }
 
     /// Records that the head of the response was received. Callers wait for what follows it.
     fn on_head(&mut self) {
-        self.clear_unread();
+        self.on_settled();
         self.router.picker.borrow_mut().on_heard(self.router.now(), self.name());
     }
 
@@ -253,16 +250,26 @@
     /// was received completely and does not ask to close the connection.
     pub fn finish(mut self, end: AttemptEnd, keep: Option<&HeaderMap>) {
         self.end(end);
-        let Some(mut connection) = self.connection.take() else {
-            return;
-        };
         match keep {
             Some(headers) if !asks_to_close(headers) => {
-                connection.has_responded = true;
-                let idle_limit = keep_alive_timeout(headers);
-                self.router.pool.release(&self.engine.notice.engine, connection, idle_limit);
+                if let Some(connection) = self.connection.take() {
+                    let idle_limit = keep_alive_timeout(headers);
+                    self.router.pool.release(&self.engine.notice.engine, connection, idle_limit);
+                }
             }
-            _ => connection.close(),
+            _ => self.close_connection(),
+        }
+    }
+
+    /// Closes the connection. One whose request the engine may not have read stays open until the
+    /// engine shows what became of it.
+    fn close_connection(&mut self) {
+        let Some(connection) = self.connection.take() else {
+            return;
+        };
+        match self.dispatched.take() {
+            Some(request) => self.router.abandon(self.name(), request, connection),
+            None => connection.close(),
         }
     }
 
@@ -285,9 +292,7 @@
 impl Drop for ActiveAttempt {
     fn drop(&mut self) {
         self.end(AttemptEnd::Abandoned);
-        if let Some(connection) = self.connection.take() {
-            connection.close();
-        }
+        self.close_connection();
     }
 }
 
@@ -336,7 +341,8 @@
     }
     let request = engine_request(router, payload, &engine_headers);
     on_sent();
-    attempt.on_dispatched(&connection);
+    attempt.on_dispatched();
+    let path = connection.path;
     let exchange = response_head::send_request(&mut connection, request);
     attempt.connection = Some(connection);
     match exchange.head(deadline).await {
@@ -347,17 +353,22 @@
         }
         ResponseHead::Incomplete => {
             log_end(payload, &attempt, "head", "the response head does not end");
+            attempt.on_settled();
             attempt.finish(AttemptEnd::Interrupted, None);
             AttemptResult::InvalidResponse
         }
         ResponseHead::Failed(mut error) => {
             let not_sent = error.take_message().is_some();
-            log_end(payload, &attempt, "send", &error.into_error().to_string());
+            let error = error.into_error();
+            log_end(payload, &attempt, "send", &error.to_string());
             if not_sent {
-                attempt.clear_unread();
+                attempt.on_settled();
                 attempt.finish(AttemptEnd::Abandoned, None);
                 return AttemptResult::Unreachable;
             }
+            if RequestFate::of_exchange(path, &error) == RequestFate::Settled {
+                attempt.on_settled();
+            }
             if shows_reachability {
                 router.on_connection_failed(attempt.name());
             }
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -1,5 +1,6 @@
 //! Connections to engines.
 
+use crate::abandoned_request::{self, RequestFate};
 use crate::engine_dialer::EngineDialer;
 use crate::engine_relay::RelayedStream;
 use crate::metered_stream::{LinkMeter, MeteredStream};
@@ -19,7 +20,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
@@ -64,12 +65,12 @@
     pub path: ConnectionPath,
     opened: Instant,
     driver: AbortHandle,
+    /// Tells the driver to give up the request, and where to report what became of it.
+    abandon: oneshot::Sender<oneshot::Sender<RequestFate>>,
     /// Notified whenever bytes are received.
     pub received: Rc<Notify>,
     /// Whether it has carried a request before.
     pub reused: bool,
-    /// Whether the engine has responded over it.
-    pub has_responded: bool,
 }
 
 impl EngineConnection {
@@ -77,6 +78,18 @@
     pub fn close(self) {
         self.driver.abort();
     }
+
+    /// Gives up a request to which the engine has not responded. Returns what becomes of it.
+    pub fn abandon(self) -> impl Future<Output = RequestFate> + use<> {
+        let (report, fate) = oneshot::channel();
+        let is_open = self.abandon.send(report).is_ok();
+        async move {
+            if !is_open {
+                return RequestFate::Unknown;
+            }
+            fate.await.unwrap_or(RequestFate::Unknown)
+        }
+    }
 }
 
 struct IdleConnection {
@@ -215,20 +228,22 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
+        let (abandon, abandoned) = oneshot::channel::<oneshot::Sender<RequestFate>>();
         let driver = tokio::task::spawn_local(async move {
-            // The user of the connection receives the error as well.
-            let _ = connection.await;
+            let mut connection = connection;
+            let report = tokio::select! {
+                // Before the connection notices that nobody waits for the response.
+                biased;
+                Ok(report) = abandoned => report,
+                // The user of the connection receives the error as well.
+                _ = &mut connection => return,
+            };
+            let stream = connection.into_parts().io.into_inner();
+            // The receiver may have ended with the router.
+            let _ = report.send(abandoned_request::observe(stream, path).await);
         });
         let (opened, driver) = (Instant::now(), driver.abort_handle());
-        Ok(EngineConnection {
-            sender,
-            path,
-            opened,
-            driver,
-            received,
-            reused: false,
-            has_responded: false,
-        })
+        Ok(EngineConnection { sender, path, opened, driver, abandon, received, reused: false })
     }
 }
 
--- a/crates/gateway/src/engine_relay/server.rs
+++ b/crates/gateway/src/engine_relay/server.rs
@@ -18,6 +18,8 @@
 const MAX_RELAYED_CONNECTIONS: usize = 512;
 /// Timeout for the request on a new connection.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time for which an engine's connection is kept after the router has closed its end.
+const OBSERVATION_LIMIT: Duration = Duration::from_secs(10);
 /// Delay after a failed `accept`.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Size of the buffers: one frame.
@@ -74,8 +76,8 @@
         write_message(&mut stream, &RelayReply::Connected).await?;
         let (from_router, to_router) = stream.into_split();
         let (from_engine, to_engine) = engine.into_split();
-        // The end of either direction ends both: an engine stops working when its connection
-        // closes.
+        // The engine's end ends both directions. The router's end is passed on, so that the engine
+        // stops working, and what the engine sends afterwards shows what became of the request.
         tokio::select! {
             result = self.forward_to_engine(from_router, to_engine) => result,
             result = self.forward_to_router(&request.engine, from_engine, to_router) => result,
@@ -146,6 +148,8 @@
         loop {
             let length = from.read(&mut buffer).await?;
             if length == 0 {
+                to.shutdown().await?;
+                sleep(OBSERVATION_LIMIT).await;
                 return Ok(());
             }
             to.write_all(&buffer[..length]).await?;
--- a/crates/gateway/src/fleet_link/departure_progress.rs
+++ b/crates/gateway/src/fleet_link/departure_progress.rs
@@ -1,15 +1,11 @@
 //! Tells the leader which departures this router knows, and which departing engines may not have
-//! read all its requests. Those are probed.
+//! read all its requests.
 
 use super::FleetLink;
 use stackpost_coordinator::FleetMessage;
-use stackpost_gateway_core::{DepartureRecord, EngineState, EngineTraffic};
+use stackpost_gateway_core::{DepartureRecord, EngineState};
 use stackpost_mesh::LinkId;
-use stackpost_types::{BackEndName, Millis, Timestamp};
-
-/// Time after a departure from which an engine with unread requests is probed: most of them are
-/// answered before.
-const PROBE_AFTER: Millis = Millis(200);
+use stackpost_types::{BackEndName, Timestamp};
 
 impl FleetLink {
     /// Begins or ends the watch over the requests at an engine whose departure is committed.
@@ -29,9 +25,8 @@
         self.mesh.send(link, &FleetMessage::DepartureProgress(report));
     }
 
-    /// Reports to the leader what has changed, and probes engines with unread requests.
+    /// Reports to the leader what has changed.
     pub(super) fn report_departure_progress(&self) {
-        self.probe_departing_engines();
         let Some(leader) = self.leader.get() else {
             return;
         };
@@ -42,14 +37,4 @@
             self.mesh.send(leader, &FleetMessage::DepartureProgress(report));
         }
     }
-
-    fn probe_departing_engines(&self) {
-        let now = self.router.now();
-        for (engine, learned_at) in self.departure_progress.borrow().departing() {
-            let is_unread = matches!(self.router.traffic(engine), EngineTraffic::UnreadSince(_));
-            if is_unread && now.since(learned_at) >= PROBE_AFTER {
-                self.router.probe_reading(engine);
-            }
-        }
-    }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! other routers. `pressure_control` measures the use of the router's machine and decides by it which
 //! new connections are kept. A [`HeaderCodec`] defines which header carries what.
 
+mod abandoned_request;
 mod admission;
 mod attempt;
 mod body;
@@ -44,7 +45,6 @@
 mod permits;
 mod pressure_control;
 mod rate_exchange;
-mod read_probe;
 mod refusal;
 mod relay;
 mod request;
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -1,5 +1,6 @@
 //! The state of a router, shared by all its requests.
 
+use crate::abandoned_request::ObservedConnections;
 use crate::byte_channel::CallerBuffers;
 use crate::congestion::Congestion;
 use crate::connection_pool::ConnectionPool;
@@ -13,15 +14,14 @@
 use crate::metrics::RouterMetrics;
 use crate::permits::PermitPool;
 use crate::pressure_control::PressureControl;
-use crate::read_probe::ReadProbes;
 use crate::stalls::Stalls;
 use crate::stream_records::StreamRecords;
 use stackpost_clock::{BootInstant, MachineClock};
 use stackpost_coordinator::{Document, DocumentCodec, DocumentDelta};
 use stackpost_gateway_core::{
     AccountHolders, AccountOwners, AdmissionOrder, BufferLimits, CrashTracker, DepartureDelta,
-    EngineDirectory, EnginePicker, EngineReachability, Evacuations, LeaveHints, LoadShedder,
-    Placement, RankedRouters, RelayRouters, RetryBudget, RetryLimits, RouteTable,
+    EngineDirectory, EnginePicker, EngineReachability, EngineTraffic, Evacuations, LeaveHints,
+    LoadShedder, Placement, RankedRouters, RelayRouters, RetryBudget, RetryLimits, RouteTable,
     ServiceAvailability, StreamBuffers,
 };
 use stackpost_prepaid::{BudgetForecast, Wallet};
@@ -121,8 +121,8 @@
     document: RefCell<Option<Document>>,
     /// The departure records of engines are known completely up to this revision.
     departures_revision: Cell<u64>,
-    /// Health checks of departing engines.
-    pub(crate) read_probes: ReadProbes,
+    /// Connections of requests that were given up.
+    pub(crate) observed_connections: ObservedConnections,
     pub(crate) leave_hints: RefCell<LeaveHints>,
     pub(crate) stalls: Stalls,
     /// The newest known revision of the evacuated zones.
@@ -130,6 +130,8 @@
     table: RefCell<Option<Rc<RouteTable>>>,
     confirmed: Cell<bool>,
     leader_contact_at: Cell<Option<Timestamp>>,
+    /// When the leader was heard again, until this router has all that the leader states.
+    outdated_since: Cell<Option<Timestamp>>,
     draining_since: Cell<Option<BootInstant>>,
     pub(crate) congestion: Congestion,
     /// The pressure on this router's machine.
@@ -186,13 +188,14 @@
             malformed_header_lines: LineLimit::default(),
             document: RefCell::default(),
             departures_revision: Cell::new(0),
-            read_probes: ReadProbes::default(),
+            observed_connections: ObservedConnections::default(),
             leave_hints: RefCell::default(),
             stalls: Stalls::default(),
             evacuations_revision: Cell::new(0),
             table: RefCell::default(),
             confirmed: Cell::new(false),
             leader_contact_at: Cell::new(None),
+            outdated_since: Cell::new(None),
             draining_since: Cell::new(None),
             congestion: Congestion::default(),
             pressure_control,
@@ -314,6 +317,16 @@
         self.picker.borrow().may_send(self.now(), &self.directory.borrow(), engine)
     }
 
+    /// What this router knows of its requests at a departing engine.
+    pub(crate) fn traffic(&self, engine: &BackEndName) -> EngineTraffic {
+        if self.directory.borrow().accepts_requests(engine) {
+            return EngineTraffic::Ongoing;
+        }
+        let picker = self.picker.borrow();
+        let newest = picker.unread(engine).and_then(|unread| unread.newest(self.now()));
+        newest.map_or(EngineTraffic::AllRead, EngineTraffic::UnreadSince)
+    }
+
     /// Whether an engine's latest response was one of an engine that leaves.
     pub(crate) fn may_be_leaving(&self, engine: &BackEndName) -> bool {
         self.leave_hints.borrow().may_leave(self.now(), engine)
@@ -449,16 +462,22 @@
     /// Records a contact with the leader, which reports the current configuration version and the
     /// revision of committed departures.
     pub(crate) fn on_leader_contact(&self, document_version: u64, departures: u64) {
+        let now = self.now();
         if !self.is_connected_to_leader() {
-            log::info!(version = document_version; "in touch with the leader");
+            let lapsed_ms = self.leader_contact_at.get().map(|at| now.since(at).0);
+            log::info!(version = document_version, lapsed_ms = lapsed_ms; "in touch with the leader");
+            self.outdated_since.set(Some(now));
         }
-        self.leader_contact_at.set(Some(self.now()));
+        self.leader_contact_at.set(Some(now));
         self.wallet.borrow_mut().on_contact(self.now());
         let has_departures = self.departures_revision.get() >= departures;
         let has_document = document_version > 0 && self.document_version() >= document_version;
         if has_document && has_departures {
             self.confirmed.set(true);
             self.on_state_confirmed();
+            if let Some(since) = self.outdated_since.take() {
+                log::info!(departures = departures, after_ms = now.since(since).0; "state is current");
+            }
         }
     }
 }
