Streams resumed without a reference go on only where their version is certain

Cause: the version of a stream that is resumed without a reference to the attempt that began it was that of all engines known. A fleet that has started again has forgotten engines that ended without a departure, and knows departed ones by name only; both may have begun the stream.

Now all engines that can have begun it must have one version, none may be known by name only, and the fleet must have known some engine for as long as a stream lasts. Engines that left longer ago no longer count.

--- a/crates/gateway-core/src/directory.rs
+++ b/crates/gateway-core/src/directory.rs
@@ -60,6 +60,11 @@
         self.notice.state == EngineState::Gone && self.replaced.is_none()
     }
 
+    /// When the fleet learned of this incarnation, as far as known here, by this process's clock.
+    pub fn known_since(&self) -> Timestamp {
+        self.known_since
+    }
+
     /// The newest announcement as a notice with ages as of `now`.
     pub fn to_notice(&self, now: Timestamp) -> EngineNotice {
         EngineNotice {
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -57,6 +57,7 @@
 mod class_demand;
 mod cold_engines;
 mod cold_schedule;
+mod common_version;
 mod config;
 mod connection_shedding;
 mod crash_tracker;
@@ -120,6 +121,7 @@
 pub use class_demand::RequestClass;
 pub use cold_engines::{ColdDelta, ColdEngines, ColdNotice};
 pub use cold_schedule::ColdSchedule;
+pub use common_version::common_version;
 pub use config::{
     ClientLimits, ConfigError, EngineProfile, Route, RouteKind, RoutingConfig, Service, Split,
     Tenant,
--- a/crates/gateway/src/caller_resumption.rs
+++ b/crates/gateway/src/caller_resumption.rs
@@ -8,7 +8,7 @@
 use crate::decision_log;
 use crate::refusal::Refusal;
 use crate::request::RequestContext;
-use stackpost_gateway_core::{EngineRecord, StreamKey};
+use stackpost_gateway_core::{EngineRecord, StreamKey, common_version};
 use stackpost_types::{BackEndName, SoftwareVersion};
 
 impl RequestContext {
@@ -45,15 +45,10 @@
         let _ = self.stream_version.set(version.clone());
     }
 
-    /// The version that all engines of the service have, if they have one in common.
+    /// The version of all engines that can have begun the stream.
     fn only_version(&self) -> Option<SoftwareVersion> {
-        let directory = self.router.directory.borrow();
-        let mut versions = directory
-            .iter()
-            .filter(|record| record.notice.service == self.service && !record.is_name_only())
-            .map(|record| &record.notice.software);
-        let first = versions.next()?;
-        versions.all(|version| version == first).then(|| first.clone())
+        let (directory, now) = (self.router.directory.borrow(), self.router.now());
+        common_version(&directory, &self.service, now, self.route.timeout)
     }
 
     /// Whether an engine may continue the stream. Any engine may begin one.
