Replicas catch up by bytes, and the log is compacted by bytes

Cause: a leader put up to 256 entries into one message whatever their size; the frame codec refused more than 16 MiB and ended the connection, with the heartbeats behind it, at every try. Compaction counted 400 entries.

Now a message holds entries of 512 KiB, or one larger entry; no more than 2 MiB are under way to a follower, beyond which heartbeats go without entries; the log is compacted from 16 MiB on. A message above the frame's limit is logged with its size instead of ending the connection.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -25,6 +25,7 @@
 pub use message::{Entry, Envelope, HardState, LogIndex, Message, Payload, Snapshot, Term, Voters};
 pub use raft::{Config, NotLeader, Raft, RestoredState, Role};
 pub use ready::{ReadConfirmed, Ready};
+pub use replication::{MAX_BYTES_IN_FLIGHT, MAX_BYTES_PER_MESSAGE};
 
 /// The identity of an initial voter as long as its data folder has not been replaced.
 pub const INITIAL_IDENTITY: u64 = 1;
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -63,6 +63,24 @@
         self.entries.iter().skip(skipped).take(limit).cloned().collect()
     }
 
+    /// Entries starting at `from`, up to a number and a size in bytes, but at least one.
+    pub fn batch(&self, from: LogIndex, limit: usize, max_bytes: usize) -> Vec<Entry> {
+        let skipped = from.saturating_sub(self.snapshot.index + 1) as usize;
+        let mut bytes = 0;
+        let fits = |entry: &&Entry| {
+            let is_first = bytes == 0;
+            bytes += entry.size();
+            is_first || bytes <= max_bytes
+        };
+        self.entries.iter().skip(skipped).take(limit).take_while(fits).cloned().collect()
+    }
+
+    /// Size in bytes of the entries after `after`, up to and including `until`.
+    pub fn bytes_between(&self, after: LogIndex, until: LogIndex) -> usize {
+        let range = self.entries.iter().filter(|entry| entry.index > after && entry.index <= until);
+        range.map(Entry::size).sum()
+    }
+
     pub fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
         if let Payload::Voters(voters) = &entry.payload {
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -34,6 +34,23 @@
     pub payload: Payload,
 }
 
+/// Bytes of an encoded entry besides its content, at most.
+const ENTRY_OVERHEAD_BYTES: usize = 64;
+
+impl Entry {
+    /// Size in a message or on disk, in bytes, at most.
+    pub fn size(&self) -> usize {
+        let content = match &self.payload {
+            Payload::Empty => 0,
+            Payload::Command(command) => command.len(),
+            Payload::Voters(voters) => {
+                voters.keys().map(|name| name.as_str().len() + ENTRY_OVERHEAD_BYTES).sum()
+            }
+        };
+        ENTRY_OVERHEAD_BYTES + content
+    }
+}
+
 /// The applied state up to an index.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -205,6 +205,11 @@
         self.log.last_index()
     }
 
+    /// Size in bytes of the entries after the latest snapshot, up to `index`.
+    pub fn log_bytes_until(&self, index: LogIndex) -> usize {
+        self.log.bytes_between(self.snapshot_index(), index)
+    }
+
     /// Index of the latest snapshot.
     pub fn snapshot_index(&self) -> LogIndex {
         self.log.snapshot().index
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -8,6 +8,11 @@
 
 /// Maximum number of entries in one message.
 const MAX_ENTRIES_PER_MESSAGE: usize = 256;
+/// Size in bytes up to which entries are put into one message. A larger one goes alone.
+pub const MAX_BYTES_PER_MESSAGE: usize = 512 * 1024;
+/// Bytes of entries under way to one follower from which no more are sent. Heartbeats, which follow
+/// them on the same connection, thus arrive well within an election timeout.
+pub const MAX_BYTES_IN_FLIGHT: usize = 2 * 1024 * 1024;
 /// Number of heartbeat rounds whose send time is kept.
 const MAX_TRACKED_ROUNDS: usize = 64;
 
@@ -64,7 +69,12 @@
             self.send(to, Message::Install { term, snapshot, round });
             return;
         };
-        let entries = self.log.slice(progress.next, MAX_ENTRIES_PER_MESSAGE);
+        let in_flight = self.log.bytes_between(progress.matched, prev_index);
+        let entries = match in_flight < MAX_BYTES_IN_FLIGHT {
+            true => self.log.batch(progress.next, MAX_ENTRIES_PER_MESSAGE, MAX_BYTES_PER_MESSAGE),
+            // A heartbeat. If what is under way was lost, the reply to it says so.
+            false => Vec::new(),
+        };
         // Advanced before the reply arrives; a refusal or the next reply corrects it.
         progress.next += entries.len() as u64;
         let commit = self.commit;
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -22,6 +22,9 @@
 
 /// Number of entries after which the log is compacted into a snapshot.
 const SNAPSHOT_ENTRIES: u64 = 400;
+/// Size in bytes of the log from which it is compacted: several of the largest configurations, all
+/// but the last of which are replaced.
+const SNAPSHOT_BYTES: usize = 16 * 1024 * 1024;
 /// Time after which a put or a read gets the reply `Unconfirmed`.
 const REPLY_TIMEOUT: Millis = Millis(900);
 /// Time after which the confirmation of a read is requested again.
@@ -433,7 +436,9 @@
         }
         self.reply_to_puts(&entry);
         self.notify_routers(affected, closed);
-        if entry.index - self.raft.snapshot_index() >= SNAPSHOT_ENTRIES {
+        if entry.index - self.raft.snapshot_index() >= SNAPSHOT_ENTRIES
+            || self.raft.log_bytes_until(entry.index) >= SNAPSHOT_BYTES
+        {
             self.take_snapshot(entry.index)?;
         }
         Ok(())
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -1,5 +1,6 @@
 //! The connections of one process.
 
+use crate::MAX_FRAME_BYTES;
 use crate::connection::{self, FrameStream};
 use crate::traffic::{MessageKind, SentByKind};
 use bytes::Bytes;
@@ -203,6 +204,11 @@
     fn send_encoded(&self, link: LinkId, kind: &'static str, frame: Bytes) {
         if let Some(outgoing) = self.shared.links.borrow().get(&link) {
             let bytes = frame.len() as u64;
+            if frame.len() > MAX_FRAME_BYTES {
+                // The connection would end at the other side's limit.
+                log::error!(step = "send", kind = kind, link = link.0, bytes = bytes; "message is too large");
+                return;
+            }
             // Messages may be lost; senders resend those that must arrive.
             if outgoing.try_send(frame).is_ok() {
                 let mut sent = self.shared.sent.borrow_mut();
