--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -48,7 +48,7 @@
 };
 pub use packed_document::PackedDocument;
 pub use quiescence::{Quiescence, QuiescenceTracker, ROUTER_LEASE};
-pub use replica::Replica;
+pub use replica::{MAX_DOCUMENT_BYTES, Replica};
 pub use replica_api::{
     PutReply, ReadReply, ReplicaConfig, ReplicaEffect, ReplicaError, ReplicaEvent,
 };
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -15,6 +15,7 @@
 use crate::state::{ApplyOutcome, Command, FleetState};
 use stackpost_consensus::{Config, Entry, Payload, Raft, Ready, Role, Snapshot, Voters};
 use stackpost_gateway_core::{DepartureChange, DepartureRecord, EvacuationOrder, QuarantineChange};
+use stackpost_mesh::MAX_FRAME_BYTES;
 use stackpost_storage::{Disk, LogStore};
 use stackpost_types::{BackEndName, MachineName, Millis, NodeId, Timestamp, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
@@ -25,6 +26,8 @@
 /// Size in bytes of the log from which it is compacted: several of the largest configurations, all
 /// but the last of which are replaced.
 const SNAPSHOT_BYTES: usize = 16 * 1024 * 1024;
+/// Largest configuration in bytes: half a frame, so that a snapshot holds it beside all else.
+pub const MAX_DOCUMENT_BYTES: usize = MAX_FRAME_BYTES / 2;
 /// Time after which a put or a read gets the reply `Unconfirmed`.
 const REPLY_TIMEOUT: Millis = Millis(900);
 /// Time after which the confirmation of a read is requested again.
@@ -247,6 +250,11 @@
     }
 
     fn put(&mut self, now: Timestamp, token: u64, bytes: Arc<[u8]>) {
+        if bytes.len() > MAX_DOCUMENT_BYTES {
+            let size = bytes.len();
+            let reason = format!("{size} bytes exceed the largest size of {MAX_DOCUMENT_BYTES}");
+            return self.reply_put(token, PutReply::Invalid(reason));
+        }
         let decoded = self.config.codec.decode(&bytes);
         let config = match decoded.and_then(|config| config.validate().map(|()| config)) {
             Ok(config) => config,
--- a/crates/coordinator/tests/replicas.rs
+++ b/crates/coordinator/tests/replicas.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use rand::Rng;
-use stackpost_coordinator::ReplicaEvent;
+use stackpost_coordinator::{MAX_DOCUMENT_BYTES, ReplicaEvent};
 use stackpost_types::Timestamp;
 use std::sync::Arc;
 use support::{
@@ -142,6 +142,24 @@
     assert!(world.any_read_answered());
 }
 
+#[test]
+fn configuration_that_no_message_could_hold_is_refused() {
+    let mut world = World::new(4);
+    world.run_for(3_000);
+    let mut put_everywhere = |version: u64, bytes: usize| {
+        for machine in 0..INITIAL_VOTERS {
+            let token = world.token(PendingRequest::Put(version));
+            let mut text = document_text(version).into_bytes();
+            text.resize(bytes, b' ');
+            world.send_event(machine, ReplicaEvent::Put { token, bytes: text.into() });
+        }
+        world.run_for(1_000);
+        world.acknowledged
+    };
+    assert_eq!(put_everywhere(9, MAX_DOCUMENT_BYTES + 1), 0);
+    assert_eq!(put_everywhere(10, MAX_DOCUMENT_BYTES), 10);
+}
+
 /// A restarted replica knows what was committed without any other replica: routers that are
 /// disconnected from the leader for long accept the configuration of such a replica.
 #[test]
