--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt: a request is sent to one engine, up to the head of the response.
 
 use crate::abandoned_request::RequestFate;
+use crate::connection_headers::{asks_to_close, keep_alive_timeout};
 use crate::connection_pool::{ConnectionPath, EngineConnection};
 use crate::decision_log;
 use crate::header_codec::{CallerRequest, EngineDirectives, EngineRequestHeaders, ResponseClass};
@@ -11,7 +12,6 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{self, HeaderName};
 use hyper::http::response;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use stackpost_gateway_core::{
@@ -24,17 +24,6 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
-/// Headers that apply to a single connection.
-const HOP_BY_HOP: [HeaderName; 7] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    header::PROXY_AUTHENTICATE,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-
 /// The parts of a request that every attempt sends.
 pub(crate) struct Payload {
     pub method: Method,
@@ -458,42 +447,6 @@
     request
 }
 
-/// Removes the headers that apply to a single connection.
-pub(crate) fn strip_connection_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&HOP_BY_HOP) {
-        headers.remove(name);
-    }
-}
-
-/// Whether a response has neither a length nor chunks, so that its end is that of its connection.
-pub(crate) fn ends_with_connection(headers: &HeaderMap) -> bool {
-    !headers.contains_key(header::CONTENT_LENGTH)
-        && !headers.contains_key(header::TRANSFER_ENCODING)
-}
-
-fn asks_to_close(headers: &HeaderMap) -> bool {
-    headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .any(|token| token.trim().eq_ignore_ascii_case("close"))
-}
-
-/// How long the engine keeps an idle connection, if it states that in `keep-alive`.
-fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
-    let value = headers.get("keep-alive")?.to_str().ok()?;
-    let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    seconds.trim().parse().ok().map(Duration::from_secs)
-}
-
 fn log_end(payload: &Payload, attempt: &ActiveAttempt, step: &str, reason: &str) {
     log::info!(
         request = payload.caller.id.as_str(),
--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -1,6 +1,6 @@
 //! Detects requests and parts of prompts that crash engines, and refuses quarantined ones.
 
-use crate::attempt::ends_with_connection;
+use crate::connection_headers::ends_with_connection;
 use crate::decision_log::{self, InterruptionPoint};
 use crate::liveness_probe::Liveness;
 use crate::refusal::Refusal;
--- a/crates/gateway/src/large_response.rs
+++ b/crates/gateway/src/large_response.rs
@@ -1,7 +1,8 @@
 //! Relays responses that are too large to be buffered and are not streams.
 
-use crate::attempt::{ActiveAttempt, ends_with_connection};
+use crate::attempt::ActiveAttempt;
 use crate::body::{ChunkSender, GatewayBody};
+use crate::connection_headers::ends_with_connection;
 use crate::decision_log::{self, InterruptionPoint};
 use crate::relay::was_unread;
 use crate::request::{RequestContext, build_response};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod caller_connections;
 mod caller_resumption;
 pub mod congestion;
+mod connection_headers;
 mod connection_pool;
 mod crash_detection;
 mod deadline;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,9 +3,10 @@
 //!
 //! With bounded streams, the engine's response is left unread while the caller's buffer is full.
 
-use crate::attempt::{ActiveAttempt, AttemptStart, EngineResponse, ends_with_connection};
+use crate::attempt::{ActiveAttempt, AttemptStart, EngineResponse};
 use crate::body::{ChunkSender, GatewayBody};
 use crate::byte_channel::CallerGone;
+use crate::connection_headers::ends_with_connection;
 use crate::decision_log::{self, InterruptionPoint};
 use crate::hedged_attempts::{FailedAttempt, FailureEffect, HedgedAttempts, InFlight};
 use crate::hedging_log::AwaitedPart;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,8 +1,9 @@
 //! Handles one request up to the head of its response.
 
-use crate::attempt::{AttemptStart, EngineResponse, Payload, strip_connection_headers};
+use crate::attempt::{AttemptStart, EngineResponse, Payload};
 use crate::body::GatewayBody;
 use crate::buffered_response::BufferedResponse;
+use crate::connection_headers::strip_connection_headers;
 use crate::deadline::Deadline;
 use crate::header_codec::CallerRequest;
 use crate::hedged_attempts::{FailedAttempt, FailureEffect, HedgedAttempts};
