Log which routers had not confirmed a departure when its engine is called quiescent

An acknowledgement that was given without a router could not be told from one given after it had confirmed: the line named disconnected routers, whatever they knew. It names now those that have not confirmed as well, so the logs distinguish reports that a new leader never had from routers that were not waited for. Log only: no measured change.

--- a/crates/coordinator/src/departures.rs
+++ b/crates/coordinator/src/departures.rs
@@ -10,7 +10,7 @@
 use crate::message::FleetMessage;
 use crate::quiescence::{Quiescence, QuiescenceTracker};
 use crate::replica_api::ReplicaEvent;
-use stackpost_gateway_core::{DepartureDelta, DepartureRecord, KnownDepartures};
+use stackpost_gateway_core::{DepartureDelta, DepartureRecord, Departures, KnownDepartures};
 use stackpost_mesh::LinkId;
 use stackpost_types::{BackEndName, Millis, Timestamp};
 use std::collections::BTreeMap;
@@ -128,7 +128,7 @@
         let tracker = &mut self.state.borrow_mut().quiescence;
         let quiescence = tracker.state(now, engine, &departures);
         if quiescence == Quiescence::Quiescent && tracker.on_quiescent(engine) {
-            log_quiescent(now, engine, tracker);
+            log_quiescent(now, engine, tracker, &departures);
         }
         quiescence
     }
@@ -215,13 +215,23 @@
     }
 }
 
-/// Logs the routers that were waited for, and those that were not because they are disconnected.
-fn log_quiescent(now: Timestamp, engine: &BackEndName, tracker: &QuiescenceTracker) {
+/// Logs the routers that were waited for, those that were not because they are disconnected, and
+/// those of which nobody knows whether they have the departure.
+fn log_quiescent(
+    now: Timestamp,
+    engine: &BackEndName,
+    tracker: &QuiescenceTracker,
+    departures: &Departures,
+) {
     let disconnected: Vec<String> = tracker.disconnected(now).map(ToString::to_string).collect();
+    let revision = departures.departure_revision(engine).unwrap_or_default();
+    let unconfirmed: Vec<String> =
+        tracker.unconfirmed(revision).map(|(name, _)| name.to_string()).collect();
     log::info!(
         engine = engine.as_str(),
         routers = tracker.connected(now).count(),
-        disconnected = disconnected.join(" ").as_str();
+        disconnected = disconnected.join(" ").as_str(),
+        unconfirmed = unconfirmed.join(" ").as_str();
         "engine is quiescent"
     );
 }
--- a/crates/coordinator/src/quiescence.rs
+++ b/crates/coordinator/src/quiescence.rs
@@ -175,6 +175,13 @@
         self.routers.iter().filter(move |(_, known)| is_disconnected(known)).map(|(name, _)| name)
     }
 
+    /// The routers that have not confirmed the departures up to `revision`, and when each was last
+    /// heard.
+    pub fn unconfirmed(&self, revision: u64) -> impl Iterator<Item = (&NodeId, Timestamp)> {
+        let routers = self.routers.iter().filter(move |(_, known)| known.revision < revision);
+        routers.map(|(name, known)| (name, known.heard_at))
+    }
+
     /// Forgets engines that no longer depart, and routers that were not heard for a long time.
     pub fn remove_expired(&mut self, now: Timestamp, departures: &Departures) {
         self.quiescent.retain(|engine| departures.departure_revision(engine).is_some());
