Departures wait for lost routers, whoever leads and whatever was lost

Cause: the leader waited for the routers that it had heard within 3 s, and for what these had reported to it. A router that was silent for longer counted as one that sends nothing and has sent nothing; what it had reported was lost with the leader, what it had sent since its last report with the router itself, and a process that had run for 3 s took itself to have heard every router, whatever it had slept through or been cut off from.

Change, decided without I/O in coordinator/quiescence.rs: - A router that is lost without a confirmation (cut off, killed, replaced) withholds the acknowledgement for 10 s. It does so no longer once the engine has read what other routers sent later (routers report that, EngineReads), or after 3 s if the engine has read requests in the 10 s before, and all that connected routers have sent. - A control process that has started, stood still for 2 s or not reached a majority of the voters for so long takes it that there are routers that it does not know, with the same two ways out. It learns what it missed from control processes that connect (RouterRoll). The processes that create a fleet know that there were none before. - A router that stops sends nothing more from then on, tells all control processes so and names every engine that may have unread requests (RouterStopped). Before, only the leader took its final usage for that. New messages only; those of an earlier version are read as before. Routers of an earlier version that stop withhold acknowledgements like killed ones.

--- a/crates/coordinator/src/control_node.rs
+++ b/crates/coordinator/src/control_node.rs
@@ -222,6 +222,7 @@
         if role == PeerRole::Control {
             let notices = self.state.borrow().directory.notices(self.now());
             self.mesh.send(link, &FleetMessage::Engines(notices));
+            self.send_router_roll(link);
         } else {
             self.send_updates_to_router(link, false);
             // Sent before the status: a router that has received a leader's status admits requests.
@@ -283,8 +284,19 @@
             FleetMessage::QuiescenceReply { token, quiescence } => {
                 self.on_quiescence_reply(token, quiescence);
             }
+            FleetMessage::EngineReads(reads) => {
+                let now = self.now();
+                self.state.borrow_mut().quiescence.on_reads(now, reads);
+            }
+            FleetMessage::RouterStopped(progress) => {
+                let now = self.now();
+                self.state.borrow_mut().quiescence.on_stopped(now, &peer, progress);
+            }
+            FleetMessage::RouterRoll(roll) => {
+                let now = self.now();
+                self.state.borrow_mut().quiescence.on_roll(now, roll);
+            }
             FleetMessage::FinalUsage(spent) => {
-                self.state.borrow_mut().quiescence.on_stopped(&peer);
                 self.replica.send(ReplicaEvent::RouterFinalUsage { router: peer, spent });
             }
             FleetMessage::RelayedFinalUsage(router, spent) => {
@@ -350,6 +362,7 @@
             ReplicaEffect::FinalUsageAck(router) => {
                 self.send_to_router(&router, &FleetMessage::FinalUsageAck);
             }
+            ReplicaEffect::FleetCreated => self.state.borrow_mut().quiescence.on_new_fleet(),
             ReplicaEffect::QuarantineChanged => self.broadcast_quarantine(),
             ReplicaEffect::DeparturesChanged => self.sync_departures(),
             ReplicaEffect::EvacuationsChanged => self.on_evacuations_changed(),
@@ -412,6 +425,7 @@
         // Repeated because a replica that had to reopen its data folder has lost its list of peers.
         self.update_control_peers();
         self.sync_departures();
+        self.record_coverage();
         self.forward_uncommitted();
         self.expire_silent_engines();
         self.broadcast_engines();
--- a/crates/coordinator/src/departures.rs
+++ b/crates/coordinator/src/departures.rs
@@ -11,8 +11,8 @@
 use crate::quiescence::{Quiescence, QuiescenceTracker};
 use crate::replica_api::ReplicaEvent;
 use stackpost_gateway_core::{DepartureDelta, DepartureRecord, Departures, KnownDepartures};
-use stackpost_mesh::LinkId;
-use stackpost_types::{BackEndName, Millis, Timestamp};
+use stackpost_mesh::{LinkId, PeerRole};
+use stackpost_types::{BackEndName, MachineName, Millis, Timestamp};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use thiserror::Error;
@@ -124,6 +124,7 @@
 
     /// The state of a departing engine as known here, which is current only if this process leads.
     fn quiescence(&self, engine: &BackEndName) -> Quiescence {
+        self.record_coverage();
         let (now, departures) = (self.now(), self.replica.view().departures);
         let tracker = &mut self.state.borrow_mut().quiescence;
         let quiescence = tracker.state(now, engine, &departures);
@@ -133,6 +134,27 @@
         quiescence
     }
 
+    /// Tells another control process of the routers that this one knows, if none is missing.
+    pub(crate) fn send_router_roll(&self, link: LinkId) {
+        self.record_coverage();
+        let roll = self.state.borrow().quiescence.roll(self.now());
+        if let Some(roll) = roll {
+            self.mesh.send(link, &FleetMessage::RouterRoll(roll));
+        }
+    }
+
+    /// Records that this process runs, and whether it reaches a majority of the voters. It counts
+    /// itself.
+    pub(crate) fn record_coverage(&self) {
+        let (now, view) = (self.now(), self.replica.view());
+        let state = &mut *self.state.borrow_mut();
+        let heard = state.links.heard_machines(now, PeerRole::Control);
+        let is_reached =
+            |voter: &&MachineName| view.own_name.as_ref() == Some(*voter) || heard.contains(*voter);
+        let reached = view.voters.iter().filter(is_reached).count();
+        state.quiescence.on_run(now, reached * 2 > view.voters.len());
+    }
+
     pub(crate) fn on_quiescence_query(&self, link: LinkId, token: u64, engine: &BackEndName) {
         if self.replica.view().is_leader() {
             let quiescence = self.quiescence(engine);
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -30,6 +30,7 @@
 mod replica_logger;
 mod replica_thread;
 mod router_peers;
+mod router_roll;
 mod router_updates;
 mod silent_engines;
 mod state;
@@ -47,13 +48,14 @@
     BorrowResult, ClockEcho, ControlStatus, Document, FleetMessage, RouterStatus, RouterVersions,
 };
 pub use packed_document::PackedDocument;
-pub use quiescence::{Quiescence, QuiescenceTracker, ROUTER_LEASE};
+pub use quiescence::{Quiescence, QuiescenceTracker};
 pub use replica::{MAX_DOCUMENT_BYTES, Replica};
 pub use replica_api::{
     PutReply, ReadReply, ReplicaConfig, ReplicaEffect, ReplicaError, ReplicaEvent,
 };
 pub use replica_thread::{ReplicaHandle, ReplicaThread, ReplicaView};
 pub use router_peers::{PEERS_PER_ROUTER, select_peers};
+pub use router_roll::{RolledRouter, RouterRoll};
 pub use router_updates::PeerDelivery;
 pub use silent_engines::{SilentEngineList, SilentEnginesDelta};
 pub use state::{ApplyOutcome, Command, FleetState, RouterContact};
--- a/crates/coordinator/src/links.rs
+++ b/crates/coordinator/src/links.rs
@@ -15,6 +15,9 @@
 /// counts as active.
 const ACTIVE_WITHIN: Millis = Millis(500);
 
+/// A machine is heard if it has sent something within this time, several status intervals.
+const HEARD_WITHIN: Millis = Millis(1_000);
+
 /// One connection to another process.
 #[derive(Clone, Debug)]
 pub struct Link {
@@ -112,6 +115,13 @@
         peers.map(|peer| (peer.node.machine.clone(), peer.zone.clone())).collect()
     }
 
+    /// The machines with `role` from which something was received recently.
+    pub fn heard_machines(&self, now: Timestamp, role: PeerRole) -> BTreeSet<MachineName> {
+        let links = self.links.values().filter(|link| link.peer.role == role);
+        let heard = links.filter(|link| now.since(link.last_received_at) < HEARD_WITHIN);
+        heard.map(|link| link.peer.node.machine.clone()).collect()
+    }
+
     /// The connected processes with `role`, once for each connection.
     pub fn peers(&self, role: PeerRole) -> impl Iterator<Item = (LinkId, &PeerInfo)> {
         let links = self.links.iter().map(|(id, link)| (*id, &link.peer));
--- a/crates/coordinator/src/message.rs
+++ b/crates/coordinator/src/message.rs
@@ -3,12 +3,14 @@
 use crate::document_delta::DocumentDelta;
 use crate::packed_document::PackedDocument;
 use crate::quiescence::Quiescence;
+use crate::router_roll::RouterRoll;
 use crate::silent_engines::SilentEnginesDelta;
 use serde::{Deserialize, Serialize};
 use stackpost_consensus::Envelope;
 use stackpost_gateway_core::{
     ColdDelta, ColdNotice, CrashReport, DepartureDelta, DepartureProgress, DepartureRecord,
-    DirectoryDelta, EngineListDigest, EngineNotice, Evacuations, QuarantineNotice, ZoneRouters,
+    DirectoryDelta, EngineListDigest, EngineNotice, EngineRead, Evacuations, QuarantineNotice,
+    ZoneRouters,
 };
 use stackpost_mesh::MessageKind;
 use stackpost_prepaid::{AccountReport, Allotment, BootTimestamp, BudgetForecast};
@@ -216,6 +218,13 @@
         /// The state of the engine.
         quiescence: Quiescence,
     },
+    /// From a router that sends no request any more to all control processes: every engine that may
+    /// not have read all its requests, departing or not.
+    RouterStopped(DepartureProgress),
+    /// From a router to the leader: which departing engines have read requests.
+    EngineReads(Vec<EngineRead>),
+    /// Between control processes that have connected: the routers that the sender knows.
+    RouterRoll(RouterRoll),
 }
 
 impl MessageKind for FleetMessage {
@@ -256,6 +265,9 @@
             Self::DepartureProgress(..) => "departure_progress",
             Self::QuiescenceQuery { .. } => "quiescence_query",
             Self::QuiescenceReply { .. } => "quiescence_reply",
+            Self::RouterStopped(..) => "router_stopped",
+            Self::EngineReads(..) => "engine_reads",
+            Self::RouterRoll(..) => "router_roll",
         }
     }
 }
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -87,6 +87,8 @@
         };
         let applied = restored.snapshot.index;
         let raft = Raft::new(raft_config, restored, now);
+        let creates_fleet = disk_was_empty
+            && config.initial_voters.as_ref().is_some_and(|voters| voters.contains(&config.name));
         let replica_logger =
             ReplicaLogger::log_opened(&raft, store.identity(), disk_was_empty, now);
         Ok(Self {
@@ -105,7 +107,7 @@
             control_peers: BTreeMap::new(),
             known_zones: BTreeMap::new(),
             was_leading: false,
-            effects: Vec::new(),
+            effects: creates_fleet.then_some(ReplicaEffect::FleetCreated).into_iter().collect(),
         })
     }
 
--- a/crates/coordinator/src/replica_api.rs
+++ b/crates/coordinator/src/replica_api.rs
@@ -147,6 +147,8 @@
     Forecasts(BTreeMap<TenantName, BudgetForecast>),
     /// Confirm to a router that its incarnation is closed.
     FinalUsageAck(NodeId),
+    /// This replica has created the state of a new fleet, which had no routers before.
+    FleetCreated,
     /// The quarantine notice for routers has changed.
     QuarantineChanged,
     /// The engines' departures have changed.
--- a/crates/coordinator/src/replica_thread.rs
+++ b/crates/coordinator/src/replica_thread.rs
@@ -29,6 +29,10 @@
     pub lease_until: Option<BootInstant>,
     /// The leader, if known.
     pub leader: Option<MachineName>,
+    /// This replica's machine; `None` while its data folder is not open.
+    pub own_name: Option<MachineName>,
+    /// The machines whose votes count.
+    pub voters: Arc<BTreeSet<MachineName>>,
     /// Term of the replicated log.
     pub term: u64,
     /// Last entry of the log that is applied.
@@ -183,6 +187,13 @@
             if evacuations_are_new {
                 view.evacuations = Arc::new(evacuations.clone());
             }
+            let voters = replica.voters();
+            if !view.voters.iter().eq(voters.keys()) {
+                view.voters = Arc::new(voters.keys().cloned().collect());
+            }
+            if view.own_name.is_none() {
+                view.own_name = Some(self.config.name.clone());
+            }
             let role_is_new = view.leader.as_ref() != leader;
             view.leader = leader.cloned();
             view.lease_until = lease_until;
--- a/crates/gateway-core/src/departure_progress.rs
+++ b/crates/gateway-core/src/departure_progress.rs
@@ -20,6 +20,15 @@
     pub newest_age: Millis,
 }
 
+/// A departing engine that has read requests of a router.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineRead {
+    /// The engine.
+    pub engine: BackEndName,
+    /// Time since the newest request was sent that it has read.
+    pub newest_age: Millis,
+}
+
 /// A router's progress with the committed departures.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DepartureProgress {
@@ -90,6 +99,20 @@
         DepartureProgress { revision, unread }
     }
 
+    /// The departing engines that have read requests. `newest_read` is when the newest of them was
+    /// sent to an engine.
+    pub fn reads(
+        &self,
+        now: Timestamp,
+        newest_read: impl Fn(&BackEndName) -> Option<Timestamp>,
+    ) -> Vec<EngineRead> {
+        let read = |engine: &BackEndName| {
+            let newest_age = now.since(newest_read(engine)?);
+            Some(EngineRead { engine: engine.clone(), newest_age })
+        };
+        self.departing.keys().filter_map(read).collect()
+    }
+
     /// The report if it has changed, or if one with unread requests is due to be repeated.
     pub fn report_if_due(
         &mut self,
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -131,7 +131,9 @@
 };
 pub use crash_tracker::{CrashReport, CrashTracker};
 pub use decode_speed::DecodeSpeed;
-pub use departure_progress::{DepartureProgress, EngineTraffic, ProgressReporter, UnreadEngine};
+pub use departure_progress::{
+    DepartureProgress, EngineRead, EngineTraffic, ProgressReporter, UnreadEngine,
+};
 pub use departures::{
     DepartureChange, DepartureDelta, DepartureRecord, Departures, KnownDepartures, MAX_DEPARTURES,
 };
--- a/crates/gateway-core/src/picker/silence.rs
+++ b/crates/gateway-core/src/picker/silence.rs
@@ -1,7 +1,9 @@
 //! Which engines are silent towards this router.
 
 use super::{EnginePicker, engines_in_service};
+use crate::departure_progress::UnreadEngine;
 use crate::directory::EngineDirectory;
+use crate::engine_health::EngineHealth;
 use crate::engine_silence::EngineSilence;
 use crate::unread_requests::{DispatchedRequest, UnreadRequests};
 use stackpost_types::{BackEndName, Millis, ServiceName, Timestamp};
@@ -26,6 +28,13 @@
         Some(health.unread.on_dispatched(now))
     }
 
+    /// Records that an engine has responded to a request.
+    pub fn on_request_read(&mut self, engine: &BackEndName, request: DispatchedRequest) {
+        if let Some(health) = self.engines.get_mut(engine) {
+            health.unread.on_read(request);
+        }
+    }
+
     /// Records that an engine has read a request or never will.
     pub fn on_request_settled(&mut self, engine: &BackEndName, request: DispatchedRequest) {
         if let Some(health) = self.engines.get_mut(engine) {
@@ -46,6 +55,18 @@
         self.engines.get(engine).map(|health| &health.unread)
     }
 
+    /// The engines that may not have read all requests of this router.
+    pub fn unread_engines(&self, now: Timestamp) -> Vec<UnreadEngine> {
+        let newest = |health: &EngineHealth| health.unread.newest(now);
+        self.engines
+            .iter()
+            .filter_map(|(engine, health)| {
+                let newest_age = now.since(newest(health)?);
+                Some(UnreadEngine { engine: engine.clone(), newest_age })
+            })
+            .collect()
+    }
+
     /// How long an engine has been silent towards this router.
     pub fn silence(&self, engine: &BackEndName) -> EngineSilence {
         self.engines.get(engine).map(|health| health.silence).unwrap_or_default()
--- a/crates/gateway-core/src/unread_requests.rs
+++ b/crates/gateway-core/src/unread_requests.rs
@@ -34,6 +34,8 @@
 pub struct UnreadRequests {
     requests: VecDeque<UnreadRequest>,
     next_number: u64,
+    /// When the newest request was sent that the engine has read.
+    newest_read: Option<Timestamp>,
 }
 
 impl UnreadRequests {
@@ -48,6 +50,17 @@
         request
     }
 
+    /// Records that the engine has responded to a request, so it has read it.
+    pub fn on_read(&mut self, request: DispatchedRequest) {
+        self.newest_read = self.newest_read.max(Some(request.sent_at));
+        self.on_settled(request);
+    }
+
+    /// When the newest request was sent to which the engine has responded.
+    pub fn newest_read(&self) -> Option<Timestamp> {
+        self.newest_read
+    }
+
     /// Records that the engine has read a request or never will: it has responded or closed the
     /// connection, or nothing of the request was sent after all.
     pub fn on_settled(&mut self, request: DispatchedRequest) {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -181,7 +181,9 @@
 
     /// Records that the head of the response was received. Callers wait for what follows it.
     fn on_head(&mut self) {
-        self.on_settled();
+        if let Some(request) = self.dispatched.take() {
+            self.router.picker.borrow_mut().on_request_read(self.name(), request);
+        }
         self.router.picker.borrow_mut().on_heard(self.router.now(), self.name());
     }
 
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -350,6 +350,9 @@
             | FleetMessage::DepartureProgress(_)
             | FleetMessage::QuiescenceQuery { .. }
             | FleetMessage::QuiescenceReply { .. }
+            | FleetMessage::RouterStopped(_)
+            | FleetMessage::EngineReads(_)
+            | FleetMessage::RouterRoll(_)
             | FleetMessage::FinalUsage(_) => {}
         }
     }
--- a/crates/gateway/src/fleet_link/departure_progress.rs
+++ b/crates/gateway/src/fleet_link/departure_progress.rs
@@ -3,7 +3,7 @@
 
 use super::FleetLink;
 use stackpost_coordinator::FleetMessage;
-use stackpost_gateway_core::{DepartureRecord, EngineState};
+use stackpost_gateway_core::{DepartureProgress, DepartureRecord, EngineState};
 use stackpost_mesh::LinkId;
 use stackpost_types::{BackEndName, Timestamp};
 
@@ -22,9 +22,29 @@
         let (now, revision) = (self.router.now(), self.router.departures_revision());
         let traffic = |engine: &BackEndName| self.router.traffic(engine);
         let report = self.departure_progress.borrow_mut().report(now, revision, traffic);
+        self.send_report(now, link, report);
+    }
+
+    /// Sends a report. What engines have read goes before it: the leader may decide by the report.
+    fn send_report(&self, now: Timestamp, link: LinkId, report: DepartureProgress) {
+        let picker = self.router.picker.borrow();
+        let newest_read = |engine: &BackEndName| picker.unread(engine)?.newest_read();
+        let reads = self.departure_progress.borrow().reads(now, newest_read);
+        if !reads.is_empty() {
+            self.mesh.send(link, &FleetMessage::EngineReads(reads));
+        }
         self.mesh.send(link, &FleetMessage::DepartureProgress(report));
     }
 
+    /// Tells all control processes that this router sends no request any more, and which engines may
+    /// not have read all its requests.
+    pub(super) fn send_stopped(&self) {
+        let (now, revision) = (self.router.now(), self.router.departures_revision());
+        let unread = self.router.picker.borrow().unread_engines(now);
+        let message = FleetMessage::RouterStopped(DepartureProgress { revision, unread });
+        self.mesh.send_all(self.links.borrow().keys().copied(), &message);
+    }
+
     /// Reports to the leader what has changed.
     pub(super) fn report_departure_progress(&self) {
         let Some(leader) = self.leader.get() else {
@@ -34,7 +54,7 @@
         let traffic = |engine: &BackEndName| self.router.traffic(engine);
         let report = self.departure_progress.borrow_mut().report_if_due(now, revision, traffic);
         if let Some(report) = report {
-            self.mesh.send(leader, &FleetMessage::DepartureProgress(report));
+            self.send_report(now, leader, report);
         }
     }
 }
--- a/crates/gateway/src/fleet_link/final_usage.rs
+++ b/crates/gateway/src/fleet_link/final_usage.rs
@@ -27,9 +27,11 @@
     /// leader has acknowledged it, or after `limit`.
     pub async fn report_final_usage(&self, limit: Duration) {
         self.stopped.set(true);
+        self.router.stop_sending();
         let used = self.router.wallet.borrow().used();
         let resend = async {
             for attempt in 0_u32.. {
+                self.send_stopped();
                 self.send_final_usage(&used, attempt > 0);
                 if timeout(RESEND_INTERVAL, self.final_usage_acknowledged.notified()).await.is_ok()
                 {
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -133,6 +133,8 @@
     /// When the leader was heard again, until this router has all that the leader states.
     outdated_since: Cell<Option<Timestamp>>,
     draining_since: Cell<Option<BootInstant>>,
+    /// Whether no further request is sent to any engine.
+    has_stopped: Cell<bool>,
     pub(crate) congestion: Congestion,
     /// The pressure on this router's machine.
     pub(crate) pressure_control: PressureControl,
@@ -197,6 +199,7 @@
             leader_contact_at: Cell::new(None),
             outdated_since: Cell::new(None),
             draining_since: Cell::new(None),
+            has_stopped: Cell::new(false),
             congestion: Congestion::default(),
             pressure_control,
             load_settings: settings.load,
@@ -312,9 +315,15 @@
         }
     }
 
+    /// Sends no further request to any engine: control is told that this router has stopped.
+    pub(crate) fn stop_sending(&self) {
+        self.has_stopped.set(true);
+    }
+
     /// Whether a request may still be sent to the engine that was selected for it.
     pub(crate) fn may_send(&self, engine: &BackEndName) -> bool {
-        self.picker.borrow().may_send(self.now(), &self.directory.borrow(), engine)
+        !self.has_stopped.get()
+            && self.picker.borrow().may_send(self.now(), &self.directory.borrow(), engine)
     }
 
     /// What this router knows of its requests at a departing engine.
