Keep what evicted engines and more than 1,024 requests leave unread

Cause: a router forgot the unread requests at an engine once control had evicted it after a long silence, though it is announced again as it wakes; and the oldest of more than 1,024 unread requests at one engine. Both count as unread now, the latter until they expire. Tests: unread_requests_of_an_evicted_engine_are_kept and requests_beyond_the_limit_are_unread_until_they_expire; both fail without the change.

--- a/crates/gateway-core/src/picker.rs
+++ b/crates/gateway-core/src/picker.rs
@@ -319,10 +319,12 @@
         self.engines.get(engine).map_or(0, |health| health.in_flight)
     }
 
-    /// Removes engines that the directory no longer knows.
+    /// Removes engines that the directory no longer knows. What one of them may not have read is
+    /// kept: it may be announced again.
     pub fn remove_unknown(&mut self, now: Timestamp, directory: &EngineDirectory) {
-        self.engines
-            .retain(|engine, health| health.in_flight > 0 || directory.get(engine).is_some());
+        self.engines.retain(|engine, health| {
+            health.in_flight > 0 || directory.get(engine).is_some() || health.unread.count(now) > 0
+        });
         self.loads.retain(|engine, _| directory.get(engine).is_some());
         self.loads.values_mut().for_each(|load| load.remove_expired(now));
         self.remove_unknown_plain(now, directory);
--- a/crates/gateway-core/src/unread_requests.rs
+++ b/crates/gateway-core/src/unread_requests.rs
@@ -11,7 +11,8 @@
 /// Time since it was sent after which a request counts as read if its connection is lost and can
 /// show nothing any more.
 pub const UNREAD_EXPIRY: Millis = Millis(10_000);
-/// Maximum number of requests kept: more than the connections that an engine accepts.
+/// Maximum number of requests kept: more than the connections that an engine accepts. Older ones
+/// count as unread until they expire.
 const MAX_UNREAD: usize = 1_024;
 
 /// Identifies a request that was written to a connection.
@@ -34,6 +35,8 @@
 pub struct UnreadRequests {
     requests: VecDeque<UnreadRequest>,
     next_number: u64,
+    /// When the newest request was sent that is no longer kept.
+    newest_dropped: Option<Timestamp>,
     /// When the newest request was sent that the engine has read.
     newest_read: Option<Timestamp>,
 }
@@ -42,7 +45,8 @@
     /// Records that a request is written to a connection.
     pub fn on_dispatched(&mut self, now: Timestamp) -> DispatchedRequest {
         if self.requests.len() == MAX_UNREAD {
-            self.requests.pop_front();
+            let dropped = self.requests.pop_front();
+            self.newest_dropped = dropped.map(|dropped| dropped.request.sent_at);
         }
         self.next_number += 1;
         let request = DispatchedRequest { sent_at: now, number: self.next_number };
@@ -95,8 +99,9 @@
     }
 
     fn unread(&self, now: Timestamp) -> impl Iterator<Item = Timestamp> {
+        let dropped = self.newest_dropped.filter(|sent_at| now.since(*sent_at) < UNREAD_EXPIRY);
         let unread = self.requests.iter().filter(move |unread| is_unread(now, unread));
-        unread.map(|unread| unread.request.sent_at)
+        dropped.into_iter().chain(unread.map(|unread| unread.request.sent_at))
     }
 }
 
--- a/crates/gateway-core/tests/engines.rs
+++ b/crates/gateway-core/tests/engines.rs
@@ -292,3 +292,23 @@
         (0..40).any(|s| pick(&picker, now, &directory, Some(s), &[]).as_deref() == Some("e1"));
     assert!(used, "an engine that responds is good even if it is not announced");
 }
+
+/// Guards against departures that are acknowledged while requests lie unread at an engine that was
+/// silent for so long that it was evicted in between.
+#[test]
+fn unread_requests_of_an_evicted_engine_are_kept() {
+    let now = Timestamp(100_000);
+    let mut directory = directory(now, &["e1"]);
+    let engine = BackEndName::new("e1");
+    let record = directory.get(&engine).expect("known").clone();
+    let mut picker = EnginePicker::new("hall".into());
+    picker.on_sent(now, &engine, None);
+    let request = picker.on_dispatched(now, &engine).expect("known");
+    picker.on_attempt_end(now, &record, None, AttemptEnd::Abandoned);
+    directory.forget(&engine);
+    picker.remove_unknown(now, &directory);
+    assert_eq!(picker.unread(&engine).expect("kept").count(now), 1);
+    picker.on_request_settled(&engine, request);
+    picker.remove_unknown(now, &directory);
+    assert!(picker.unread(&engine).is_none());
+}
--- a/crates/gateway-core/tests/unread_requests.rs
+++ b/crates/gateway-core/tests/unread_requests.rs
@@ -36,6 +36,17 @@
     assert_eq!(unread.newest(expired_at), None);
 }
 
+/// Guards against requests that are forgotten because too many are unread.
+#[test]
+fn requests_beyond_the_limit_are_unread_until_they_expire() {
+    let mut unread = UnreadRequests::default();
+    let requests: Vec<_> = (0..3_000).map(|_| unread.on_dispatched(START)).collect();
+    requests.into_iter().for_each(|request| unread.on_settled(request));
+    let expired_at = START + UNREAD_EXPIRY;
+    assert_eq!(unread.newest(Timestamp(expired_at.0 - 1)), Some(START));
+    assert_eq!(unread.newest(expired_at), None);
+}
+
 #[test]
 fn lost_connection_says_nothing_of_others() {
     let mut unread = UnreadRequests::default();
