Routers that have stopped refuse new requests; a process is heard again after late bytes of its predecessor

A stopped router answers 503 at once (not run), and a process that is heard is not replaced. Test: late_message_of_a_replaced_process_does_not_replace_the_later_one.

--- a/crates/coordinator/src/quiescence.rs
+++ b/crates/coordinator/src/quiescence.rs
@@ -183,6 +183,7 @@
     pub fn on_heard(&mut self, now: Timestamp, router: &NodeId) {
         if let Some(known) = self.routers.get_mut(router) {
             known.heard_at = now;
+            known.is_replaced = false;
             return;
         }
         for (other, known) in &mut self.routers {
--- a/crates/coordinator/tests/quiescence.rs
+++ b/crates/coordinator/tests/quiescence.rs
@@ -670,6 +670,19 @@
     assert_eq!(state, Quiescence::Disconnected(node(1, 1)));
 }
 
+/// Guards against a process that is taken for replaced because bytes of its predecessor are late.
+#[test]
+fn late_message_of_a_replaced_process_does_not_replace_the_later_one() {
+    let (mut tracker, departures) = (tracker(), departures(EngineState::Gone));
+    tracker.on_heard(START, &node(1, 2));
+    tracker.on_heard(START, &node(1, 1));
+    let now = START + Millis(3_500);
+    tracker.on_heard(now, &node(1, 2));
+    tracker.on_reads(now, read(now, now));
+    let state = state_at(&mut tracker, now, &departures);
+    assert_eq!(state, Quiescence::Unconfirmed(node(1, 2)));
+}
+
 /// A report that the engine has read a request that was sent at `sent_at`.
 fn read(now: Timestamp, sent_at: Timestamp) -> Vec<EngineRead> {
     vec![EngineRead { engine: ENGINE.into(), newest_age: now.since(sent_at) }]
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -386,9 +386,8 @@
     /// interrupted. The platform has had time to notice it; a caller that still connects is better
     /// served elsewhere.
     pub(crate) fn refuses_new_requests(&self) -> bool {
-        self.draining_since
-            .get()
-            .is_some_and(|since| self.clock.since(since) >= ACCEPT_WHILE_DRAINING)
+        let is_late = |since| self.clock.since(since) >= ACCEPT_WHILE_DRAINING;
+        self.has_stopped.get() || self.draining_since.get().is_some_and(is_late)
     }
 
     /// Whether the last contact with the leader is recent enough that its latest state can be taken
