Departures beside a lost router: what most routers know counts, not what the engine last read

Traced by its logs: the fleet was two seconds old, one of the four engines had served only the router that was then paused. No connected router had read anything there, so nothing shortened the wait of 10 s; 5 s are due. Change: a lost router withholds the acknowledgement for 3 s only if more routers are connected than lost and the engine has read everything that these sent, whatever it read before. That is narrower where few routers are left (before, one connected router whose requests had been read was enough) and holds for idle engines as well.

--- a/crates/coordinator/src/quiescence.rs
+++ b/crates/coordinator/src/quiescence.rs
@@ -11,9 +11,10 @@
 //! - A router that is connected and has not confirmed a departure withholds its acknowledgement.
 //! - One that is lost without a confirmation, whether it is cut off, killed or replaced, may have
 //!   sent requests that nobody can report. It withholds the acknowledgement for [`UNREAD_EXPIRY`].
-//!   An engine that has read what other routers sent later has read those as well, and so has one, a
-//!   lease later, that was reading when the router was lost. The same holds for routers that this
-//!   process may not know because it has started, stood still or been cut off.
+//!   An engine that has read what other routers sent later has read those as well. So has one, a
+//!   lease later, that has read everything of most routers.
+//! - The same holds for routers that this process may not know because it has started, stood still
+//!   or been cut off; here the engine must have read a request shortly before.
 //! - A router that has stopped sends nothing more and has reported all that is unread.
 
 use crate::router_roll::{RolledRouter, RouterRoll};
@@ -31,8 +32,7 @@
 const MAX_COVERAGE_GAP: Millis = Millis(2_000);
 /// Longest time for which a router may send requests after the last message that is received of it.
 const LAST_SEND_MARGIN: Millis = Millis(1_000);
-/// An engine was reading when a router was lost if it has read a request that was sent at most so
-/// long before, and has read everything that the connected routers have sent.
+/// An engine was reading at a moment if it has read a request that was sent at most so long before.
 const READING_WITHIN: Millis = UNREAD_EXPIRY;
 
 /// The state of a departing engine.
@@ -237,14 +237,18 @@
         };
         let covered_for = now.since(self.covered_since);
         let knows_all_connected = !self.is_gap(now) && covered_for >= ROUTER_LEASE;
-        if !knows_all_connected || self.may_be_unread(now, engine, self.covered_since) {
+        let was_reading = self.was_reading(engine, self.covered_since);
+        if !knows_all_connected || self.may_be_unread(now, engine, self.covered_since, was_reading)
+        {
             return Quiescence::Recovering;
         }
         let unconfirmed = |known: &KnownRouter| known.may_send(revision);
         if let Some(router) = self.find(|known| unconfirmed(known) && known.is_connected(now)) {
             return Quiescence::Unconfirmed(router.clone());
         }
-        let is_lost = |known: &KnownRouter| self.may_be_unread(now, engine, known.heard_at);
+        let knows_most = self.most_are_connected(now);
+        let is_lost =
+            |known: &KnownRouter| self.may_be_unread(now, engine, known.heard_at, knows_most);
         if let Some(router) = self.find(|known| unconfirmed(known) && is_lost(known)) {
             return Quiescence::Disconnected(router.clone());
         }
@@ -294,16 +298,37 @@
     }
 
     /// Whether an engine may not have read requests of routers that were last heard at `heard_at`.
-    fn may_be_unread(&self, now: Timestamp, engine: &BackEndName, heard_at: Timestamp) -> bool {
+    /// With `seems_to_read` it counts as having read them after a lease.
+    fn may_be_unread(
+        &self,
+        now: Timestamp,
+        engine: &BackEndName,
+        heard_at: Timestamp,
+        seems_to_read: bool,
+    ) -> bool {
         let silent_for = now.since(heard_at);
-        let has_read_after =
-            |sent_at| self.read_until.get(engine).is_some_and(|read| *read > sent_at);
-        let has_read_later = has_read_after(heard_at + LAST_SEND_MARGIN);
-        let was_reading = has_read_after(Timestamp(heard_at.0.saturating_sub(READING_WITHIN.0)));
-        let is_read = has_read_later || (was_reading && silent_for >= ROUTER_LEASE);
+        let has_read_later = self.has_read_after(engine, heard_at + LAST_SEND_MARGIN);
+        let is_read = has_read_later || (seems_to_read && silent_for >= ROUTER_LEASE);
         silent_for < UNREAD_EXPIRY && !is_read
     }
 
+    fn was_reading(&self, engine: &BackEndName, at: Timestamp) -> bool {
+        self.has_read_after(engine, Timestamp(at.0.saturating_sub(READING_WITHIN.0)))
+    }
+
+    fn has_read_after(&self, engine: &BackEndName, sent_at: Timestamp) -> bool {
+        self.read_until.get(engine).is_some_and(|read| *read > sent_at)
+    }
+
+    /// Whether more routers are connected than are lost.
+    fn most_are_connected(&self, now: Timestamp) -> bool {
+        let is_lost = |known: &&KnownRouter| {
+            let was_heard = now.since(known.heard_at) < UNREAD_EXPIRY;
+            was_heard && !known.has_stopped && !known.is_connected(now)
+        };
+        self.connected(now).count() > self.routers.values().filter(is_lost).count()
+    }
+
     fn find(&self, matches: impl Fn(&KnownRouter) -> bool) -> Option<&NodeId> {
         self.routers.iter().find(|(_, known)| matches(known)).map(|(name, _)| name)
     }
