Log and count by what a request at an engine was settled

Nothing told whether a request counted as read because its response had arrived or because of something else on its connection: a surplus response, bytes that form none, an end, a reset. New: the metric stackpost_engine_attempts_settled by evidence, and the log line 'request settled without its response'.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt: a request is sent to one engine, up to the head of the response.
 
-use crate::abandoned_request::RequestFate;
+use crate::abandoned_request::Evidence;
 use crate::connection_headers::{asks_to_close, keep_alive_timeout};
 use crate::connection_pool::{ConnectionPath, EngineConnection};
 use crate::decision_log;
@@ -173,15 +173,23 @@
 
     /// Records that the engine has read the request or never will, or that nothing of it was written
     /// after all.
-    fn on_settled(&mut self) {
+    fn on_settled(&mut self, evidence: Evidence) {
         if let Some(request) = self.dispatched.take() {
-            self.router.on_fate(self.name(), request, RequestFate::Settled);
+            self.router.on_evidence(self.name(), request, evidence);
         }
     }
 
     /// Records that the head of the response was received. Callers wait for what follows it.
-    fn on_head(&mut self) {
+    fn on_head(&mut self, class: ResponseClass) {
         if let Some(request) = self.dispatched.take() {
+            let evidence = match class {
+                ResponseClass::OtherRequest | ResponseClass::Unsigned => Evidence::OtherBytes,
+                ResponseClass::NotRun | ResponseClass::WrongEngine | ResponseClass::Verified => {
+                    Evidence::Response
+                }
+            };
+            self.router.metrics.on_evidence(evidence);
+            decision_log::settled(&self.router, self.name(), request, evidence);
             self.router.picker.borrow_mut().on_request_read(self.name(), request);
         }
         self.router.picker.borrow_mut().on_heard(self.router.now(), self.name());
@@ -344,7 +352,7 @@
         }
         ResponseHead::Incomplete => {
             log_end(payload, &attempt, "head", "the response head does not end");
-            attempt.on_settled();
+            attempt.on_settled(Evidence::OtherBytes);
             attempt.finish(AttemptEnd::Interrupted, None);
             AttemptResult::InvalidResponse
         }
@@ -353,12 +361,13 @@
             let error = error.into_error();
             log_end(payload, &attempt, "send", &error.to_string());
             if not_sent {
-                attempt.on_settled();
+                attempt.on_settled(Evidence::NotWritten);
                 attempt.finish(AttemptEnd::Abandoned, None);
                 return AttemptResult::Unreachable;
             }
-            if RequestFate::of_exchange(path, &error) == RequestFate::Settled {
-                attempt.on_settled();
+            let evidence = Evidence::of_exchange(path, &error);
+            if evidence != Evidence::Lost {
+                attempt.on_settled(evidence);
             }
             if shows_reachability {
                 router.on_connection_failed(attempt.name());
@@ -367,11 +376,16 @@
             AttemptResult::Interrupted
         }
         ResponseHead::Received(response) => {
-            attempt.on_head();
+            let class = router.header_codec.classify_response(
+                &payload.caller,
+                response.status(),
+                response.headers(),
+            );
+            attempt.on_head(class);
             if shows_reachability {
                 router.on_connection_succeeded(attempt.name(), attempt.sent_at);
             }
-            classify(router, payload, attempt, response)
+            on_response(router, payload, attempt, response, class)
         }
     }
 }
@@ -384,14 +398,15 @@
     }
 }
 
-fn classify(
+fn on_response(
     router: &Router,
     payload: &Payload,
     attempt: ActiveAttempt,
     response: hyper::Response<Incoming>,
+    class: ResponseClass,
 ) -> AttemptResult {
     let (head, body) = response.into_parts();
-    match router.header_codec.classify_response(&payload.caller, head.status, &head.headers) {
+    match class {
         ResponseClass::NotRun => {
             let directives =
                 router.header_codec.read_directives(&payload.caller, head.status, &head.headers);
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -1,6 +1,6 @@
 //! Connections to engines.
 
-use crate::abandoned_request::{self, RequestFate};
+use crate::abandoned_request::{self, Evidence};
 use crate::engine_dialer::EngineDialer;
 use crate::engine_relay::RelayedStream;
 use crate::metered_stream::{LinkMeter, MeteredStream};
@@ -66,7 +66,7 @@
     opened: Instant,
     driver: AbortHandle,
     /// Tells the driver to give up the request, and where to report what became of it.
-    abandon: oneshot::Sender<oneshot::Sender<RequestFate>>,
+    abandon: oneshot::Sender<oneshot::Sender<Evidence>>,
     /// Notified whenever bytes are received.
     pub received: Rc<Notify>,
     /// Whether it has carried a request before.
@@ -80,14 +80,14 @@
     }
 
     /// Gives up a request to which the engine has not responded. Returns what becomes of it.
-    pub fn abandon(self) -> impl Future<Output = RequestFate> + use<> {
+    pub fn abandon(self) -> impl Future<Output = Evidence> + use<> {
         let (report, fate) = oneshot::channel();
         let is_open = self.abandon.send(report).is_ok();
         async move {
             if !is_open {
-                return RequestFate::Unknown;
+                return Evidence::Lost;
             }
-            fate.await.unwrap_or(RequestFate::Unknown)
+            fate.await.unwrap_or(Evidence::Lost)
         }
     }
 }
@@ -228,7 +228,7 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
-        let (abandon, abandoned) = oneshot::channel::<oneshot::Sender<RequestFate>>();
+        let (abandon, abandoned) = oneshot::channel::<oneshot::Sender<Evidence>>();
         let driver = tokio::task::spawn_local(async move {
             let mut connection = connection;
             let report = tokio::select! {
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -1,13 +1,14 @@
 //! Log lines with the grounds of decisions about requests.
 
+use crate::abandoned_request::Evidence;
 use crate::attempt::{ActiveAttempt, Payload};
 use crate::header_codec::EngineDirectives;
 use crate::request::{Progress, RequestContext};
 use crate::router::Router;
 use hyper::StatusCode;
 use stackpost_gateway_core::{
-    AttemptEnd, CutOff, DepartureRecord, EngineProfile, EngineRecord, Fingerprint, HolderChange,
-    KnownCapacity, RateChange, ShortageChange,
+    AttemptEnd, CutOff, DepartureRecord, DispatchedRequest, EngineProfile, EngineRecord,
+    Fingerprint, HolderChange, KnownCapacity, RateChange, ShortageChange,
 };
 use stackpost_prepaid::BudgetForecast;
 use stackpost_types::{BackEndName, Millis, ServiceName, TenantName, Timestamp, Tokens};
@@ -101,6 +102,24 @@
     );
 }
 
+/// The connection of a request has shown something else than its response. Logs what it was: whether
+/// the engine can have read the request.
+pub(crate) fn settled(
+    router: &Router,
+    engine: &BackEndName,
+    request: DispatchedRequest,
+    evidence: Evidence,
+) {
+    if evidence != Evidence::Response {
+        log::info!(
+            engine = engine.as_str(),
+            evidence = evidence.as_str(),
+            sent_before_ms = router.now().since(request.sent_at).0;
+            "request settled without its response"
+        );
+    }
+}
+
 /// An engine accepts no more requests, as told by `peer`. Logs the requests of this router that the
 /// engine may not have read, the time since the oldest of them was sent, and the time since
 /// anything was received from the engine.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a router, by OpenTelemetry under the usual Prometheus names. Label sets are bounded:
 //! reasons and ends are enumerations, and no label value comes from a request.
 
+use crate::abandoned_request::Evidence;
 use crate::estimate_metrics::EstimateMetrics;
 use crate::hedging_log::HedgeEnd;
 use crate::liveness_probe::Liveness;
@@ -46,6 +47,7 @@
     responses: Counter<u64>,
     refused: Counter<u64>,
     attempts: Counter<u64>,
+    settled_attempts: Counter<u64>,
     resumed: Counter<u64>,
     truncated: Counter<u64>,
     hedges: Counter<u64>,
@@ -105,6 +107,10 @@
                 "stackpost_engine_attempts",
                 "Requests sent to engines, by their end",
             ),
+            settled_attempts: counter(
+                "stackpost_engine_attempts_settled",
+                "Requests sent to engines, by what their connection has shown of them",
+            ),
             resumed: counter("stackpost_streams_resumed", "Streams taken up at another engine"),
             truncated: counter(
                 "stackpost_streams_broken_off",
@@ -263,6 +269,11 @@
         self.attempts.add(1, &[KeyValue::new("end", end.as_str())]);
     }
 
+    /// Counts a request, by what its connection has shown of it.
+    pub fn on_evidence(&self, evidence: Evidence) {
+        self.settled_attempts.add(1, &[KeyValue::new("evidence", evidence.as_str())]);
+    }
+
     /// Counts a stream that is resumed at another engine.
     pub fn on_resumed(&self) {
         self.resumed.add(1, &[]);
