Only what names a request shows that its engine has read it

Cause: a request counted as read, or as never to be read, by what an engine can produce without having read it: any response's head before it was looked at whose it was, bytes that form no response, one byte or an end after the request had been given up, the end of the engine's direction alone. Evidence: with real processes each of them settled requests that lay unread; the departure was acknowledged at once, without a line at control.

Change: RequestEvidence decides without I/O from everything that the connection shows. A header line with the request's id, which the engine can know only from the request, shows that it was read; the reset of a direct connection that it never will be. After anything else the connection is observed up to its end, also where HTTP has failed. An end that follows this router's own counts as unread for 3 s more, an end that comes first until a reset follows, or 10 s after the request was sent. Why this works: the evidence that settles is such that only a read, or the loss of what was unread, produces it; the property test draws the orders in which an engine, the router and the network can act.

--- a/crates/coordinator/tests/quiescence_property.rs
+++ b/crates/coordinator/tests/quiescence_property.rs
@@ -13,7 +13,7 @@
 use stackpost_coordinator::{Quiescence, QuiescenceTracker};
 use stackpost_gateway_core::{
     DepartureProgress, Departures, DispatchedRequest, EngineRead, EngineState, EngineTraffic,
-    ProgressReporter, UNREAD_EXPIRY, UnreadRequests,
+    Evidence, ProgressReporter, UNREAD_EXPIRY, UnreadRequests,
 };
 use stackpost_types::{BackEndName, Millis, NodeId, Timestamp};
 use support::{ENGINE, START, departures, node};
@@ -324,7 +324,7 @@
         let request = self.routers[router].unread.on_dispatched(self.now);
         let is_observed = self.rng.random_range(0..100) >= self.scenario.lost_connections_percent;
         if !is_observed {
-            self.routers[router].unread.on_connection_lost(request);
+            self.routers[router].unread.on_evidence(self.now, request, Evidence::Lost);
         }
         let incarnation = self.routers[router].incarnation;
         self.waiting.push(Waiting { router, incarnation, request, is_observed, was_in_touch });
@@ -349,7 +349,7 @@
         for read in std::mem::take(&mut self.waiting) {
             let router = &mut self.routers[read.router];
             if read.is_observed && router.incarnation == read.incarnation {
-                router.unread.on_read(read.request);
+                router.unread.on_evidence(self.now, read.request, Evidence::Response);
             }
         }
     }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`EngineSilence`]: for how long an engine has sent nothing although it has requests.
 //! - [`UnreadRequests`]: requests that an engine may have received without having read them;
 //!   [`ProgressReporter`]: what of them the leader is told once the engine departs.
+//! - [`RequestEvidence`]: what the connection of a request shows of it.
 //! - [`LeaveHints`]: which engines may be leaving, while departures can't be known.
 //! - [`StallGuard`]: holds requests back after the process stood still.
 //! - [`RelayRouters`]: which other routers relay connections to engines meanwhile.
@@ -97,6 +98,7 @@
 mod rate_window;
 mod recent_successes;
 mod relay_routers;
+mod request_evidence;
 mod retry_budget;
 mod route_table;
 mod router_lists;
@@ -166,6 +168,7 @@
 };
 pub use ranked_routers::RankedRouters;
 pub use relay_routers::RelayRouters;
+pub use request_evidence::{ConnectionFailure, ConnectionPath, Evidence, RequestEvidence};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use route_table::{Admission, RouteTable, TenantMatch};
 pub use router_lists::{RouterEndpoint, RouterLists, ZoneRouters};
@@ -177,7 +180,7 @@
     may_have_ended_unread,
 };
 pub use stream_versions::{StreamKey, StreamVersions};
-pub use unread_requests::{DispatchedRequest, UNREAD_EXPIRY, UnreadRequests};
+pub use unread_requests::{DispatchedRequest, ENDED_EXPIRY, UNREAD_EXPIRY, UnreadRequests};
 pub use withdrawal::{Withdrawal, WithdrawalPolicy};
 pub use work_time::ResponseTiming;
 pub use zone_pressure::{LinkLoad, Neighbours, PressureReport, ZonePressure};
--- a/crates/gateway-core/src/picker/silence.rs
+++ b/crates/gateway-core/src/picker/silence.rs
@@ -5,6 +5,7 @@
 use crate::directory::EngineDirectory;
 use crate::engine_health::EngineHealth;
 use crate::engine_silence::EngineSilence;
+use crate::request_evidence::Evidence;
 use crate::unread_requests::{DispatchedRequest, UnreadRequests};
 use stackpost_types::{BackEndName, Millis, ServiceName, Timestamp};
 
@@ -28,25 +29,16 @@
         Some(health.unread.on_dispatched(now))
     }
 
-    /// Records that an engine has responded to a request.
-    pub fn on_request_read(&mut self, engine: &BackEndName, request: DispatchedRequest) {
-        if let Some(health) = self.engines.get_mut(engine) {
-            health.unread.on_read(request);
-        }
-    }
-
-    /// Records that an engine has read a request or never will.
-    pub fn on_request_settled(&mut self, engine: &BackEndName, request: DispatchedRequest) {
-        if let Some(health) = self.engines.get_mut(engine) {
-            health.unread.on_settled(request);
-        }
-    }
-
-    /// Records that a request's connection is lost, so that it will not show what becomes of the
-    /// request.
-    pub fn on_connection_lost(&mut self, engine: &BackEndName, request: DispatchedRequest) {
+    /// Records what the connection of a request to an engine has shown of it.
+    pub fn on_evidence(
+        &mut self,
+        now: Timestamp,
+        engine: &BackEndName,
+        request: DispatchedRequest,
+        evidence: Evidence,
+    ) {
         if let Some(health) = self.engines.get_mut(engine) {
-            health.unread.on_connection_lost(request);
+            health.unread.on_evidence(now, request, evidence);
         }
     }
 
--- a/crates/gateway-core/src/unread_requests.rs
+++ b/crates/gateway-core/src/unread_requests.rs
@@ -2,15 +2,18 @@
 //!
 //! Bytes that an engine's machine has received are read later, even if the router has closed the
 //! connection meanwhile. An engine may read one connection and answer health checks while it leaves
-//! another one unread, so only what it does with a request's own connection shows that the request
-//! was read or never will be: it responds, or it closes the connection.
+//! another one unread, so only what a request's own connection shows of it
+//! ([`crate::RequestEvidence`]) settles the request.
 
+use crate::request_evidence::Evidence;
 use stackpost_types::{Millis, Timestamp};
 use std::collections::VecDeque;
 
 /// Time since it was sent after which a request counts as read if its connection is lost and can
 /// show nothing any more.
 pub const UNREAD_EXPIRY: Millis = Millis(10_000);
+/// Time for which a request counts as unread after its engine has ended the connection.
+pub const ENDED_EXPIRY: Millis = Millis(3_000);
 /// Maximum number of requests kept: more than the connections that an engine accepts. Older ones
 /// count as unread until they expire.
 const MAX_UNREAD: usize = 1_024;
@@ -26,8 +29,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct UnreadRequest {
     request: DispatchedRequest,
-    /// Whether its connection is open, so that the engine will show what becomes of the request.
-    is_observed: bool,
+    /// Until when it counts as unread; without limit while its connection may show what becomes of
+    /// it.
+    until: Option<Timestamp>,
+}
+
+impl UnreadRequest {
+    fn is_unread(&self, now: Timestamp) -> bool {
+        self.until.is_none_or(|until| now < until)
+    }
 }
 
 /// The requests that an engine may not have read, oldest first.
@@ -50,37 +60,44 @@
         }
         self.next_number += 1;
         let request = DispatchedRequest { sent_at: now, number: self.next_number };
-        self.requests.push_back(UnreadRequest { request, is_observed: true });
+        self.requests.push_back(UnreadRequest { request, until: None });
         request
     }
 
-    /// Records that the engine has responded to a request, so it has read it.
-    pub fn on_read(&mut self, request: DispatchedRequest) {
-        self.newest_read = self.newest_read.max(Some(request.sent_at));
-        self.on_settled(request);
+    /// Records what the connection of a request has shown of it.
+    pub fn on_evidence(&mut self, now: Timestamp, request: DispatchedRequest, evidence: Evidence) {
+        match evidence {
+            Evidence::Response => self.on_read(request),
+            Evidence::NotWritten | Evidence::Reset => self.remove(request),
+            Evidence::EndAfterOwn => self.set_limit(request, now + ENDED_EXPIRY),
+            Evidence::Lost => self.set_limit(request, request.sent_at + UNREAD_EXPIRY),
+        }
     }
 
-    /// When the newest request was sent to which the engine has responded.
-    pub fn newest_read(&self) -> Option<Timestamp> {
-        self.newest_read
+    /// Records that the engine has read a request.
+    fn on_read(&mut self, request: DispatchedRequest) {
+        self.newest_read = self.newest_read.max(Some(request.sent_at));
+        self.remove(request);
     }
 
-    /// Records that the engine has read a request or never will: it has responded or closed the
-    /// connection, or nothing of the request was sent after all.
-    pub fn on_settled(&mut self, request: DispatchedRequest) {
+    fn remove(&mut self, request: DispatchedRequest) {
         self.requests.retain(|unread| unread.request != request);
     }
 
-    /// Records that the connection is lost before the engine has shown anything.
-    pub fn on_connection_lost(&mut self, request: DispatchedRequest) {
+    fn set_limit(&mut self, request: DispatchedRequest, until: Timestamp) {
         for unread in self.requests.iter_mut().filter(|unread| unread.request == request) {
-            unread.is_observed = false;
+            unread.until = Some(until);
         }
     }
 
+    /// When the newest request was sent that the engine is known to have read.
+    pub fn newest_read(&self) -> Option<Timestamp> {
+        self.newest_read
+    }
+
     /// Removes requests that have expired.
     pub fn remove_expired(&mut self, now: Timestamp) {
-        self.requests.retain(|unread| is_unread(now, unread));
+        self.requests.retain(|unread| unread.is_unread(now));
     }
 
     /// Number of unread requests.
@@ -100,11 +117,7 @@
 
     fn unread(&self, now: Timestamp) -> impl Iterator<Item = Timestamp> {
         let dropped = self.newest_dropped.filter(|sent_at| now.since(*sent_at) < UNREAD_EXPIRY);
-        let unread = self.requests.iter().filter(move |unread| is_unread(now, unread));
+        let unread = self.requests.iter().filter(move |unread| unread.is_unread(now));
         dropped.into_iter().chain(unread.map(|unread| unread.request.sent_at))
     }
 }
-
-fn is_unread(now: Timestamp, unread: &UnreadRequest) -> bool {
-    unread.is_observed || now.since(unread.request.sent_at) < UNREAD_EXPIRY
-}
--- a/crates/gateway-core/tests/engines.rs
+++ b/crates/gateway-core/tests/engines.rs
@@ -308,7 +308,7 @@
     directory.forget(&engine);
     picker.remove_unknown(now, &directory);
     assert_eq!(picker.unread(&engine).expect("kept").count(now), 1);
-    picker.on_request_settled(&engine, request);
+    picker.on_evidence(now, &engine, request, Evidence::Response);
     picker.remove_unknown(now, &directory);
     assert!(picker.unread(&engine).is_none());
 }
--- a/crates/gateway-core/tests/unread_requests.rs
+++ b/crates/gateway-core/tests/unread_requests.rs
@@ -1,7 +1,7 @@
 //! What shows that an engine has read a request.
 
 use proptest::prelude::*;
-use stackpost_gateway_core::{UNREAD_EXPIRY, UnreadRequests};
+use stackpost_gateway_core::{ENDED_EXPIRY, Evidence, UNREAD_EXPIRY, UnreadRequests};
 use stackpost_types::{Millis, Timestamp};
 
 const START: Timestamp = Timestamp(100_000);
@@ -11,10 +11,10 @@
 fn request_is_settled_by_what_its_own_connection_shows() {
     let mut unread = UnreadRequests::default();
     let (first, second) = (unread.on_dispatched(START), unread.on_dispatched(START));
-    unread.on_settled(second);
-    unread.on_settled(second);
+    unread.on_evidence(START, second, Evidence::Response);
+    unread.on_evidence(START, second, Evidence::Response);
     assert_eq!(unread.count(START), 1);
-    unread.on_settled(first);
+    unread.on_evidence(START, first, Evidence::Reset);
     assert_eq!(unread.count(START), 0);
 }
 
@@ -30,18 +30,46 @@
 fn request_of_a_lost_connection_expires() {
     let mut unread = UnreadRequests::default();
     let request = unread.on_dispatched(START);
-    unread.on_connection_lost(request);
+    unread.on_evidence(START + Millis(500), request, Evidence::Lost);
     let expired_at = START + UNREAD_EXPIRY;
     assert_eq!(unread.newest(Timestamp(expired_at.0 - 1)), Some(START));
     assert_eq!(unread.newest(expired_at), None);
 }
 
+#[test]
+fn request_whose_engine_has_ended_the_connection_expires_some_time_after_the_end() {
+    let mut unread = UnreadRequests::default();
+    let request = unread.on_dispatched(START);
+    let ended_at = START + Millis(500);
+    unread.on_evidence(ended_at, request, Evidence::EndAfterOwn);
+    let expired_at = ended_at + ENDED_EXPIRY;
+    assert_eq!(unread.newest(Timestamp(expired_at.0 - 1)), Some(START));
+    assert_eq!(unread.newest(expired_at), None);
+}
+
+/// Guards against other routers' lost requests that count as read because this one's was discarded.
+#[test]
+fn only_a_response_shows_that_the_engine_reads() {
+    for evidence in [Evidence::NotWritten, Evidence::Reset, Evidence::EndAfterOwn, Evidence::Lost] {
+        let mut unread = UnreadRequests::default();
+        let request = unread.on_dispatched(START);
+        unread.on_evidence(START, request, evidence);
+        assert_eq!(unread.newest_read(), None, "{evidence:?}");
+    }
+    let mut unread = UnreadRequests::default();
+    let request = unread.on_dispatched(START);
+    unread.on_evidence(START, request, Evidence::Response);
+    assert_eq!(unread.newest_read(), Some(START));
+}
+
 /// Guards against requests that are forgotten because too many are unread.
 #[test]
 fn requests_beyond_the_limit_are_unread_until_they_expire() {
     let mut unread = UnreadRequests::default();
     let requests: Vec<_> = (0..3_000).map(|_| unread.on_dispatched(START)).collect();
-    requests.into_iter().for_each(|request| unread.on_settled(request));
+    for request in requests {
+        unread.on_evidence(START, request, Evidence::Response);
+    }
     let expired_at = START + UNREAD_EXPIRY;
     assert_eq!(unread.newest(Timestamp(expired_at.0 - 1)), Some(START));
     assert_eq!(unread.newest(expired_at), None);
@@ -51,7 +79,7 @@
 fn lost_connection_says_nothing_of_others() {
     let mut unread = UnreadRequests::default();
     let (lost, open) = (unread.on_dispatched(START), unread.on_dispatched(START + Millis(1)));
-    unread.on_connection_lost(lost);
+    unread.on_evidence(START, lost, Evidence::Lost);
     unread.remove_expired(LONG_AFTER);
     assert_eq!((unread.count(LONG_AFTER), unread.oldest(LONG_AFTER)), (1, Some(open.sent_at)));
 }
@@ -72,11 +100,11 @@
                 0 => model.push((unread.on_dispatched(now), true)),
                 1 if index < model.len() => {
                     let (request, _) = model.remove(index);
-                    unread.on_settled(request);
+                    unread.on_evidence(now, request, Evidence::Response);
                 }
                 2 if index < model.len() => {
                     model[index].1 = false;
-                    unread.on_connection_lost(model[index].0);
+                    unread.on_evidence(now, model[index].0, Evidence::Lost);
                 }
                 _ => unread.remove_expired(now),
             }
--- a/crates/gateway/src/abandoned_request.rs
+++ b/crates/gateway/src/abandoned_request.rs
@@ -2,112 +2,72 @@
 //!
 //! The engine may not have read such a request, and what its machine has received is read even after
 //! the connection has been closed. So only this router's direction is closed, which tells the engine
-//! that the caller has gone, and the connection stays open until the engine shows what became of the
-//! request.
+//! that the caller has gone, and the connection stays open until it shows what became of the request.
 
-use crate::connection_pool::{ConnectionPath, EngineConnection};
+use crate::connection_pool::EngineConnection;
 use crate::decision_log;
+use crate::observed_stream::{EngineStream, ObservedStream};
 use crate::router::Router;
-use stackpost_gateway_core::DispatchedRequest;
+use futures::FutureExt;
+use stackpost_gateway_core::{DispatchedRequest, Evidence, RequestEvidence};
 use stackpost_types::BackEndName;
 use std::cell::Cell;
-use std::io::{self, ErrorKind};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use tokio::time::timeout;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::{sleep, timeout};
 
 /// Longest time for which a connection is kept open: longer than an engine waits for the
 /// acknowledgement of its departure.
 pub(crate) const OBSERVATION_LIMIT: Duration = Duration::from_secs(60);
 /// Connections that are kept open at the same time. Each needs a descriptor.
 const MAX_OBSERVED: usize = 512;
+/// Size of the buffer in which received bytes are read.
+const BUFFER_BYTES: usize = 1_024;
+/// Times after the end of the engine's direction at which the socket is checked. An engine that has
+/// closed the connection resets it when the request arrives.
+const RESET_CHECKS: [Duration; 4] = [
+    Duration::from_millis(5),
+    Duration::from_millis(20),
+    Duration::from_millis(100),
+    Duration::from_millis(500),
+];
 
-/// What a connection shows of the request that was written to it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RequestFate {
-    /// The engine has read it or never will: it has sent something or closed the connection.
-    Settled,
-    /// The connection is lost, or has shown nothing for a long time.
-    Unknown,
+/// Closes this router's direction of a connection and waits until it shows what became of its
+/// request.
+pub(crate) async fn observe<S: EngineStream>(mut stream: ObservedStream<S>) -> Evidence {
+    // The result is what the stream has recorded, or that it showed nothing in time.
+    let _ = timeout(OBSERVATION_LIMIT, wait_for_evidence(&mut stream)).await;
+    stream.evidence().record(RequestEvidence::on_given_up);
+    stream.evidence().shown().unwrap_or(Evidence::Lost)
 }
 
-/// By what a request was settled, or why it can't be.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Evidence {
-    /// The response to this request.
-    Response,
-    /// Other bytes, or the head of another response.
-    OtherBytes,
-    /// The end of the engine's direction.
-    EndOfStream,
-    /// The reset of a direct connection.
-    Reset,
-    /// Nothing of the request was written.
-    NotWritten,
-    /// The connection is lost, or has shown nothing for a long time.
-    Lost,
-}
-
-impl Evidence {
-    /// As written in log lines and metrics.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Response => "response",
-            Self::OtherBytes => "other_bytes",
-            Self::EndOfStream => "end_of_stream",
-            Self::Reset => "reset",
-            Self::NotWritten => "not_written",
-            Self::Lost => "lost",
-        }
-    }
-
-    /// What the evidence shows of the request.
-    fn fate(self) -> RequestFate {
-        if self == Self::Lost { RequestFate::Unknown } else { RequestFate::Settled }
-    }
-
-    /// What an error of the connection shows. A relay's end shows nothing of the engine.
-    pub fn of_error(path: ConnectionPath, error: &io::Error) -> Self {
-        let is_end = matches!(error.kind(), ErrorKind::ConnectionReset | ErrorKind::BrokenPipe);
-        match path {
-            ConnectionPath::Direct if is_end => Self::Reset,
-            ConnectionPath::Direct | ConnectionPath::Relayed => Self::Lost,
-        }
+async fn wait_for_evidence<S: EngineStream>(stream: &mut ObservedStream<S>) {
+    // What has arrived already comes before this router's own end.
+    let _ = read_on(stream).now_or_never();
+    if stream.evidence().is_pending() && !stream.evidence().has_ended() {
+        // A failure is recorded, and the reads show it as well.
+        let _ = stream.shutdown().await;
+        read_on(stream).await;
     }
-
-    /// What the end of an exchange shows.
-    pub fn of_exchange(path: ConnectionPath, error: &hyper::Error) -> Self {
-        if error.is_incomplete_message() {
-            return Self::EndOfStream;
+    for pause in RESET_CHECKS {
+        stream.check_socket();
+        if !stream.evidence().is_pending() {
+            return;
         }
-        let mut source = std::error::Error::source(error);
-        while let Some(error) = source {
-            if let Some(error) = error.downcast_ref::<io::Error>() {
-                return Self::of_error(path, error);
-            }
-            source = error.source();
-        }
-        // What can't be parsed was sent by the engine.
-        if error.is_parse() { Self::OtherBytes } else { Self::Lost }
+        sleep(pause).await;
     }
+    stream.check_socket();
 }
 
-/// Closes this router's direction of a connection and waits for anything from the engine.
-pub(crate) async fn observe<S>(mut stream: S, path: ConnectionPath) -> Evidence
-where
-    S: AsyncRead + AsyncWrite + Unpin,
-{
-    let mut byte = [0];
-    let observing = async {
-        stream.shutdown().await?;
-        stream.read(&mut byte).await
-    };
-    match timeout(OBSERVATION_LIMIT, observing).await {
-        Ok(Ok(0)) => Evidence::EndOfStream,
-        Ok(Ok(_)) => Evidence::OtherBytes,
-        Ok(Err(error)) => Evidence::of_error(path, &error),
-        Err(_) => Evidence::Lost,
+/// Reads until the engine's direction ends, or the connection has shown what became of the request.
+async fn read_on<S: EngineStream>(stream: &mut ObservedStream<S>) {
+    let mut buffer = [0; BUFFER_BYTES];
+    while stream.evidence().is_pending() {
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => return,
+            Ok(_) => {}
+        }
     }
 }
 
@@ -147,10 +107,6 @@
     ) {
         self.metrics.on_evidence(evidence);
         decision_log::settled(self, engine, request, evidence);
-        let mut picker = self.picker.borrow_mut();
-        match evidence.fate() {
-            RequestFate::Settled => picker.on_request_settled(engine, request),
-            RequestFate::Unknown => picker.on_connection_lost(engine, request),
-        }
+        self.picker.borrow_mut().on_evidence(self.now(), engine, request, evidence);
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,8 +1,7 @@
 //! One attempt: a request is sent to one engine, up to the head of the response.
 
-use crate::abandoned_request::Evidence;
 use crate::connection_headers::{asks_to_close, keep_alive_timeout};
-use crate::connection_pool::{ConnectionPath, EngineConnection};
+use crate::connection_pool::EngineConnection;
 use crate::decision_log;
 use crate::header_codec::{CallerRequest, EngineDirectives, EngineRequestHeaders, ResponseClass};
 use crate::metrics::ConnectionOutcome;
@@ -15,8 +14,8 @@
 use hyper::http::response;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use stackpost_gateway_core::{
-    AttemptEnd, DispatchedRequest, EngineChoice, EngineRecord, Placement, PlainExpectation,
-    Standing,
+    AttemptEnd, ConnectionPath, DispatchedRequest, EngineChoice, EngineRecord, Placement,
+    PlainExpectation, RequestEvidence, Standing,
 };
 use stackpost_types::{BackEndName, Millis, Timestamp};
 use std::cell::Cell;
@@ -107,7 +106,7 @@
     started: Instant,
     /// The same instant on the router's clock.
     sent_at: Timestamp,
-    /// The request as written to the connection, until the engine has responded.
+    /// The request as written to the connection, until that shows what became of it.
     dispatched: Option<DispatchedRequest>,
     last_heard: LastHeard,
     connection: Option<EngineConnection>,
@@ -171,27 +170,27 @@
         self.dispatched = self.router.picker.borrow_mut().on_dispatched(now, self.name());
     }
 
-    /// Records that the engine has read the request or never will, or that nothing of it was written
-    /// after all.
-    fn on_settled(&mut self, evidence: Evidence) {
-        if let Some(request) = self.dispatched.take() {
+    /// Records what the connection has shown of the request so far.
+    fn settle(&mut self) {
+        let shown = self.connection.as_ref().and_then(|connection| connection.evidence.shown());
+        if let Some(evidence) = shown
+            && let Some(request) = self.dispatched.take()
+        {
             self.router.on_evidence(self.name(), request, evidence);
         }
     }
 
-    /// Records that the head of the response was received. Callers wait for what follows it.
-    fn on_head(&mut self, class: ResponseClass) {
-        if let Some(request) = self.dispatched.take() {
-            let evidence = match class {
-                ResponseClass::OtherRequest | ResponseClass::Unsigned => Evidence::OtherBytes,
-                ResponseClass::NotRun | ResponseClass::WrongEngine | ResponseClass::Verified => {
-                    Evidence::Response
-                }
-            };
-            self.router.metrics.on_evidence(evidence);
-            decision_log::settled(&self.router, self.name(), request, evidence);
-            self.router.picker.borrow_mut().on_request_read(self.name(), request);
+    /// Records that nothing of the request was written after all.
+    fn on_not_written(&mut self) {
+        if let Some(connection) = &self.connection {
+            connection.evidence.record(RequestEvidence::on_not_written);
         }
+        self.settle();
+    }
+
+    /// Records that the head of a response was received. Callers wait for what follows it.
+    fn on_head(&mut self) {
+        self.settle();
         self.router.picker.borrow_mut().on_heard(self.router.now(), self.name());
     }
 
@@ -260,9 +259,10 @@
         }
     }
 
-    /// Closes the connection. One whose request the engine may not have read stays open until the
-    /// engine shows what became of it.
+    /// Closes the connection. One whose request the engine may not have read stays open until it
+    /// shows what became of the request.
     fn close_connection(&mut self) {
+        self.settle();
         let Some(connection) = self.connection.take() else {
             return;
         };
@@ -341,7 +341,7 @@
     let request = engine_request(router, payload, &engine_headers);
     on_sent();
     attempt.on_dispatched();
-    let path = connection.path;
+    connection.begin_request(router.header_codec.request_id_header(), &payload.caller.id);
     let exchange = response_head::send_request(&mut connection, request);
     attempt.connection = Some(connection);
     match exchange.head(deadline).await {
@@ -352,7 +352,6 @@
         }
         ResponseHead::Incomplete => {
             log_end(payload, &attempt, "head", "the response head does not end");
-            attempt.on_settled(Evidence::OtherBytes);
             attempt.finish(AttemptEnd::Interrupted, None);
             AttemptResult::InvalidResponse
         }
@@ -361,14 +360,10 @@
             let error = error.into_error();
             log_end(payload, &attempt, "send", &error.to_string());
             if not_sent {
-                attempt.on_settled(Evidence::NotWritten);
+                attempt.on_not_written();
                 attempt.finish(AttemptEnd::Abandoned, None);
                 return AttemptResult::Unreachable;
             }
-            let evidence = Evidence::of_exchange(path, &error);
-            if evidence != Evidence::Lost {
-                attempt.on_settled(evidence);
-            }
             if shows_reachability {
                 router.on_connection_failed(attempt.name());
             }
@@ -376,16 +371,11 @@
             AttemptResult::Interrupted
         }
         ResponseHead::Received(response) => {
-            let class = router.header_codec.classify_response(
-                &payload.caller,
-                response.status(),
-                response.headers(),
-            );
-            attempt.on_head(class);
+            attempt.on_head();
             if shows_reachability {
                 router.on_connection_succeeded(attempt.name(), attempt.sent_at);
             }
-            on_response(router, payload, attempt, response, class)
+            classify(router, payload, attempt, response)
         }
     }
 }
@@ -398,15 +388,14 @@
     }
 }
 
-fn on_response(
+fn classify(
     router: &Router,
     payload: &Payload,
     attempt: ActiveAttempt,
     response: hyper::Response<Incoming>,
-    class: ResponseClass,
 ) -> AttemptResult {
     let (head, body) = response.into_parts();
-    match class {
+    match router.header_codec.classify_response(&payload.caller, head.status, &head.headers) {
         ResponseClass::NotRun => {
             let directives =
                 router.header_codec.read_directives(&payload.caller, head.status, &head.headers);
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -1,24 +1,27 @@
 //! Connections to engines.
 
-use crate::abandoned_request::{self, Evidence};
+use crate::abandoned_request;
 use crate::engine_dialer::EngineDialer;
 use crate::engine_relay::RelayedStream;
 use crate::metered_stream::{LinkMeter, MeteredStream};
+use crate::observed_stream::{EngineStream, ObservedStream, SharedEvidence};
 use crate::socket_options::set_options;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use stackpost_clock::{BootInstant, MachineClock};
-use stackpost_gateway_core::{EngineDirectory, EngineRecord, EngineState};
+use stackpost_gateway_core::{
+    ConnectionPath, EngineDirectory, EngineRecord, EngineState, Evidence, RequestEvidence,
+};
 use stackpost_types::BackEndName;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
@@ -39,15 +42,6 @@
 /// Maximum number of idle connections per engine.
 const MAX_IDLE_PER_ENGINE: usize = 8;
 
-/// How a connection reaches its engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ConnectionPath {
-    /// This router connected itself.
-    Direct,
-    /// Another router forwards the bytes.
-    Relayed,
-}
-
 /// What a connection that carries no request shows of its engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ProbeOutcome {
@@ -67,6 +61,8 @@
     driver: AbortHandle,
     /// Tells the driver to give up the request, and where to report what became of it.
     abandon: oneshot::Sender<oneshot::Sender<Evidence>>,
+    /// What it shows of the request under way.
+    pub evidence: SharedEvidence,
     /// Notified whenever bytes are received.
     pub received: Rc<Notify>,
     /// Whether it has carried a request before.
@@ -74,6 +70,11 @@
 }
 
 impl EngineConnection {
+    /// Begins to collect the evidence of a request that is about to be written.
+    pub fn begin_request(&self, id_header: &'static str, id: &str) {
+        self.evidence.begin(RequestEvidence::new(self.path, id_header, id));
+    }
+
     /// Closes the connection immediately, even during a request.
     pub fn close(self) {
         self.driver.abort();
@@ -81,17 +82,20 @@
 
     /// Gives up a request to which the engine has not responded. Returns what becomes of it.
     pub fn abandon(self) -> impl Future<Output = Evidence> + use<> {
-        let (report, fate) = oneshot::channel();
+        let (report, evidence) = oneshot::channel();
         let is_open = self.abandon.send(report).is_ok();
         async move {
             if !is_open {
                 return Evidence::Lost;
             }
-            fate.await.unwrap_or(Evidence::Lost)
+            evidence.await.unwrap_or(Evidence::Lost)
         }
     }
 }
 
+/// The HTTP state of a connection to an engine.
+type HttpConnection<S> = http1::Connection<TokioIo<ObservedStream<MeteredStream<S>>>, Full<Bytes>>;
+
 struct IdleConnection {
     connection: EngineConnection,
     since: BootInstant,
@@ -220,30 +224,47 @@
     /// Begins HTTP on an established connection.
     async fn start_http<S>(&self, stream: S, path: ConnectionPath) -> io::Result<EngineConnection>
     where
-        S: AsyncRead + AsyncWrite + Unpin + 'static,
+        S: EngineStream + 'static,
     {
         let stream = MeteredStream::to_engine(stream, self.meter.clone());
-        let received = stream.received();
+        let (received, evidence) = (stream.received(), SharedEvidence::default());
+        let stream = ObservedStream::new(stream, evidence.clone());
         let (sender, connection) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
-        let (abandon, abandoned) = oneshot::channel::<oneshot::Sender<Evidence>>();
-        let driver = tokio::task::spawn_local(async move {
-            let mut connection = connection;
-            let report = tokio::select! {
-                // Before the connection notices that nobody waits for the response.
-                biased;
-                Ok(report) = abandoned => report,
-                // The user of the connection receives the error as well.
-                _ = &mut connection => return,
-            };
-            let stream = connection.into_parts().io.into_inner();
-            // The receiver may have ended with the router.
-            let _ = report.send(abandoned_request::observe(stream, path).await);
-        });
+        let (abandon, abandoned) = oneshot::channel();
+        let driver = tokio::task::spawn_local(drive(connection, abandoned, evidence.clone()));
         let (opened, driver) = (Instant::now(), driver.abort_handle());
-        Ok(EngineConnection { sender, path, opened, driver, abandon, received, reused: false })
+        let reused = false;
+        Ok(EngineConnection { sender, path, opened, driver, abandon, evidence, received, reused })
+    }
+}
+
+/// Runs a connection until it ends, or until its request is given up: then it is observed.
+async fn drive<S: EngineStream + 'static>(
+    mut connection: HttpConnection<S>,
+    mut abandoned: oneshot::Receiver<oneshot::Sender<Evidence>>,
+    evidence: SharedEvidence,
+) {
+    let report = tokio::select! {
+        // Before the connection notices that nobody waits for the response.
+        biased;
+        Ok(report) = &mut abandoned => Ok(report),
+        // The user of the connection receives the error as well. The stream is not shut down, since
+        // the engine may still show what became of the request.
+        _ = poll_fn(|context| connection.poll_without_shutdown(context)) => {
+            if !evidence.is_pending() {
+                return;
+            }
+            abandoned.await
+        }
+    };
+    // Without a report, nothing of the request is left to be observed.
+    if let Ok(report) = report {
+        let stream = connection.into_parts().io.into_inner();
+        // The receiver may have ended with the router.
+        let _ = report.send(abandoned_request::observe(stream).await);
     }
 }
 
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -1,13 +1,12 @@
 //! Log lines with the grounds of decisions about requests.
 
-use crate::abandoned_request::Evidence;
 use crate::attempt::{ActiveAttempt, Payload};
 use crate::header_codec::EngineDirectives;
 use crate::request::{Progress, RequestContext};
 use crate::router::Router;
 use hyper::StatusCode;
 use stackpost_gateway_core::{
-    AttemptEnd, CutOff, DepartureRecord, DispatchedRequest, EngineProfile, EngineRecord,
+    AttemptEnd, CutOff, DepartureRecord, DispatchedRequest, EngineProfile, EngineRecord, Evidence,
     Fingerprint, HolderChange, KnownCapacity, RateChange, ShortageChange,
 };
 use stackpost_prepaid::BudgetForecast;
@@ -102,8 +101,7 @@
     );
 }
 
-/// The connection of a request has shown something else than its response. Logs what it was: whether
-/// the engine can have read the request.
+/// The connection of a request has shown what became of it, other than by its response.
 pub(crate) fn settled(
     router: &Router,
     engine: &BackEndName,
--- a/crates/gateway/src/engine_paths.rs
+++ b/crates/gateway/src/engine_paths.rs
@@ -1,10 +1,10 @@
 //! Paths to engines: this router's own connections, and those through other routers where it cannot
 //! connect itself.
 
-use crate::connection_pool::{ConnectionPath, EngineConnection, ProbeOutcome};
+use crate::connection_pool::{EngineConnection, ProbeOutcome};
 use crate::engine_relay::{self, RelayError};
 use crate::router::Router;
-use stackpost_gateway_core::{EngineRecord, ReachabilityChange, RouterEndpoint};
+use stackpost_gateway_core::{ConnectionPath, EngineRecord, ReachabilityChange, RouterEndpoint};
 use stackpost_types::{BackEndName, Timestamp};
 use std::cell::Cell;
 use std::collections::BTreeSet;
--- a/crates/gateway/src/header_codec.rs
+++ b/crates/gateway/src/header_codec.rs
@@ -113,6 +113,9 @@
         engine_headers: &EngineRequestHeaders<'_>,
     );
 
+    /// The header in which a response repeats the id of its request.
+    fn request_id_header(&self) -> &'static str;
+
     /// Called when the head of an engine's response was received.
     fn classify_response(
         &self,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod machine_clock;
 pub mod metered_stream;
 mod metrics;
+mod observed_stream;
 mod peer_socket;
 mod permit_lending;
 mod permits;
--- a/crates/gateway/src/metered_stream.rs
+++ b/crates/gateway/src/metered_stream.rs
@@ -124,6 +124,11 @@
         Self { stream, meter, young_until, bytes, received: Rc::default() }
     }
 
+    /// The connection itself.
+    pub(crate) fn get_ref(&self) -> &S {
+        &self.stream
+    }
+
     /// Notified whenever bytes are received.
     pub fn received(&self) -> Rc<Notify> {
         self.received.clone()
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,12 +1,11 @@
 //! Metrics of a router, by OpenTelemetry under the usual Prometheus names. Label sets are bounded:
 //! reasons and ends are enumerations, and no label value comes from a request.
 
-use crate::abandoned_request::Evidence;
 use crate::estimate_metrics::EstimateMetrics;
 use crate::hedging_log::HedgeEnd;
 use crate::liveness_probe::Liveness;
 use crate::refusal::Refusal;
-use stackpost_gateway_core::{AttemptEnd, BackoffChange, PressureReading};
+use stackpost_gateway_core::{AttemptEnd, BackoffChange, Evidence, PressureReading};
 use stackpost_mesh::SentByKind;
 use stackpost_telemetry::{Counter, Gauge, Histogram, KeyValue, Meter};
 use stackpost_types::Millis;
--- a/crates/gateway/tests/fleet/support/test_codecs.rs
+++ b/crates/gateway/tests/fleet/support/test_codecs.rs
@@ -53,6 +53,10 @@
         }
     }
 
+    fn request_id_header(&self) -> &'static str {
+        "id"
+    }
+
     fn classify_response(
         &self,
         request: &CallerRequest,
