A leave call that may be of an engine's previous life is not acknowledged

What callers saw: requests reach an engine without end after its departure was acknowledged, where engines start again under their id and leave within seconds by a call that does not state when they started.

Cause: while the newest incarnation was known for less than 5 s, the call was taken for one of the older incarnation, which had gone already: committed, quiescent, acknowledged at once, and the newest stayed in service. Likewise a process that knew none of the incarnations acknowledged the bare id.

Change: a call that does not identify the incarnation is refused until the newest is known for 5 s; a departure of the bare id is confirmed by routers only once no incarnation of the id is in service and nothing of any is unread. A guess between two readings thus ends in no acknowledgement.

Open: a call that is held back for more than 5 s ends the newest incarnation.

--- a/crates/coordinator/src/engine_updates.rs
+++ b/crates/coordinator/src/engine_updates.rs
@@ -6,8 +6,8 @@
 use crate::message::FleetMessage;
 use crate::replica_api::ReplicaEvent;
 use stackpost_gateway_core::{
-    ColdNotice, CrashReport, CrashSighting, DepartureRecord, EngineNotice, EngineState,
-    MergeOutcome, QuarantineChange,
+    AmbiguousIncarnation, ColdNotice, CrashReport, CrashSighting, DepartureRecord, EngineNotice,
+    EngineState, MergeOutcome, QuarantineChange,
 };
 use stackpost_mesh::PeerRole;
 use stackpost_types::{BackEndName, Millis, Timestamp};
@@ -33,6 +33,9 @@
     /// The departure is committed, but requests may still reach the engine.
     #[error(transparent)]
     NotQuiescent(#[from] NotQuiescent),
+    /// The call does not tell which incarnation leaves. The state is unchanged.
+    #[error("engine departure: {0}")]
+    Ambiguous(#[from] AmbiguousIncarnation),
 }
 
 impl ControlNode {
@@ -154,7 +157,8 @@
     ///
     /// # Errors
     ///
-    /// The departure could not be committed. All connected processes have received it.
+    /// The departure could not be committed; all connected processes have received it. Or the call
+    /// may be of an earlier incarnation.
     pub async fn engine_left(
         &self,
         id: &str,
@@ -165,7 +169,10 @@
             let state = &mut *self.state.borrow_mut();
             let engine = match started_at_ms {
                 Some(_) => BackEndName::of_incarnation(id, started_at_ms),
-                None => state.directory.departing_incarnation(now, id),
+                None => state
+                    .directory
+                    .departing_incarnation(now, id)
+                    .inspect_err(|error| log::warn!(engine = id; "not acknowledged: {error}"))?,
             };
             let notice = state.directory.mark_gone(now, &engine);
             let message = FleetMessage::Engines(vec![notice.clone()]);
--- a/crates/gateway-core/src/directory.rs
+++ b/crates/gateway-core/src/directory.rs
@@ -21,6 +21,7 @@
 use crate::engine_notice::{DirectoryDelta, EngineNotice, EngineState, MergeOutcome};
 use stackpost_types::{BackEndName, Millis, SoftwareVersion, Timestamp, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
+use thiserror::Error;
 
 /// Time for which an engine that has left is remembered, so that late notices do not revive it.
 const GONE_RETENTION: Millis = Millis(180_000);
@@ -37,6 +38,11 @@
 /// one may have been delayed; between two, its sender's successor would announce itself.
 const ANNOUNCEMENTS_TO_RECLAIM: u32 = 2;
 
+/// A leave call may be of this incarnation of an engine or of the previous one.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("the leave call may be of a predecessor of {0}")]
+pub struct AmbiguousIncarnation(pub BackEndName);
+
 /// An engine as known to this process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EngineRecord {
@@ -254,17 +260,36 @@
         holder.map_or(Timestamp(0), |holder| holder.announced_at)
     }
 
-    /// The incarnation of an engine that a leave call without a start time refers to: the newest,
-    /// unless it is so new that a leave call of the previous one may still be in flight.
-    pub fn departing_incarnation(&self, now: Timestamp, id: &str) -> BackEndName {
-        let mut incarnations: Vec<&EngineRecord> = self.incarnations(id).collect();
-        incarnations.sort_by_key(|record| std::cmp::Reverse(record.notice.engine.started_at_ms()));
-        let departing = match incarnations.as_slice() {
-            [newest, older, ..] if now.since(newest.known_since) < MAX_LEAVE_DELAY => older,
-            [newest, ..] => newest,
-            [] => return BackEndName::of_incarnation(id, None),
+    /// The incarnation of an engine that a leave call without a start time refers to: the newest.
+    ///
+    /// # Errors
+    ///
+    /// The newest is so new that a leave call of the previous one may still be in flight.
+    pub fn departing_incarnation(
+        &self,
+        now: Timestamp,
+        id: &str,
+    ) -> Result<BackEndName, AmbiguousIncarnation> {
+        let newest = self.incarnations(id).max_by_key(|one| one.notice.engine.started_at_ms());
+        let Some(newest) = newest else {
+            return Ok(BackEndName::of_incarnation(id, None));
         };
-        departing.notice.engine.clone()
+        let has_restarted = newest.notice.engine.started_at_ms() > 0;
+        if has_restarted && now.since(newest.known_since) < MAX_LEAVE_DELAY {
+            return Err(AmbiguousIncarnation(newest.notice.engine.clone()));
+        }
+        Ok(newest.notice.engine.clone())
+    }
+
+    /// The incarnations that a departure may concern: one without a start time may be that of any
+    /// incarnation, since the process that received the leave call may not have known them.
+    pub fn departing_incarnations<'a>(
+        &'a self,
+        departing: &'a BackEndName,
+    ) -> impl Iterator<Item = &'a EngineRecord> {
+        let names_any = departing.started_at_ms() == 0;
+        self.incarnations(departing.id())
+            .filter(move |record| names_any || record.notice.engine == *departing)
     }
 
     /// Records that an engine has left and returns the notice to pass on. An engine that is not
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -139,7 +139,7 @@
 pub use departures::{
     DepartureChange, DepartureDelta, DepartureRecord, Departures, KnownDepartures, MAX_DEPARTURES,
 };
-pub use directory::{EngineDirectory, EngineRecord};
+pub use directory::{AmbiguousIncarnation, EngineDirectory, EngineRecord};
 pub use engine_choice::{AttemptEnd, EngineChoice, PickQuery, ServiceAvailability, Standing};
 pub use engine_list::{EngineListDigest, EngineSubscription};
 pub use engine_load::{EngineLoad, EngineLoadUpdate, GenerationWork, Placement, PlacementEstimate};
--- a/crates/gateway-core/tests/engine_incarnations.rs
+++ b/crates/gateway-core/tests/engine_incarnations.rs
@@ -95,14 +95,34 @@
 
 /// A leave call without a start time does not identify the incarnation.
 #[test]
-fn a_possibly_late_leave_call_ends_the_older_incarnation() {
+fn a_leave_call_shortly_after_a_restart_ends_no_incarnation() {
     let mut directory = EngineDirectory::default();
     directory.merge(NOW, notice(1, 90, EngineState::Ready));
-    directory.merge(NOW + Millis(3_000), notice(2, 1, EngineState::Ready));
-    assert_eq!(directory.departing_incarnation(NOW + Millis(4_000), ID), incarnation(1));
-    assert_eq!(directory.departing_incarnation(NOW + Millis(60_000), ID), incarnation(2));
+    let restarted_at = NOW + Millis(3_000);
+    directory.merge(restarted_at, notice(2, 1, EngineState::Ready));
+    let ambiguous = Err(AmbiguousIncarnation(incarnation(2)));
+    let known_at = restarted_at + Millis(5_000);
+    assert_eq!(directory.departing_incarnation(Timestamp(known_at.0 - 1), ID), ambiguous);
+    assert_eq!(directory.departing_incarnation(known_at, ID), Ok(incarnation(2)));
     let unknown = directory.departing_incarnation(NOW, "e7");
-    assert_eq!(unknown, BackEndName::of_incarnation("e7", None));
+    assert_eq!(unknown, Ok(BackEndName::of_incarnation("e7", None)));
+}
+
+/// Guards against an acknowledgement by a process that has just started and knows no incarnation.
+#[test]
+fn a_departure_without_a_start_time_concerns_every_incarnation() {
+    let mut directory = EngineDirectory::default();
+    directory.merge(NOW, notice(1, 90, EngineState::Ready));
+    directory.merge(NOW, notice(2, 1, EngineState::Ready));
+    let unnamed = BackEndName::of_incarnation(ID, None);
+    let in_service = |directory: &EngineDirectory, departing: &BackEndName| {
+        directory.departing_incarnations(departing).any(|one| directory.is_in_service(one))
+    };
+    directory.mark_gone(NOW, &unnamed);
+    assert!(in_service(&directory, &unnamed));
+    assert!(!in_service(&directory, &incarnation(1)));
+    directory.mark_gone(NOW, &incarnation(2));
+    assert!(!in_service(&directory, &unnamed));
 }
 
 /// A process that has just started receives incarnations from others, which have known them for
@@ -119,7 +139,7 @@
     }
     assert_eq!(
         new_process.departing_incarnation(Timestamp::PROCESS_START + Millis(50), ID),
-        incarnation(2)
+        Ok(incarnation(2))
     );
 }
 
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -328,11 +328,15 @@
 
     /// What this router knows of its requests at a departing engine.
     pub(crate) fn traffic(&self, engine: &BackEndName) -> EngineTraffic {
-        if self.directory.borrow().accepts_requests(engine) {
+        let (directory, picker) = (self.directory.borrow(), self.picker.borrow());
+        if directory.departing_incarnations(engine).any(|one| directory.is_in_service(one)) {
             return EngineTraffic::Ongoing;
         }
-        let picker = self.picker.borrow();
-        let newest = picker.unread(engine).and_then(|unread| unread.newest(self.now()));
+        let incarnations = directory.departing_incarnations(engine).map(|one| &one.notice.engine);
+        let newest = incarnations
+            .chain([engine])
+            .filter_map(|engine| picker.unread(engine)?.newest(self.now()))
+            .max();
         newest.map_or(EngineTraffic::AllRead, EngineTraffic::UnreadSince)
     }
 
