--- a/crates/gateway/tests/fleet/main.rs
+++ b/crates/gateway/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod connection_shedding;
 mod control_metrics;
 mod crashing_requests;
+mod cut_responses;
 mod departure_log;
 mod departures;
 mod endless_responses;
