A voter that was removed while it was cut off learns it from the leader

Cause: a leader sends its log to voters and learners only, so a voter that is removed while it is cut off never receives the entry that removes it. It asked for pre-votes with the voters of that time to the end, and refused every engine and operator that called it.

Change, without a new message: a replica in the lease of a leader passes the pre-vote of a machine that is no voter on to the leader, and the leader sends that machine its log until it has the entry. It is then a standby machine that follows the leader. Weighed: a reply that names the voters (a new message, which an older version cannot read).

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -16,6 +16,7 @@
         self.reads.clear();
         self.progress.clear();
         self.learners.clear();
+        self.former_voters.clear();
         self.reset_campaign_timer();
     }
 
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -7,7 +7,7 @@
 //! an entry of its own term are committed: otherwise two leaders could be two changes apart, with
 //! disjoint majorities.
 
-use crate::message::{LogIndex, Payload, Term, Voters};
+use crate::message::{Envelope, LogIndex, Message, Payload, Term, Voters};
 use crate::raft::{NotLeader, Progress, Raft, Role};
 use stackpost_types::{MachineName, Millis};
 use std::collections::BTreeSet;
@@ -79,10 +79,45 @@
         Ok((self.hard_state.term, index))
     }
 
+    /// Handles the pre-vote of a machine that is no voter while a leader holds a lease. It was removed
+    /// while it was cut off, so no leader sends it the log: the leader does so until it has the entry
+    /// that removes it, and other replicas pass the message on to the leader. Returns whether that
+    /// was done.
+    pub(crate) fn informs_former_voter(&mut self, envelope: &Envelope) -> bool {
+        let from = &envelope.from;
+        let is_pre_vote = matches!(envelope.message, Message::PreVote { .. });
+        if !is_pre_vote || self.voters().contains_key(from) || !self.is_voter() {
+            return false;
+        }
+        match (self.role, self.leader.clone()) {
+            (Role::Leader, _) => {
+                self.former_voters.insert(from.clone());
+                self.update_followers();
+                self.send_append(from.clone());
+                true
+            }
+            (Role::Follower, Some(leader)) if self.in_lease_of_leader() => {
+                self.messages.push((leader, envelope.clone()));
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Stops sending the log to a former voter that has the entry which removes it.
+    pub(crate) fn on_former_voter_reply(&mut self, name: &MachineName, matched: LogIndex) {
+        let voters_index = self.log.voters_index();
+        if voters_index <= self.commit && matched >= voters_index && self.former_voters.remove(name)
+        {
+            self.update_followers();
+        }
+    }
+
     /// Tracks the progress of exactly the machines that receive this leader's log.
     fn update_followers(&mut self) {
         let voters = self.log.voters();
         self.learners.retain(|machine| !voters.contains_key(machine));
+        self.former_voters.retain(|machine| !voters.contains_key(machine));
         let followers: BTreeSet<MachineName> = self.followers().into_iter().collect();
         followers.iter().for_each(|machine| self.track_progress(machine.clone()));
         self.progress.retain(|machine, _| followers.contains(machine));
@@ -127,7 +162,8 @@
 
     /// All machines that receive this leader's log.
     pub(crate) fn followers(&self) -> Vec<MachineName> {
-        self.other_voters().into_iter().chain(self.learners.iter().cloned()).collect()
+        let others = self.learners.union(&self.former_voters).cloned();
+        self.other_voters().into_iter().chain(others).collect()
     }
 
     /// Number of voters in a majority.
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -100,6 +100,9 @@
     pub(crate) rng: ChaCha8Rng,
     /// Machines that receive the log but do not vote. Kept by the leader only; not durable.
     pub(crate) learners: BTreeSet<MachineName>,
+    /// Machines that do not know yet that they are no voters any more. Kept by the leader only; not
+    /// durable.
+    pub(crate) former_voters: BTreeSet<MachineName>,
     pub(crate) hard_state: HardState,
     pub(crate) log: Log,
     pub(crate) commit: LogIndex,
@@ -148,6 +151,7 @@
             config,
             rng,
             learners: BTreeSet::new(),
+            former_voters: BTreeSet::new(),
             hard_state: restored.hard_state,
             commit,
             role: Role::Follower,
@@ -245,7 +249,7 @@
     /// Processes a message.
     pub fn step(&mut self, now: Timestamp, envelope: Envelope) {
         self.now = self.now.max(now);
-        if self.is_reply_from_unknown(&envelope) {
+        if self.is_reply_from_unknown(&envelope) || self.informs_former_voter(&envelope) {
             return;
         }
         self.observe_term(&envelope);
@@ -373,8 +377,10 @@
             envelope.message,
             Message::AppendReply { .. } | Message::PreVoteReply { .. } | Message::VoteReply { .. }
         );
-        let is_known =
-            self.voters().contains_key(&envelope.from) || self.learners.contains(&envelope.from);
+        let from = &envelope.from;
+        let is_known = self.voters().contains_key(from)
+            || self.learners.contains(from)
+            || self.former_voters.contains(from);
         is_reply && !is_known
     }
 
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -56,7 +56,7 @@
         }
     }
 
-    fn send_append(&mut self, to: MachineName) {
+    pub(crate) fn send_append(&mut self, to: MachineName) {
         let term = self.hard_state.term;
         let round = self.round;
         let Some(progress) = self.progress.get_mut(&to) else {
@@ -183,10 +183,11 @@
             progress.round = round;
             progress.round_sent = sent;
         }
-        let is_behind = progress.next <= last;
+        let (is_behind, matched) = (progress.next <= last, progress.matched);
         if !accepted || is_behind {
             self.send_append(from.clone());
         }
+        self.on_former_voter_reply(&from, matched);
         self.advance_commit();
         self.confirm_reads();
     }
