An engine that took a crashed one's address does not show that the crashed one runs

A router that was isolated meanwhile probed for up to 5 s; 2 s after the crash a successor listened at the same address and accepted, so the part was cleared (control: 'request quarantined' at 58.176, routers 'connected to the engines again' at 59.91, 'request let in again' at 59.948), 42 times.

Change: a probe that is accepted a second or more after the end of the connection shows nothing.

--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -193,7 +193,8 @@
     /// Probes an engine once it has had the time to exit, and again while it does not respond. An
     /// isolated router waits until it reaches engines again.
     async fn probe_until_known(self: &Rc<Self>, engine: &BackEndName) -> Liveness {
-        let until = Instant::now() + MAX_PROBING_TIME;
+        let ended_at = Instant::now();
+        let until = ended_at + MAX_PROBING_TIME;
         loop {
             // Probes of several engines that fail at the same moment would look like isolation.
             sleep(EXIT_TIME.mul_f64(1.0 + rand::random::<f64>())).await;
@@ -201,7 +202,8 @@
             if self.is_isolated() && !is_last {
                 continue;
             }
-            let liveness = self.probe_liveness(engine).await;
+            let elapsed = ended_at.elapsed();
+            let liveness = self.probe_liveness(engine).await.shown_after(elapsed);
             if liveness != Liveness::Unknown || is_last {
                 return liveness;
             }
--- a/crates/gateway/src/liveness_probe.rs
+++ b/crates/gateway/src/liveness_probe.rs
@@ -28,6 +28,10 @@
 // Otherwise a relay's own timeout would look like a refusal.
 const _: () = assert!(RELAYED_PROBE_TIMEOUT.as_millis() < CONNECT_TIMEOUT.as_millis());
 
+/// Time after the end of a connection from which another engine may have taken the address: a
+/// restarted one, or one of another service.
+const ADDRESS_REUSE_TIME: Duration = Duration::from_secs(1);
+
 /// Whether an engine still runs, as far as a probe can tell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Liveness {
@@ -40,6 +44,14 @@
 }
 
 impl Liveness {
+    /// What the result shows if the connection had ended this long before the probe.
+    pub fn shown_after(self, elapsed: Duration) -> Self {
+        match self {
+            Self::Running if elapsed >= ADDRESS_REUSE_TIME => Self::Unknown,
+            Self::Running | Self::Ended | Self::Unknown => self,
+        }
+    }
+
     /// The result as written in metrics.
     pub fn as_str(self) -> &'static str {
         match self {
