--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -83,7 +83,7 @@
     /// while it was cut off, so no leader sends it the log: the leader does so until it has the entry
     /// that removes it, and other replicas pass the message on to the leader. Returns whether that
     /// was done.
-    pub(crate) fn informs_former_voter(&mut self, envelope: &Envelope) -> bool {
+    pub(crate) fn inform_former_voter(&mut self, envelope: &Envelope) -> bool {
         let from = &envelope.from;
         let is_pre_vote = matches!(envelope.message, Message::PreVote { .. });
         if !is_pre_vote || self.voters().contains_key(from) || !self.is_voter() {
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -249,7 +249,7 @@
     /// Processes a message.
     pub fn step(&mut self, now: Timestamp, envelope: Envelope) {
         self.now = self.now.max(now);
-        if self.is_reply_from_unknown(&envelope) || self.informs_former_voter(&envelope) {
+        if self.is_reply_from_unknown(&envelope) || self.inform_former_voter(&envelope) {
             return;
         }
         self.observe_term(&envelope);
--- a/crates/gateway-core/src/request_evidence.rs
+++ b/crates/gateway-core/src/request_evidence.rs
@@ -7,11 +7,11 @@
 //!
 //! Invariants:
 //! - Evidence is final: what follows on the connection does not change it.
-//! - [`Evidence::Response`] and [`Evidence::Reset`] are given only if the engine reads no byte of the
-//!   request later than now.
-//! - An end of the engine's direction is no evidence by itself. It is evidence after this router's own
-//!   end, which is read after the request, unless other bytes show that the engine answers without
-//!   reading.
+//! - [`Evidence::Response`] is given only if the engine has read the head of the request, and
+//!   [`Evidence::Reset`] only if it will never read it.
+//! - An end of the engine's direction is no evidence by itself. After this router's own end it is weak
+//!   evidence: that end is read after the request, but the engine may have ended its direction for
+//!   another reason. It is none if other bytes show that the engine sends without reading.
 
 /// How a connection reaches its engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
