A voter that restarts counts its own vote only after the lease that it may have promised

Cause: a replica asks for pre-votes 150 to 300 ms after its start and counted itself at once, although it may have promised a leader a lease of 700 ms just before it stopped; to others it refuses its vote for so long. With one more vote, of a machine that is cut off from the leader, two leaders held a lease: reads and acknowledgements by lease rest on there being one.

Change: its own vote counts once it would give it to another. If every voter has just started, nothing changes, since no lease is left then.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -25,8 +25,10 @@
     pub(crate) fn start_pre_vote(&mut self) {
         self.role = Role::PreCandidate;
         self.leader = None;
-        self.votes = [self.config.name.clone()].into();
         self.just_started = [self.config.name.clone()].into();
+        // A replica that has just started may have promised a lease that still lasts.
+        let is_free = !self.in_lease_of_leader();
+        self.votes = is_free.then(|| self.config.name.clone()).into_iter().collect();
         self.retry_campaign_soon();
         let term = self.hard_state.term + 1;
         self.elections.push(ElectionEvent::PreVoteRequested { term });
