--- a/crates/consensus/tests/large_entries.rs
+++ b/crates/consensus/tests/large_entries.rs
@@ -1,11 +1,15 @@
 //! Followers catch up by bytes, whatever the sizes of entries and whichever messages are lost.
 
+#[allow(dead_code)]
+mod support;
+
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use stackpost_consensus::*;
 use stackpost_types::{MachineName, Millis, Timestamp};
 use std::collections::BTreeMap;
+use support::drain;
 
 /// Messages above this size can't be sent.
 const FRAME_LIMIT: usize = 16 * 1024 * 1024;
@@ -80,7 +84,7 @@
         self.replicas.values_mut().for_each(|raft| raft.tick(self.now));
         loop {
             let sent: Vec<(MachineName, Envelope)> =
-                self.replicas.values_mut().flat_map(drain).collect();
+                self.replicas.values_mut().flat_map(|raft| drain(raft).messages).collect();
             if sent.is_empty() {
                 return;
             }
@@ -111,21 +115,6 @@
     }
 }
 
-/// Acts as the driver, with a disk that syncs at once.
-fn drain(raft: &mut Raft) -> Vec<(MachineName, Envelope)> {
-    let mut sent = Vec::new();
-    loop {
-        let ready = raft.ready();
-        if ready.is_empty() {
-            return sent;
-        }
-        if ready.must_sync() {
-            raft.advance();
-        }
-        sent.extend(ready.messages);
-    }
-}
-
 /// Commits entries while one follower is isolated, then lets it return.
 fn follower_catches_up(seed: u64, sizes: &[usize], loss: f64) {
     let mut group = Group::new(seed, loss);
--- a/crates/consensus/tests/membership.rs
+++ b/crates/consensus/tests/membership.rs
@@ -1,9 +1,13 @@
 //! Membership: the voters are those of the newest entry in the log that names any, committed or
 //! not.
 
+#[allow(dead_code)]
+mod support;
+
 use stackpost_consensus::*;
 use stackpost_types::{MachineName, Millis, Timestamp};
 use std::collections::BTreeMap;
+use support::{drain, restored};
 
 const ELECTION_TIMEOUT: Millis = Millis(700);
 
@@ -65,7 +69,7 @@
         self.replicas.values_mut().for_each(|raft| raft.tick(self.now));
         loop {
             let sent: Vec<(MachineName, Envelope)> =
-                self.replicas.values_mut().flat_map(drain).collect();
+                self.replicas.values_mut().flat_map(|raft| drain(raft).messages).collect();
             if sent.is_empty() {
                 return;
             }
@@ -83,21 +87,6 @@
     }
 }
 
-/// Acts as the driver, with a disk that syncs at once.
-fn drain(raft: &mut Raft) -> Vec<(MachineName, Envelope)> {
-    let mut sent = Vec::new();
-    loop {
-        let ready = raft.ready();
-        if ready.is_empty() {
-            return sent;
-        }
-        if ready.must_sync() {
-            raft.advance();
-        }
-        sent.extend(ready.messages);
-    }
-}
-
 #[test]
 fn voters_change_one_at_a_time_and_one_machine_each() {
     let (mut group, leader) = Group::elected();
@@ -148,11 +137,7 @@
     raft.compact(before, Vec::new());
     assert_eq!(raft.snapshot_index(), before);
     assert_eq!(raft.snapshot().voters, voters(&["a", "b", "c"]));
-    let restored = RestoredState {
-        hard_state: raft.hard_state().clone(),
-        snapshot: raft.snapshot().clone(),
-        entries: raft.entries_after_snapshot(),
-    };
+    let restored = restored(raft);
     let restarted = new_replica(leader.as_str(), restored, group.now);
     assert_eq!(*restarted.voters(), one_more, "the entry after the snapshot takes effect");
 }
--- a/crates/consensus/tests/removed_voters.rs
+++ b/crates/consensus/tests/removed_voters.rs
@@ -1,9 +1,12 @@
 //! Voters that are removed while they are cut off learn it once they are connected again.
 
+mod support;
+
 use proptest::prelude::*;
 use stackpost_consensus::*;
 use stackpost_types::{MachineName, Millis, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
+use support::{drain, restored};
 
 const ELECTION_TIMEOUT: Millis = Millis(700);
 const STEP: Millis = Millis(25);
@@ -125,7 +128,13 @@
         loop {
             let mut sent = Vec::new();
             for raft in self.replicas.values_mut() {
-                sent.extend(drain(raft, &mut self.refusals));
+                let output = drain(raft);
+                sent.extend(output.messages);
+                for event in output.elections {
+                    if let ElectionEvent::Refused { candidate, .. } = event {
+                        *self.refusals.entry(candidate).or_default() += 1;
+                    }
+                }
             }
             if sent.is_empty() {
                 return;
@@ -164,12 +173,7 @@
     fn restart(&mut self, machine: &MachineName) {
         let now = self.now;
         let raft = self.raft(machine);
-        let restored = RestoredState {
-            hard_state: raft.hard_state().clone(),
-            snapshot: raft.snapshot().clone(),
-            entries: raft.entries_after_snapshot(),
-        };
-        *raft = new_replica(machine, restored, now);
+        *raft = new_replica(machine, restored(raft), now);
     }
 
     fn add_standby(&mut self, leader: &MachineName) {
@@ -182,29 +186,6 @@
     }
 }
 
-/// Acts as the driver, with a disk that syncs at once.
-fn drain(
-    raft: &mut Raft,
-    refusals: &mut BTreeMap<MachineName, usize>,
-) -> Vec<(MachineName, Envelope)> {
-    let mut sent = Vec::new();
-    loop {
-        let ready = raft.ready();
-        if ready.is_empty() {
-            return sent;
-        }
-        if ready.must_sync() {
-            raft.advance();
-        }
-        for event in ready.elections {
-            if let ElectionEvent::Refused { candidate, .. } = event {
-                *refusals.entry(candidate).or_default() += 1;
-            }
-        }
-        sent.extend(ready.messages);
-    }
-}
-
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, ..ProptestConfig::default() })]
 
--- a/crates/consensus/tests/restarted_voter.rs
+++ b/crates/consensus/tests/restarted_voter.rs
@@ -1,8 +1,12 @@
 //! A voter that restarts may have promised a leader its lease shortly before.
 
+#[allow(dead_code)]
+mod support;
+
 use stackpost_consensus::*;
 use stackpost_types::{MachineName, Millis, Timestamp};
 use std::collections::BTreeMap;
+use support::{drain, restored};
 
 const STEP: Millis = Millis(25);
 /// Steps in which a lease that is not renewed runs out.
@@ -48,7 +52,7 @@
         self.replicas.values_mut().for_each(|raft| raft.tick(self.now));
         loop {
             let sent: Vec<(MachineName, Envelope)> =
-                self.replicas.values_mut().flat_map(drain).collect();
+                self.replicas.values_mut().flat_map(|raft| drain(raft).messages).collect();
             if sent.is_empty() {
                 return;
             }
@@ -73,31 +77,11 @@
     }
 
     fn restart(&mut self, machine: &MachineName, seed: u64) {
-        let raft = &self.replicas[machine];
-        let restored = RestoredState {
-            hard_state: raft.hard_state().clone(),
-            snapshot: raft.snapshot().clone(),
-            entries: raft.entries_after_snapshot(),
-        };
+        let restored = restored(&self.replicas[machine]);
         self.replicas.insert(machine.clone(), new_replica(machine, seed, restored, self.now));
     }
 }
 
-/// Acts as the driver, with a disk that syncs at once.
-fn drain(raft: &mut Raft) -> Vec<(MachineName, Envelope)> {
-    let mut sent = Vec::new();
-    loop {
-        let ready = raft.ready();
-        if ready.is_empty() {
-            return sent;
-        }
-        if ready.must_sync() {
-            raft.advance();
-        }
-        sent.extend(ready.messages);
-    }
-}
-
 /// Guards against two leaders with a lease: a voter counts its own vote although it has promised
 /// none before its restart.
 #[test]
