A late acceptance ends the probing of an engine

By reading: since a probe that is accepted a second or more after the end of the connection was taken for no result and repeated for up to 5 s, up to 40 connections each; an engine that left in that time would have counted as crashed. It ends the probing again, with nothing shown. No test of its own: the tests of crashing parts and requests run through it.

--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -203,9 +203,9 @@
                 continue;
             }
             let elapsed = ended_at.elapsed();
-            let liveness = self.probe_liveness(engine).await.shown_after(elapsed);
+            let liveness = self.probe_liveness(engine).await;
             if liveness != Liveness::Unknown || is_last {
-                return liveness;
+                return liveness.shown_after(elapsed);
             }
         }
     }
