--- a/review/harness-2/event_ids.rs
+++ b/review/harness-2/event_ids.rs
@@ -12,7 +12,7 @@
 
 /// Ids count up from the time of day in nanoseconds at which the service was set up.
 const FIRST_ID: u64 = 1_796_593_740_000_000_000;
-const EVENTS: u64 = 40;
+const EVENTS: u64 = 80;
 const EVENT_PAUSE: Duration = Duration::from_millis(60);
 const CLIENTS: u64 = 12;
 /// Time for which the killed router is down.
@@ -108,7 +108,7 @@
             thread::spawn(move || client(&world, number, &addresses))
         })
         .collect();
-    thread::sleep(EVENT_PAUSE * 16);
+    thread::sleep(EVENT_PAUSE * 25);
     if trouble {
         world.record.note(&format!("node_kill: {} is killed", routers[0].name));
         world.fleet.kill(routers[0]);
--- a/review/harness-2/memory.rs
+++ b/review/harness-2/memory.rs
@@ -19,7 +19,7 @@
 const WAVES: usize = 3;
 /// Routers that the burst meets.
 const MET: usize = 4;
-const WORK: Duration = Duration::from_millis(600);
+const WORK: Duration = Duration::from_millis(1_200);
 const RESTART_DELAY: Duration = Duration::from_millis(500);
 
 /// The platform kills a process that goes over its memory and starts it again.
