--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -39,7 +39,7 @@
     let small = |routers| Sizes { routers, router_memory_mb: 260 };
     let (sizes, case): (Sizes, Case) = match name.as_str() {
         "keep-alive" => (small(6), keep_alive::play),
-        "event-ids" => (small(6), event_ids::play),
+        "event-ids" => (Sizes { routers: 7, router_memory_mb: 110 }, event_ids::play),
         "budget" => (small(6), budget::play),
         "slots" => (small(6), slots::play),
         "invalid" => (small(3), invalid::play),
