Last-Event-Id reaches engines exactly, or the request is refused

Change: `EventId` holds 64 bits and is parsed from the plain decimal form alone. Callers' requests, engines' events and what is sent to engines use this one type, so that the text that an engine gets is the one that an engine wrote.

--- a/crates/gateway-core/src/event_stream.rs
+++ b/crates/gateway-core/src/event_stream.rs
@@ -1,6 +1,7 @@
 //! Splits a stream of server-sent events into whole events.
 
 use bytes::{Bytes, BytesMut};
+use stackpost_types::EventId;
 
 /// Maximum size of an event.
 pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
@@ -10,8 +11,8 @@
 pub struct Event {
     /// Its bytes, including the blank line that ends it.
     pub bytes: Bytes,
-    /// Its id, if it has a numeric one.
-    pub id: Option<u64>,
+    /// Its id, if it has one that an engine can be asked to resume after.
+    pub id: Option<EventId>,
 }
 
 /// Splits a stream of bytes into whole events. Bytes of an incomplete event are buffered.
@@ -72,7 +73,7 @@
     }
 }
 
-fn event_id(event: &[u8]) -> Option<u64> {
+fn event_id(event: &[u8]) -> Option<EventId> {
     event.split(|byte| *byte == b'\n').find_map(|line| {
         let value = line.strip_prefix(b"id:")?;
         std::str::from_utf8(value).ok()?.trim().parse().ok()
--- a/crates/gateway-core/tests/limits.rs
+++ b/crates/gateway-core/tests/limits.rs
@@ -55,7 +55,7 @@
         }
         let joined: Vec<u8> = events.iter().flat_map(|event| event.bytes.to_vec()).collect();
         prop_assert_eq!(joined, bytes);
-        prop_assert!(events.iter().zip(1..).all(|(event, id)| event.id == Some(id)));
+        prop_assert!(events.iter().zip(1..).all(|(event, id)| event.id == Some(EventId(id))));
         prop_assert!(!splitter.is_mid_event());
     }
 }
@@ -64,7 +64,7 @@
 fn an_incomplete_event_is_buffered() {
     let mut splitter = EventSplitter::default();
     splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
-    assert_eq!(splitter.next_event().and_then(|event| event.id), Some(1));
+    assert_eq!(splitter.next_event().and_then(|event| event.id), Some(EventId(1)));
     assert_eq!(splitter.next_event(), None);
     assert!(splitter.is_mid_event());
 }
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -10,7 +10,7 @@
     Fingerprint, HolderChange, KnownCapacity, RateChange, ShortageChange,
 };
 use stackpost_prepaid::BudgetForecast;
-use stackpost_types::{BackEndName, Millis, ServiceName, TenantName, Timestamp, Tokens};
+use stackpost_types::{BackEndName, EventId, Millis, ServiceName, TenantName, Timestamp, Tokens};
 use std::time::Duration;
 
 /// A request is refused because its tenant's budget does not cover it at present. `step` is what
@@ -331,12 +331,16 @@
 }
 
 /// A stream is resumed at another engine after the last event that was forwarded.
-pub(crate) fn resuming_stream(context: &RequestContext, engine: &EngineRecord, last_event: u64) {
+pub(crate) fn resuming_stream(
+    context: &RequestContext,
+    engine: &EngineRecord,
+    last_event: EventId,
+) {
     log::info!(
         request = context.payload.caller.id.as_str(),
         engine = engine.notice.engine.as_str(),
         software = engine.notice.software.as_str(),
-        last_event = last_event;
+        last_event = last_event.0;
         "resuming stream at another engine"
     );
 }
@@ -400,7 +404,7 @@
     log::info!(
         request = caller.id.as_str(),
         resumes = caller.resumes.as_deref(),
-        last_event = caller.last_event,
+        last_event = caller.last_event.map(|event| event.0),
         engine = attempt.name().as_str(),
         software = attempt.engine().notice.software.as_str();
         "stream resumed for the caller"
--- a/crates/gateway/src/engine_attempt.rs
+++ b/crates/gateway/src/engine_attempt.rs
@@ -8,7 +8,7 @@
 use crate::request::{Progress, RequestContext};
 use crate::reservation::Reservation;
 use stackpost_gateway_core::HedgeTerms;
-use stackpost_types::Millis;
+use stackpost_types::{EventId, Millis};
 use tokio::time::Instant;
 
 /// Silence before the first part of a response after which another engine is asked, in percent of
@@ -27,7 +27,7 @@
     pub async fn attempt(
         &self,
         start: AttemptStart,
-        last_event: Option<u64>,
+        last_event: Option<EventId>,
     ) -> Result<EngineResponse, FailedAttempt> {
         let (engine, started) = (start.selected.choice.engine.clone(), Instant::now());
         let name = &engine.notice.engine;
--- a/crates/gateway/src/header_codec.rs
+++ b/crates/gateway/src/header_codec.rs
@@ -2,7 +2,7 @@
 
 use hyper::{HeaderMap, StatusCode};
 use stackpost_gateway_core::{Fingerprint, RateStatement};
-use stackpost_types::{BackEndName, Millis, TenantName, Tokens};
+use stackpost_types::{BackEndName, EventId, Millis, TenantName, Tokens};
 use thiserror::Error;
 
 /// What the headers of a caller's request state.
@@ -17,7 +17,7 @@
     /// Set for requests to model engines.
     pub generation: Option<Generation>,
     /// The last event that the caller received of a stream that it resumes.
-    pub last_event: Option<u64>,
+    pub last_event: Option<EventId>,
     /// The id of the caller's attempt that began the stream that it resumes.
     pub resumes: Option<String>,
     /// The parts of the prompt that other requests may share, in order.
@@ -64,7 +64,7 @@
     /// Priority; 0 is the highest.
     pub priority: u32,
     /// The event after which a stream is to be resumed.
-    pub last_event: Option<u64>,
+    pub last_event: Option<EventId>,
     /// Whether callers' keys must be removed.
     pub strip_key: bool,
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -22,7 +22,7 @@
 use stackpost_gateway_core::{
     AttemptEnd, Event, EventSplitter, ReaderTerms, may_have_ended_unread,
 };
-use stackpost_types::Millis;
+use stackpost_types::{EventId, Millis};
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -119,7 +119,7 @@
     async fn deliver(
         mut self,
         context: &RequestContext,
-        last_event: Option<u64>,
+        last_event: Option<EventId>,
     ) -> Result<Delivery, FailedAttempt> {
         let part = loop {
             match self.next().await {
@@ -193,7 +193,7 @@
 async fn resume_at(
     context: &RequestContext,
     start: AttemptStart,
-    last_event: u64,
+    last_event: EventId,
 ) -> Result<Delivery, FailedAttempt> {
     decision_log::resuming_stream(context, &start.selected.choice.engine, last_event);
     let response = context.attempt(start, Some(last_event)).await?;
@@ -254,7 +254,7 @@
     context: RequestContext,
     progress: Progress,
     sender: ChunkSender,
-    last_event: Option<u64>,
+    last_event: Option<EventId>,
     /// When the last event was received.
     last_event_at: Instant,
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,12 +4,14 @@
 //! can't be passed where a machine name is expected.
 
 mod error;
+mod event_id;
 mod hash;
 mod names;
 mod quantities;
 mod request_rate;
 
 pub use error::{PeerError, Step};
+pub use event_id::{EventId, ParseEventIdError};
 pub use hash::{Digest, KeyHash, rendezvous_rank};
 pub use names::*;
 pub use quantities::{Millis, Timestamp, Tokens, WallTime};
