A stream is resumed only after an event whose id is known exactly

A caller got a piece twice: an engine's event carried data without an id, or with one beyond 64 bits or not in plain decimal form; its engine broke off, and the router resumed the stream after the last id that it could read, which lies before that event.

Cause: `event.id.or(last_event)` kept an older id. Ids were also taken from any line of an event that could be parsed, while the last line holds.

Evidence: `stream_is_not_resumed_before_an_event_without_a_usable_id` failed before this change with the body `id: 1 a, b, b, id: 3 c`.

Change: data without a usable id ends the router's own resumption until an event with an id follows; a source that is lost meanwhile breaks the stream off (`no_event_id`), and the caller knows what it has.

--- a/crates/gateway-core/src/event_stream.rs
+++ b/crates/gateway-core/src/event_stream.rs
@@ -13,6 +13,15 @@
     pub bytes: Bytes,
     /// Its id, if it has one that an engine can be asked to resume after.
     pub id: Option<EventId>,
+    /// Whether it carries data. One without is a comment, or only changes settings of the stream.
+    pub has_data: bool,
+}
+
+impl Event {
+    fn new(bytes: Bytes) -> Self {
+        let (id, has_data) = (event_id(&bytes), lines(&bytes).any(is_data));
+        Self { bytes, id, has_data }
+    }
 }
 
 /// Splits a stream of bytes into whole events. Bytes of an incomplete event are buffered.
@@ -36,8 +45,7 @@
         };
         self.searched = 0;
         let bytes = self.pending.split_to(end).freeze();
-        let id = event_id(&bytes);
-        Some(Event { bytes, id })
+        Some(Event::new(bytes))
     }
 
     /// Whether an incomplete event is too large for more of it to be buffered.
@@ -73,9 +81,17 @@
     }
 }
 
+/// The last id of an event holds.
 fn event_id(event: &[u8]) -> Option<EventId> {
-    event.split(|byte| *byte == b'\n').find_map(|line| {
-        let value = line.strip_prefix(b"id:")?;
-        std::str::from_utf8(value).ok()?.trim().parse().ok()
-    })
+    let value = lines(event).filter_map(|line| line.strip_prefix(b"id:")).last()?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
+
+fn is_data(line: &[u8]) -> bool {
+    line == b"data" || line.starts_with(b"data:")
+}
+
+fn lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let lines = event.split(|byte| *byte == b'\n');
+    lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line))
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -254,6 +254,7 @@
     context: RequestContext,
     progress: Progress,
     sender: ChunkSender,
+    /// The event after which the stream can be resumed.
     last_event: Option<EventId>,
     /// When the last event was received.
     last_event_at: Instant,
@@ -264,7 +265,7 @@
 enum TruncationReason {
     CallerGone,
     DeadlineExceeded,
-    /// Its events have no ids after which it could be resumed.
+    /// Its last event has no id after which it could be resumed.
     NoEventId,
     /// Its source was lost, and it was not sent to another engine.
     NotResumed(NoRetry),
@@ -392,7 +393,8 @@
         if event.id.is_some() && event.id <= self.last_event {
             return Ok(());
         }
-        self.last_event = event.id.or(self.last_event);
+        // An engine that resumes after an older id would repeat data that has no usable id.
+        self.last_event = event.id.or(self.last_event.filter(|_| !event.has_data));
         self.context.reservation.iter().for_each(Reservation::on_event);
         let sending = self.sender.send(event.bytes);
         match timeout_at(self.context.deadline.timer(), sending).await {
--- a/crates/gateway/tests/fleet/main.rs
+++ b/crates/gateway/tests/fleet/main.rs
@@ -12,6 +12,7 @@
 mod endless_responses;
 mod engine_model;
 mod evacuations;
+mod event_ids;
 mod final_usage;
 mod flaky_connections;
 mod interruption_log;
