A router's share of an engine's slots is computed at once for any number of slots

Cause: `SlotShares::own_slots` computed a digest and a rank of every router for each slot that an engine states, on the one thread of the router, once engines of the service ask for backoffs or are brittle.

Change: slots are divided evenly among the present routers, the remainder goes to those that rank first for the engine. The work depends on the number of routers alone, once for each engine until the routers change. What was promised of shares still holds and is stated as invariants: they add up to the slots, a router that becomes absent takes no slot from another one, and its own come back. Shares now differ by one slot at most.

On the same path, the room of a brittle engine wrapped around when it had grown for longer than an engine with many slots needs (`growth as u32`): the same property covers it. Places of engines that are not known any more are dropped.

--- a/crates/gateway-core/src/engine_permits.rs
+++ b/crates/gateway-core/src/engine_permits.rs
@@ -360,7 +360,7 @@
     /// directory.
     pub fn remove_unknown(&mut self, now: Timestamp, directory: &EngineDirectory) {
         self.cold.remove_expired(now, |engine| directory.get(engine).is_some());
-        self.slots.remove_expired(now);
+        self.slots.remove_expired(now, |engine| directory.get(engine).is_some());
         self.rates.remove_unknown(directory);
         self.buckets.retain(|engine, _| directory.get(engine).is_some());
         self.owners.retain(|engine, _| directory.get(engine).is_some());
--- a/crates/gateway-core/src/engine_room.rs
+++ b/crates/gateway-core/src/engine_room.rs
@@ -58,7 +58,9 @@
         let Some(room) = self.rooms.get(engine) else {
             return announced;
         };
-        let growth = u64::from(announced) * now.since(room.rejected_at).0 / GROWTH_TIME.0;
-        announced.min(room.slots.saturating_add(growth as u32))
+        let elapsed = now.since(room.rejected_at).0;
+        let growth = u64::from(announced).saturating_mul(elapsed) / GROWTH_TIME.0;
+        let growth = u32::try_from(growth).unwrap_or(u32::MAX);
+        announced.min(room.slots.saturating_add(growth))
     }
 }
--- a/crates/gateway-core/src/slot_shares.rs
+++ b/crates/gateway-core/src/slot_shares.rs
@@ -3,17 +3,19 @@
 //! An engine without free capacity rejects a request, and if it also asks for a backoff, the router
 //! loses it for seconds although it has capacity again after one request. So where engines ask for
 //! backoffs, the requests of the whole fleet must fit the engines' capacity, without a message for
-//! each request: every announced slot belongs to one router, by rendezvous hashing over the running
-//! routers. A router uses its own slots first and borrows a free one of another router when it has
-//! none.
+//! each request: the announced slots are divided evenly among the running routers. The remainder
+//! belongs to the routers that rank first for the engine by rendezvous hashing. A router uses its
+//! own slots first and borrows a free one of another router when it has none.
 //!
 //! The same holds while engines are brittle, that is, fall over when they have to reject many
-//! requests. Then the slots are limited to the room that rejections leave ([`EngineRooms`]): those
-//! with the lowest numbers.
+//! requests. Then only the room that rejections leave ([`EngineRooms`]) is divided.
 //!
 //! Routers may briefly disagree about which routers run. A slot that two routers count as their own
 //! costs a rejected request; one that no router counts as its own stays unused. Nothing else
 //! depends on it.
+//!
+//! Invariants: for the same routers, the shares of an engine add up to its slots and differ by at
+//! most one. No share shrinks when a router becomes absent.
 
 use crate::directory::EngineRecord;
 use crate::engine_room::EngineRooms;
@@ -33,12 +35,21 @@
 /// meanwhile.
 const ABSENCE_TIME: Millis = Millis(1_000);
 
-/// This router's share of an engine's slots.
-#[derive(Clone, Copy, Debug, Default)]
-struct Share {
-    /// Slots of the engine that were in use by all routers when the share was computed.
-    slots: u32,
-    own: u32,
+/// This router's place among the present routers, by their rank for an engine.
+#[derive(Clone, Copy, Debug)]
+struct Place {
+    /// Number of routers that rank before this one.
+    position: u32,
+    /// Number of present routers, with this one.
+    routers: u32,
+}
+
+impl Place {
+    /// This router's share of `slots`.
+    fn share(self, slots: u32) -> u32 {
+        let has_one_more = self.position < slots % self.routers;
+        slots / self.routers + u32::from(has_one_more)
+    }
 }
 
 /// One router's view of the slots.
@@ -48,7 +59,8 @@
     /// The other routers, each with its hash for rendezvous ranking.
     others: Vec<(SocketAddr, u64)>,
     absent: HashMap<SocketAddr, Timestamp>,
-    shares: HashMap<BackEndName, Share>,
+    /// By engine; emptied whenever the present routers change.
+    places: HashMap<BackEndName, Place>,
     used: HashMap<BackEndName, u32>,
     limited_until: HashMap<ServiceName, Timestamp>,
     brittle_until: HashMap<ServiceName, Timestamp>,
@@ -62,7 +74,7 @@
             own,
             others: Vec::new(),
             absent: HashMap::new(),
-            shares: HashMap::new(),
+            places: HashMap::new(),
             used: HashMap::new(),
             limited_until: HashMap::new(),
             brittle_until: HashMap::new(),
@@ -76,7 +88,7 @@
         let has_changed = !known.eq(others);
         if has_changed {
             self.others = others.iter().map(|router| (*router, router_hash(*router))).collect();
-            self.shares.clear();
+            self.places.clear();
         }
         has_changed
     }
@@ -84,7 +96,7 @@
     /// Records that a router does not respond.
     pub fn on_no_response(&mut self, now: Timestamp, router: SocketAddr) {
         self.absent.insert(router, now + ABSENCE_TIME);
-        self.shares.clear();
+        self.places.clear();
     }
 
     /// Records that an engine of a service has asked for a backoff.
@@ -113,9 +125,10 @@
         self.brittle_until.get(service).is_some_and(|until| now < *until)
     }
 
-    /// Removes what no longer limits any engine.
-    pub fn remove_expired(&mut self, now: Timestamp) {
+    /// Removes what no longer limits any engine, and what is known of engines that are not.
+    pub fn remove_expired(&mut self, now: Timestamp, is_known: impl Fn(&BackEndName) -> bool) {
         self.rooms.remove_grown(now);
+        self.places.retain(|engine, _| is_known(engine));
     }
 
     /// Own slots of an engine that are free.
@@ -181,28 +194,33 @@
         self.expire_absences(now);
         let name = &engine.notice.engine;
         let slots = self.rooms.slots(now, name, engine.notice.slots);
-        match self.shares.get(name) {
-            Some(share) if share.slots == slots => share.own,
-            _ => {
-                let own = (0..slots).filter(|slot| self.is_own(now, name, *slot)).count() as u32;
-                self.shares.insert(name.clone(), Share { slots, own });
-                own
+        let place = match self.places.get(name) {
+            Some(place) => *place,
+            None => {
+                let place = self.place(now, name);
+                self.places.insert(name.clone(), place);
+                place
             }
-        }
+        };
+        place.share(slots)
     }
 
-    fn is_own(&self, now: Timestamp, engine: &BackEndName, slot: u32) -> bool {
-        let slot = Digest::of(&[engine.as_str().as_bytes(), &slot.to_le_bytes()]).to_u64();
-        let rank = |(router, hash): (SocketAddr, u64)| (mix(slot ^ hash), router);
+    fn place(&self, now: Timestamp, engine: &BackEndName) -> Place {
+        let key = Digest::of(&[engine.as_str().as_bytes()]).to_u64();
+        let rank = |(router, hash): (SocketAddr, u64)| (mix(key ^ hash), router);
         let own = rank((self.own, router_hash(self.own)));
-        self.present(now).all(|other| rank(*other) < own)
+        let others = self.present(now).map(|other| rank(*other));
+        others.fold(Place { position: 0, routers: 1 }, |place, other| Place {
+            position: place.position + u32::from(other > own),
+            routers: place.routers + 1,
+        })
     }
 
     fn expire_absences(&mut self, now: Timestamp) {
         let before = self.absent.len();
         self.absent.retain(|_, until| now < *until);
         if self.absent.len() < before {
-            self.shares.clear();
+            self.places.clear();
         }
     }
 }
--- a/crates/gateway-core/tests/slot_shares.rs
+++ b/crates/gateway-core/tests/slot_shares.rs
@@ -51,6 +51,31 @@
         prop_assert_eq!(owned, slots);
     }
 
+    /// Guards against a router that stands still while it computes the share of very many slots:
+    /// with work for each slot, this property runs for days.
+    #[test]
+    fn any_number_of_slots_is_shared_out(
+        routers in 1_usize..9,
+        slots in prop_oneof![Just(u32::MAX), Just(i32::MAX as u32), Just(1_000_000), 1_u32..],
+        number in 0_u8..20,
+    ) {
+        let engine = engine(number, slots);
+        let mut views = views(routers);
+        let owned = |views: &mut [SlotShares], now| -> Vec<u64> {
+            views.iter_mut().map(|view| u64::from(view.free(now, &engine))).collect()
+        };
+        let now = Timestamp(1_000);
+        let shares = owned(&mut views, now);
+        prop_assert_eq!(shares.iter().sum::<u64>(), u64::from(slots));
+        let (least, most) = (shares.iter().min(), shares.iter().max());
+        prop_assert!(most.zip(least).is_some_and(|(most, least)| most - least <= 1));
+        reject(&mut views, now, &engine);
+        let rooms = [10_001, 20_002, 86_400_000].map(|ms| owned(&mut views, now + Millis(ms)));
+        for room in rooms {
+            prop_assert_eq!(room.iter().sum::<u64>(), u64::from(slots), "the room has grown back");
+        }
+    }
+
     /// The slots of a stopped router move to the others, and no other slot moves.
     #[test]
     fn only_the_slots_of_an_absent_router_move(routers in 2_usize..9, number in 0_u8..20) {
