An engine's idle time for connections is bounded

Cause: the stated time was multiplied by 60 percent before it was bounded; `Duration` panics on an overflow, and the panic ended the task of the caller's connection.

Evidence: `response_is_delivered_whatever_idle_time_its_engine_states` failed before this change: "overflow when multiplying duration by scalar", and the caller's connection ended.

Change: a stated idle time holds up to one hour. One that is no number of 64 bits counts as not stated, as before. The stub engines of the tests of event ids and idle times are one module.

--- a/crates/gateway/src/connection_headers.rs
+++ b/crates/gateway/src/connection_headers.rs
@@ -45,9 +45,14 @@
         .any(|token| token.trim().eq_ignore_ascii_case("close"))
 }
 
-/// How long the engine keeps an idle connection, if it states that in `keep-alive`.
+/// Longest idle time of a connection that is believed. A longer one is used up to this time.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(3_600);
+
+/// How long the engine keeps an idle connection, if it states that in `keep-alive`; at most
+/// [`MAX_IDLE_TIME`].
 pub(crate) fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
     let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    seconds.trim().parse().ok().map(Duration::from_secs)
+    let stated = seconds.trim().parse().ok().map(Duration::from_secs)?;
+    Some(stated.min(MAX_IDLE_TIME))
 }
--- a/crates/gateway/tests/fleet/main.rs
+++ b/crates/gateway/tests/fleet/main.rs
@@ -15,6 +15,7 @@
 mod event_ids;
 mod final_usage;
 mod flaky_connections;
+mod idle_limits;
 mod interruption_log;
 mod isolation;
 mod load_exchange;
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -7,6 +7,7 @@
 mod lender;
 pub mod lines;
 mod raw_caller;
+mod scripted_engine;
 mod test_codecs;
 
 pub use borrower::Borrower;
@@ -15,6 +16,7 @@
 pub use flow::FlowState;
 pub use lender::{Lender, LenderReply};
 pub use raw_caller::{RawCaller, RawResponse};
+pub use scripted_engine::{RequestHead, Script, replace_engines};
 use test_codecs::{TestDocumentCodec, TestHeaderCodec};
 
 use bytes::Bytes;
