Numbers of a configuration are computed with exactly, or refused by name

A configuration with a number beyond what the code computes with was acknowledged and obeyed as another one: a time-out of 1e300 ms became the largest one, which panics when it is added to a time; a negative weight or budget became 0; a weight or a rate finer than a thousandth became 0, which for `ColdPerS` means no limit; budgets beyond 2^53 were rounded; a `Stride` of 0 made streams free of charge, and a large one wrapped around to a small charge.

Change: each number has a range, up to 2^53-1 where nothing smaller follows from its meaning; beyond it the configuration is refused with the field, the route, service or tenant, the number and the range. The products of a gap objective and of tokens per event saturate.

--- a/crates/gateway-core/src/config.rs
+++ b/crates/gateway-core/src/config.rs
@@ -147,11 +147,25 @@
 }
 
 /// Why a configuration is invalid.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Error)]
 pub enum ConfigError {
     /// The document can't be parsed.
     #[error("the configuration can't be read: {0}")]
     Unreadable(String),
+    /// A number is not one that the product computes with exactly.
+    #[error("field `{field}` of {subject} is {value}, not a number from {least} to {most}")]
+    OutOfRange {
+        /// The field.
+        field: &'static str,
+        /// The route, service or tenant.
+        subject: String,
+        /// The number.
+        value: f64,
+        /// The smallest valid number.
+        least: f64,
+        /// The largest valid number.
+        most: f64,
+    },
     /// A route refers to a service that does not exist.
     #[error("route `{route}` names the unknown service `{service}`")]
     UnknownService {
--- a/crates/gateway-core/src/stream_buffers.rs
+++ b/crates/gateway-core/src/stream_buffers.rs
@@ -448,7 +448,7 @@
 impl Buffer {
     fn on_progress(&mut self, moment: Moment, bytes: u64) {
         let passed = self.served_since_progress(moment);
-        let taken = self.terms.gap_objective.0 * bytes / self.last_chunk.max(1);
+        let taken = self.terms.gap_objective.0.saturating_mul(bytes) / self.last_chunk.max(1);
         let ahead = Millis(self.ahead.0.saturating_sub(passed.0) + taken);
         self.ahead = ahead.min(Millis(self.terms.max_stall().0 / AHEAD_PARTS));
         self.progress = moment;
--- a/crates/gateway/src/reservation.rs
+++ b/crates/gateway/src/reservation.rs
@@ -84,7 +84,7 @@
             Usage::None => Tokens::ZERO,
             Usage::Uncertain => max_cost,
             Usage::Counted => {
-                let generated = Tokens(self.events.get() * self.tokens_per_event);
+                let generated = Tokens(self.tokens_per_event).scaled(self.events.get(), 1);
                 (self.generation.prompt + generated).min(max_cost)
             }
         }
