--- a/crates/gateway-core/src/config.rs
+++ b/crates/gateway-core/src/config.rs
@@ -213,7 +213,8 @@
         let mut seen = BTreeSet::new();
         for route in &self.routes {
             self.validate_route(route)?;
-            if !seen.insert((route.host.as_str(), route.path_prefix.as_str())) {
+            // Requests are matched to hosts without regard to case.
+            if !seen.insert((route.host.to_ascii_lowercase(), route.path_prefix.as_str())) {
                 return Err(ConfigError::DuplicateRoute {
                     host: route.host.clone(),
                     path_prefix: route.path_prefix.clone(),
