A response with a status that ends no exchange never reaches a caller

Cause: the status of an engine's answer was not checked; the HTTP library takes 100 to 999, and ends an exchange with 101.

Evidence: `response_with_an_invalid_status_never_reaches_a_caller`, the same through a relay, and `idempotent_request_is_served_beside_an_engine_with_an_invalid_status` failed before with 101. They play once-only, idempotent and both kinds of streaming routes, 14 status lines each, some of them after an informational response.

Change: only 200 to 599 end an exchange (RFC 9110, section 15). Any other status is no response to the request: the engine counts as failing, idempotent requests go to another one, others end with 502, which says nothing of whether they ran. RFC 9110 lets a client take an invalid status for a 5xx; a status above 599 is not passed on, since callers of all kinds would have to do that. Attempts of streams, of their resumption, beside silent engines and through relays all take this path. There are no health checks.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -78,7 +78,7 @@
     NotRun,
     /// The connection ended; the request may have run, and the engine may have crashed.
     Interrupted,
-    /// The response does not belong to this request, which may have run.
+    /// The response has an invalid status or does not belong to this request, which may have run.
     InvalidResponse,
     /// No head arrived before the deadline; the request may have run.
     HeadTimeout,
@@ -395,6 +395,12 @@
     response: hyper::Response<Incoming>,
 ) -> AttemptResult {
     let (head, body) = response.into_parts();
+    if !response_head::is_final(head.status) {
+        let reason = format!("status {} ends no exchange", head.status.as_u16());
+        log_end(payload, &attempt, "answer", &reason);
+        attempt.finish(AttemptEnd::Interrupted, None);
+        return AttemptResult::InvalidResponse;
+    }
     match router.header_codec.classify_response(&payload.caller, head.status, &head.headers) {
         ResponseClass::NotRun => {
             let directives =
--- a/crates/gateway/src/response_head.rs
+++ b/crates/gateway/src/response_head.rs
@@ -7,7 +7,8 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
-use hyper::{Request, Response, ext};
+use hyper::{Request, Response, StatusCode, ext};
+use std::ops::RangeInclusive;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -19,6 +20,15 @@
 /// Longest time from the first byte of a head to its end.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Statuses that end an exchange (RFC 9110, section 15). Those below are informational, also 101 to a
+/// request that asks for no other protocol; those above are invalid.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Whether a response with this status ends the exchange.
+pub(crate) fn is_final(status: StatusCode) -> bool {
+    FINAL_STATUSES.contains(&status.as_u16())
+}
+
 /// Outcome of the wait for a head.
 pub(crate) enum ResponseHead {
     /// It was received.
--- a/crates/gateway/tests/fleet/cut_responses.rs
+++ b/crates/gateway/tests/fleet/cut_responses.rs
@@ -252,17 +252,7 @@
 fn relayed_response_that_is_cut_anywhere_is_never_whole() {
     run_local(async {
         let fleet = Fleet::start().await;
-        let dialer = CuttableDialer::new();
-        let cut = fleet.add_router_with(dialer.clone()).await;
-        cut.ready(fleet.engines.len()).await;
-        wait_until(|| cut.router.knows_other_routers()).await;
-        dialer.set(Cut::Reset);
-        for number in 0.. {
-            if cut.router.is_isolated() {
-                break;
-            }
-            cut.ask("/once/1", &format!("notice-{number}")).await;
-        }
+        let cut = fleet.add_isolated_router().await;
         let engine = CutEngine::replace_engines(&fleet).await;
         wait_until(|| cut.router.ready_engine_count() == 1).await;
         for template in templates() {
--- a/crates/gateway/tests/fleet/main.rs
+++ b/crates/gateway/tests/fleet/main.rs
@@ -17,6 +17,7 @@
 mod flaky_connections;
 mod idle_limits;
 mod interruption_log;
+mod invalid_statuses;
 mod isolation;
 mod load_exchange;
 mod loan_settlement;
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -364,6 +364,22 @@
         wait_until_acknowledged(async || self.control.announce(notice.clone()).await).await;
     }
 
+    /// Adds a router that reaches engines only through another router.
+    pub async fn add_isolated_router(&self) -> RouterMachine {
+        let dialer = CuttableDialer::new();
+        let cut = self.add_router_with(dialer.clone()).await;
+        cut.ready(self.engines.len()).await;
+        wait_until(|| cut.router.knows_other_routers()).await;
+        dialer.set(Cut::Reset);
+        for number in 0.. {
+            if cut.router.is_isolated() {
+                break;
+            }
+            cut.ask("/once/1", &format!("notice-{number}")).await;
+        }
+        cut
+    }
+
     /// Announces the departure of an engine until it is acknowledged.
     pub async fn leave(&self, id: &str) {
         wait_until_acknowledged(async || self.control.engine_left(id, None).await).await;
