A router that stops passes on only requests that are known to end before it does

Cause: whether a stopping router still accepts a request was decided at its head alone. A request whose body, tokens or permit came late was passed on whatever time was left.

Change: from 2.9 s on a request is passed on only if it is known to end in time, at its deadline or within twice the longest response of its route in the last 30 to 60 s (`ResponseTimes`, without I/O). Any other one is refused with 503 as soon as a part of its body shows that it is too late, at the latest before it is sent to the first engine; nothing of it has run. Requests that come whole in the first 2.9 s are served as before, and so are quick ones later. `begin_drain` takes the time until requests are cut.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`RelayRouters`]: which other routers relay connections to engines meanwhile.
 //! - [`BackoffTracker`]: engines that have asked to receive no requests for some time, or that
 //!   leave.
+//! - [`ResponseTimes`]: how long requests of each route took lately.
 //! - [`SlotShares`]: which of the engines' slots belong to which router.
 //! - [`StatedRates`]: the request rates that engines state as their limit.
 //! - [`EnginePermits`]: whether a request may be sent to an engine, by its slots and its rate.
@@ -99,6 +100,7 @@
 mod recent_successes;
 mod relay_routers;
 mod request_evidence;
+mod response_times;
 mod retry_budget;
 mod route_table;
 mod router_lists;
@@ -169,6 +171,7 @@
 pub use ranked_routers::RankedRouters;
 pub use relay_routers::RelayRouters;
 pub use request_evidence::{ConnectionFailure, ConnectionPath, Evidence, RequestEvidence};
+pub use response_times::ResponseTimes;
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use route_table::{Admission, RouteTable, TenantMatch};
 pub use router_lists::{RouterEndpoint, RouterLists, ZoneRouters};
--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -133,6 +133,7 @@
 
     /// Handles the end of a successful response that seems whole.
     pub fn on_whole_response(&self, headers: &HeaderMap, engine: &BackEndName) {
+        self.note_served();
         if ends_with_connection(headers) {
             self.on_ended_with_connection(engine);
         } else {
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -483,6 +483,7 @@
         self.router.leave_hints.borrow_mut().remove_unknown(&directory);
         self.router.pool.evict_idle(&directory);
         self.router.permits.remove_expired(self.router.now(), &directory);
+        self.router.response_times.borrow_mut().remove_expired(self.router.now());
         self.router.shedding.borrow_mut().remove_expired(self.router.now());
         self.router.admission.borrow_mut().remove_expired(self.router.now());
     }
--- a/crates/gateway/src/hedged_attempts.rs
+++ b/crates/gateway/src/hedged_attempts.rs
@@ -128,6 +128,10 @@
         }
         let selected = self.context.select_engine(self.progress).await;
         let selected = selected.ok_or(NoRetry::NoEngine)?;
+        // A stream that has begun is lost otherwise.
+        if !self.progress.response_started && self.context.refuse_if_outlasts_stop().is_err() {
+            return Err(NoRetry::Stopping);
+        }
         // An engine may have crashed under the request during the wait for a permit.
         if !is_first && self.context.is_quarantined() {
             return Err(NoRetry::Quarantined);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -45,6 +45,7 @@
 mod peer_socket;
 mod permit_lending;
 mod permits;
+mod planned_stop;
 mod pressure_control;
 mod rate_exchange;
 mod refusal;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -12,6 +12,7 @@
 use crate::refusal::Refusal;
 use crate::relay::{self, StartedStream};
 use crate::reservation::{Reservation, ReservationRequest};
+use crate::retry::NoRetry;
 use crate::router::Router;
 use crate::select_engine::max_permit_wait;
 use bytes::{Bytes, BytesMut};
@@ -48,6 +49,8 @@
     pub reservation: Option<Reservation>,
     pub deadline: Deadline,
     pub arrived: Instant,
+    /// When its body had arrived as well.
+    pub received: Instant,
     /// Time left to wait for permits, over all attempts.
     pub permit_wait_left: Cell<Duration>,
     /// Whether it was admitted to learn whether its quarantined parts are sound.
@@ -160,7 +163,8 @@
     let deadline =
         Deadline::after(Duration::from_millis(wait.0.min(route.timeout.0)), router.clock.clone());
     let limit = table.config().limits.max_body_bytes;
-    let read = timeout_at(deadline.timer(), read_body(body, limit));
+    let may_go_on = || router.refuse_if_outlasts_stop(&route, &deadline);
+    let read = timeout_at(deadline.timer(), read_body(body, limit, may_go_on));
     let body = read.await.map_err(|_| Refusal::DeadlineExceeded)??;
     let service = route.service_for(&caller.id).clone();
     router.retry_budget.borrow_mut().note_request(router.now(), &service);
@@ -180,6 +184,7 @@
         reservation: None,
         deadline,
         arrived,
+        received: Instant::now(),
         permit_wait_left,
         is_trial: Cell::new(false),
         stream_version: OnceCell::new(),
@@ -218,12 +223,18 @@
     uri.host().or_else(from_header).unwrap_or_default()
 }
 
-async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+/// Reads a body of up to `limit` bytes, unless `may_go_on` refuses the request meanwhile.
+async fn read_body(
+    mut body: Incoming,
+    limit: usize,
+    may_go_on: impl Fn() -> Result<(), Refusal>,
+) -> Result<Bytes, Refusal> {
     if body.size_hint().lower() > limit as u64 {
         return Err(Refusal::BodyTooLarge);
     }
     let mut buffered = BytesMut::new();
     while let Some(frame) = body.frame().await {
+        may_go_on()?;
         let frame = frame.map_err(|_| Refusal::BodyIncomplete)?;
         if let Ok(data) = frame.into_data() {
             if buffered.len() + data.len() > limit {
@@ -308,6 +319,7 @@
             Ok(Answer::Stream(started)) => Ok(relay::respond(self, *started, progress)),
             Ok(Answer::Whole(response)) => Ok(response),
             Ok(Answer::Large(large)) => Ok(large_response::forward(self, *large)),
+            Err(NoRetry::Stopping) if !progress.may_have_run => Err(Refusal::Stopping),
             Err(_) => self.give_up(progress),
         }
     }
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -22,6 +22,8 @@
     EndedUnread,
     /// More urgent requests are admitted first.
     OutOfOrder,
+    /// This router stops before a response can be expected.
+    Stopping,
     /// The fleet's retry budget is spent.
     RetryBudget,
     /// No engine accepts it.
@@ -43,6 +45,7 @@
             Self::NoAttemptLeft => "no_attempt_left",
             Self::EndedUnread => "ended_unread",
             Self::OutOfOrder => "out_of_order",
+            Self::Stopping => "stopping",
             Self::RetryBudget => "retry_budget",
             Self::NoEngine => "no_engine",
             Self::EnginesSilent => "engines_silent",
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -13,6 +13,7 @@
 use crate::loans::LoanHandle;
 use crate::metrics::RouterMetrics;
 use crate::permits::PermitPool;
+use crate::planned_stop::PlannedStop;
 use crate::pressure_control::PressureControl;
 use crate::stalls::Stalls;
 use crate::stream_records::StreamRecords;
@@ -21,8 +22,8 @@
 use stackpost_gateway_core::{
     AccountHolders, AccountOwners, AdmissionOrder, BufferLimits, CrashTracker, DepartureDelta,
     EngineDirectory, EnginePicker, EngineReachability, EngineTraffic, Evacuations, LeaveHints,
-    LoadShedder, Placement, RankedRouters, RelayRouters, RetryBudget, RetryLimits, RouteTable,
-    ServiceAvailability, StreamBuffers,
+    LoadShedder, Placement, RankedRouters, RelayRouters, ResponseTimes, RetryBudget, RetryLimits,
+    RouteTable, ServiceAvailability, StreamBuffers,
 };
 use stackpost_prepaid::{BudgetForecast, Wallet};
 use stackpost_telemetry::{LineLimit, Meter};
@@ -43,8 +44,6 @@
 /// Time after its start at which a router that is still disconnected from the leader accepts
 /// callers anyway.
 const SERVE_DISCONNECTED_AFTER: Duration = Duration::from_secs(8);
-/// Time for which a stopping router accepts new requests.
-const ACCEPT_WHILE_DRAINING: Duration = Duration::from_millis(2_900);
 /// Number of routers assumed until a control process has reported it.
 const DEFAULT_ROUTERS: u64 = 8;
 
@@ -132,9 +131,11 @@
     leader_contact_at: Cell<Option<Timestamp>>,
     /// When the leader was heard again, until this router has all that the leader states.
     outdated_since: Cell<Option<Timestamp>>,
-    draining_since: Cell<Option<BootInstant>>,
+    pub(crate) planned_stop: Cell<Option<PlannedStop>>,
+    /// How long the requests of each route took.
+    pub(crate) response_times: RefCell<ResponseTimes>,
     /// Whether no further request is sent to any engine.
-    has_stopped: Cell<bool>,
+    pub(crate) has_stopped: Cell<bool>,
     pub(crate) congestion: Congestion,
     /// The pressure on this router's machine.
     pub(crate) pressure_control: PressureControl,
@@ -198,7 +199,8 @@
             confirmed: Cell::new(false),
             leader_contact_at: Cell::new(None),
             outdated_since: Cell::new(None),
-            draining_since: Cell::new(None),
+            planned_stop: Cell::new(None),
+            response_times: RefCell::default(),
             has_stopped: Cell::new(false),
             congestion: Congestion::default(),
             pressure_control,
@@ -376,24 +378,6 @@
         self.picker.borrow().reported_plain_in_flight(engine)
     }
 
-    /// Begins a planned shutdown.
-    pub fn begin_drain(&self) {
-        self.draining_since.set(Some(self.clock.now()));
-    }
-
-    /// Whether a planned shutdown has begun.
-    pub fn is_draining(&self) -> bool {
-        self.draining_since.get().is_some()
-    }
-
-    /// Whether a planned shutdown has advanced so far that a stream which begins now might be
-    /// interrupted. The platform has had time to notice it; a caller that still connects is better
-    /// served elsewhere.
-    pub(crate) fn refuses_new_requests(&self) -> bool {
-        let is_late = |since| self.clock.since(since) >= ACCEPT_WHILE_DRAINING;
-        self.has_stopped.get() || self.draining_since.get().is_some_and(is_late)
-    }
-
     /// Whether the last contact with the leader is recent enough that its latest state can be taken
     /// as current.
     pub fn is_connected_to_leader(&self) -> bool {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -79,6 +79,11 @@
         log::warn!(requests = self.requests.get() as u64; "stops with requests under way");
     }
 
+    /// Number of requests that have not been answered.
+    pub fn requests_under_way(&self) -> usize {
+        self.requests.get()
+    }
+
     async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
             match listener.accept().await {
--- a/crates/gateway/tests/fleet/requests.rs
+++ b/crates/gateway/tests/fleet/requests.rs
@@ -246,7 +246,7 @@
     run_local(async {
         let fleet = Fleet::start().await;
         assert_eq!(fleet.generate("g1").await.status, 200);
-        fleet.router.begin_drain();
+        fleet.router.begin_drain(Duration::from_secs(8));
         assert!(!fleet.router.is_ready());
         let response = fleet.ask("/once/1", "late").await;
         assert_eq!(response.status, 200, "callers that still connect are served");
--- a/crates/gateway/tests/fleet/support/raw_caller.rs
+++ b/crates/gateway/tests/fleet/support/raw_caller.rs
@@ -47,6 +47,11 @@
         Self(stream)
     }
 
+    /// Sends further bytes.
+    pub async fn write(&mut self, bytes: &[u8]) {
+        self.0.write_all(bytes).await.expect("sent");
+    }
+
     /// Reads until the response or the connection has ended.
     pub async fn read_rest(mut self) -> RawResponse {
         let reading = async {
