A router concludes from the absence of an engine only with a current list

Cause: "all engines have one version" was answered from a directory whose age nobody asked for. Statuses that had waited in the socket made it look current.

Evidence: `router_that_was_out_of_step_does_not_take_the_versions_it_knows_for_all` fails without the new wait: the router, which knows engines of 11 s ago alone, resumed the stream (200).

Change: statuses of control processes carry the clock of their sender, and follow the changes of engines that it knew. From the least difference of the clocks on a connection a router knows when a status was made (`StatementTimes`, without I/O; property: never newer than it was by more than the shortest transmission). A take-up without `Resumes` waits, 1 s at most, until the leader and the process that sends the list of engines have stated something since; a router that is cut off from them or has read only old statements refuses it with 503, `stream_unknown`. Several known versions are refused at once.

--- a/crates/gateway-core/src/engine_list.rs
+++ b/crates/gateway-core/src/engine_list.rs
@@ -122,6 +122,11 @@
         self.subscribed
     }
 
+    /// The connection whose process sends the list and its changes.
+    pub fn subscribed(&self) -> Option<L> {
+        self.subscribed
+    }
+
     /// A digest was received; `own` is that of the own directory. Returns whether its sender should
     /// be asked for its list.
     pub fn on_digest(
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -20,6 +20,7 @@
 //! - [`BackoffTracker`]: engines that have asked to receive no requests for some time, or that
 //!   leave.
 //! - [`ResponseTimes`]: how long requests of each route took lately.
+//! - [`StatementTimes`]: as of when the statements of control processes hold.
 //! - [`SlotShares`]: which of the engines' slots belong to which router.
 //! - [`StatedRates`]: the request rates that engines state as their limit.
 //! - [`EnginePermits`]: whether a request may be sent to an engine, by its slots and its rate.
@@ -108,6 +109,7 @@
 mod slot_shares;
 mod stall_guard;
 mod stated_rates;
+mod statement_times;
 mod stream_buffers;
 mod stream_versions;
 mod unread_requests;
@@ -178,6 +180,7 @@
 pub use slot_shares::SlotShares;
 pub use stall_guard::StallGuard;
 pub use stated_rates::{RateChange, RateStatement, RateUpdate, StatedRates};
+pub use statement_times::StatementTimes;
 pub use stream_buffers::{
     BufferId, BufferLimits, CutOff, CutOffReason, ReaderTerms, StoreOutcome, StreamBuffers,
     may_have_ended_unread,
--- a/crates/gateway/src/caller_resumption.rs
+++ b/crates/gateway/src/caller_resumption.rs
@@ -18,7 +18,7 @@
         let caller = &self.payload.caller;
         let version = match &caller.resumes {
             Some(attempt_id) => self.router.find_stream_version(StreamKey::of(attempt_id)).await,
-            None if caller.last_event.is_some() => self.only_version(),
+            None if caller.last_event.is_some() => self.only_version().await,
             None => return Ok(()),
         };
         let version = version.ok_or(Refusal::StreamUnknown)?;
@@ -45,8 +45,16 @@
         let _ = self.stream_version.set(version.clone());
     }
 
-    /// The version of all engines that can have begun the stream.
-    fn only_version(&self) -> Option<SoftwareVersion> {
+    /// The version of all engines that can have begun the stream. That there is no other one is
+    /// known only to a router that knows all engines of this moment.
+    async fn only_version(&self) -> Option<SoftwareVersion> {
+        // Several known versions stay several.
+        self.common_version()?;
+        let is_known = self.router.wait_until_engines_known(self.deadline.timer()).await;
+        if is_known { self.common_version() } else { None }
+    }
+
+    fn common_version(&self) -> Option<SoftwareVersion> {
         let (directory, now) = (self.router.directory.borrow(), self.router.now());
         common_version(&directory, &self.service, now, self.route.timeout)
     }
--- a/crates/gateway/src/fleet_link.rs
+++ b/crates/gateway/src/fleet_link.rs
@@ -5,6 +5,7 @@
 mod engine_updates;
 mod final_usage;
 mod loan_messages;
+mod statements;
 
 use self::final_usage::RelayedFinalUsage;
 use crate::engine_relay::RelayServer;
@@ -16,7 +17,7 @@
 use stackpost_coordinator::{ClockEcho, ControlStatus, FleetMessage, RouterStatus, RouterVersions};
 use stackpost_gateway_core::{
     EngineListDigest, EngineSubscription, ProgressReporter, RouterEndpoint, RouterLists,
-    ZoneRouters,
+    StatementTimes, ZoneRouters,
 };
 use stackpost_mesh::{LinkEvent, LinkId, Mesh, PeerInfo, PeerRole};
 use stackpost_prepaid::{AccountReport, Allotment, BootTimestamp};
@@ -53,6 +54,8 @@
     /// The revision of the cold engines received from each control process.
     cold_revisions: RefCell<BTreeMap<LinkId, u64>>,
     engine_subscription: RefCell<EngineSubscription<LinkId>>,
+    /// When control processes made what they stated last.
+    statements: RefCell<StatementTimes<LinkId>>,
     departure_progress: RefCell<ProgressReporter>,
     /// Digest of the own list of engines, with the revision and number of records that it is of.
     own_digest: Cell<Option<(u64, usize, EngineListDigest)>>,
@@ -124,6 +127,7 @@
             versions: RefCell::default(),
             cold_revisions: RefCell::default(),
             engine_subscription: RefCell::default(),
+            statements: RefCell::default(),
             departure_progress: RefCell::default(),
             own_digest: Cell::new(None),
             started,
@@ -260,6 +264,7 @@
                     log::info!(peer = peer.to_string().as_str(); "control disconnected");
                 }
                 self.echoes.borrow_mut().remove(&link);
+                self.forget_statements(link);
                 self.versions.borrow_mut().remove(&link);
                 self.cold_revisions.borrow_mut().remove(&link);
                 if self.leader.get() == Some(link) {
@@ -379,6 +384,7 @@
         } else if self.leader.get() == Some(link) {
             self.leader.set(None);
         }
+        self.on_statement(link, status.clock);
     }
 
     fn on_allotted(&self, allotments: Vec<(TenantName, Allotment)>) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod decision_log;
 mod engine_attempt;
 mod engine_dialer;
+mod engine_knowledge;
 mod engine_paths;
 pub mod engine_relay;
 mod estimate_metrics;
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -6,6 +6,7 @@
 use crate::connection_pool::ConnectionPool;
 use crate::decision_log;
 use crate::engine_dialer::EngineDialer;
+use crate::engine_knowledge::EngineKnowledge;
 use crate::engine_paths::RelayedConnections;
 use crate::header_codec::{EngineDirectives, HeaderCodec};
 use crate::liveness_probe::LivenessProbes;
@@ -131,6 +132,7 @@
     leader_contact_at: Cell<Option<Timestamp>>,
     /// When the leader was heard again, until this router has all that the leader states.
     outdated_since: Cell<Option<Timestamp>>,
+    pub(crate) engine_knowledge: EngineKnowledge,
     pub(crate) planned_stop: Cell<Option<PlannedStop>>,
     /// How long the requests of each route took.
     pub(crate) response_times: RefCell<ResponseTimes>,
@@ -199,6 +201,7 @@
             confirmed: Cell::new(false),
             leader_contact_at: Cell::new(None),
             outdated_since: Cell::new(None),
+            engine_knowledge: EngineKnowledge::default(),
             planned_stop: Cell::new(None),
             response_times: RefCell::default(),
             has_stopped: Cell::new(false),
--- a/crates/gateway/tests/fleet/software_versions.rs
+++ b/crates/gateway/tests/fleet/software_versions.rs
@@ -1,6 +1,7 @@
 //! Streams of a service whose engines run two software versions.
 
 use crate::support::*;
+use std::time::Duration;
 
 /// Headers of a request that resumes a stream after its third event.
 fn resumption<'a>(id: &'a str, first_id: &'a str) -> [(&'a str, &'a str); 4] {
@@ -83,3 +84,34 @@
         assert!(!body.contains("id: 3") && body.contains("id: 4"), "{body}");
     });
 }
+
+/// A request that resumes a stream without naming the attempt that began it.
+const UNNAMED: [(&str, &str); 3] = [("id", "r"), ("key", KEY), ("after", "3")];
+
+/// Guards against a stream that goes on at another version because the router missed that there
+/// are two.
+#[test]
+fn router_that_was_out_of_step_does_not_take_the_versions_it_knows_for_all() {
+    run_local(async {
+        let fleet = Fleet::start_with_software(["v1", "v1"]).await;
+        // Longer than the longest stream, so that the engines have been known for that long.
+        fleet.clock.simulate_suspend(Duration::from_secs(11));
+        let response = fleet.ask_with("/stream/1", &UNNAMED).await;
+        assert_eq!(response.status, 503);
+        assert!(response.body.expect("a complete body").contains("stream_unknown"));
+        assert_eq!(fleet.runs(), 0);
+    });
+}
+
+#[test]
+fn router_in_step_resumes_a_stream_of_the_only_version() {
+    run_local(async {
+        let fleet = Fleet::start_with_software(["v1", "v1"]).await;
+        // The engines must have been known for as long as a stream may last.
+        let started = std::time::Instant::now();
+        while fleet.ask_with("/stream/1", &UNNAMED).await.status != 200 {
+            assert!(started.elapsed() < CONDITION_TIMEOUT, "never resumed");
+        }
+        assert_eq!(fleet.runs(), 1);
+    });
+}
--- a/crates/gateway/tests/fleet/support/mod.rs
+++ b/crates/gateway/tests/fleet/support/mod.rs
@@ -48,7 +48,7 @@
 /// Polling interval of conditions.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Longest wait for a condition before the test fails.
-const CONDITION_TIMEOUT: Duration = Duration::from_secs(60);
+pub const CONDITION_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// A response as received by a caller.
 #[derive(Debug)]
