A response without an end is read up to 1 MB and 1 s, and then watched

Cause: since only proof settles a request, an abandoned connection was read until it shows one, with a bound in time alone (60 s).

Evidence: `endless_head_that_names_no_request_is_not_read_on` failed before: the engine was never held up, and its connection closed after 60 s at full speed.

Change: after 1 MB, or 1 s from the first byte, the connection is no longer read. Its receive window closes, and errors of the socket are checked twice a second. What is known of the request stays what it was: nothing is acknowledged earlier or called not run. An engine that sends nothing for long is waited for as before.

--- a/crates/gateway/src/abandoned_request.rs
+++ b/crates/gateway/src/abandoned_request.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// Longest time for which a connection is kept open: longer than an engine waits for the
 /// acknowledgement of its departure.
@@ -24,6 +24,12 @@
 const MAX_OBSERVED: usize = 512;
 /// Size of the buffer in which received bytes are read.
 const BUFFER_BYTES: usize = 1_024;
+/// Maximum number of bytes, and longest time from their first one, for which a response without an
+/// end is read. The connection is then watched without reading, so that the engine must wait.
+const MAX_READ_BYTES: usize = 1024 * 1024;
+const MAX_READ_TIME: Duration = Duration::from_secs(1);
+/// Interval between checks of a connection that is watched without reading.
+const WATCH_INTERVAL: Duration = Duration::from_millis(500);
 /// Times after the end of the engine's direction at which the socket is checked. An engine that has
 /// closed the connection resets it when the request arrives.
 const RESET_CHECKS: [Duration; 4] = [
@@ -43,12 +49,18 @@
 }
 
 async fn wait_for_evidence<S: EngineStream>(stream: &mut ObservedStream<S>) {
+    let mut limit = ReadLimit::default();
     // What has arrived already comes before this router's own end.
-    let _ = read_on(stream).now_or_never();
+    let mut reading = limit.read(stream).now_or_never();
     if stream.evidence().is_pending() && !stream.evidence().has_ended() {
         // A failure is recorded, and the reads show it as well.
         let _ = stream.shutdown().await;
-        read_on(stream).await;
+        if reading.is_none() {
+            reading = Some(limit.read(stream).await);
+        }
+    }
+    if reading == Some(Reading::LimitReached) {
+        return watch(stream).await;
     }
     for pause in RESET_CHECKS {
         stream.check_socket();
@@ -60,14 +72,60 @@
     stream.check_socket();
 }
 
-/// Reads until the engine's direction ends, or the connection has shown what became of the request.
-async fn read_on<S: EngineStream>(stream: &mut ObservedStream<S>) {
-    let mut buffer = [0; BUFFER_BYTES];
-    while stream.evidence().is_pending() {
-        match stream.read(&mut buffer).await {
-            Ok(0) | Err(_) => return,
-            Ok(_) => {}
+/// How the reading of a response ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reading {
+    /// The engine's direction has ended, or the connection has shown what became of the request.
+    Over,
+    /// More may follow.
+    LimitReached,
+}
+
+/// What is still read of a response.
+struct ReadLimit {
+    bytes_left: usize,
+    /// Set by the first bytes.
+    until: Option<Instant>,
+}
+
+impl Default for ReadLimit {
+    fn default() -> Self {
+        Self { bytes_left: MAX_READ_BYTES, until: None }
+    }
+}
+
+impl ReadLimit {
+    async fn read<S: EngineStream>(&mut self, stream: &mut ObservedStream<S>) -> Reading {
+        let mut buffer = [0; BUFFER_BYTES];
+        while stream.evidence().is_pending() {
+            let reading = stream.read(&mut buffer);
+            let result = match self.until {
+                Some(until) => timeout_at(until, reading).await,
+                None => Ok(reading.await),
+            };
+            match result {
+                Ok(Ok(0) | Err(_)) => return Reading::Over,
+                Ok(Ok(length)) => self.on_bytes(length),
+                Err(_) => return Reading::LimitReached,
+            }
+            if self.bytes_left == 0 {
+                return Reading::LimitReached;
+            }
         }
+        Reading::Over
+    }
+
+    fn on_bytes(&mut self, length: usize) {
+        self.bytes_left = self.bytes_left.saturating_sub(length);
+        self.until.get_or_insert_with(|| Instant::now() + MAX_READ_TIME);
+    }
+}
+
+/// Waits until the connection shows without being read what became of the request.
+async fn watch<S: EngineStream>(stream: &mut ObservedStream<S>) {
+    while stream.evidence().is_pending() {
+        stream.check_socket();
+        sleep(WATCH_INTERVAL).await;
     }
 }
 
--- a/crates/gateway/tests/fleet/endless_responses.rs
+++ b/crates/gateway/tests/fleet/endless_responses.rs
@@ -17,14 +17,21 @@
 /// Most that a router may read of one event, and of one response that is no stream.
 const EVENT_BYTES: usize = 1024 * 1024;
 const RESPONSE_BYTES: usize = 64 * 1024 * 1024;
+/// Most that a router may read of a head: what its parser holds, and 1 MB once it is given up.
+const HEAD_BYTES: usize = 2 * 1024 * 1024;
 /// Interval between the header lines of a head without end.
 const LINE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time after which an engine whose bytes are not read counts as held up.
+const HELD_UP_TIME: Duration = Duration::from_secs(2);
+
 /// What has no end in an engine's responses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Endless {
     /// A head, one line at a time.
     Head,
+    /// A head at full speed that does not name the request.
+    UnnamedHead,
     /// The first event of a stream.
     Event,
     /// A body in chunks.
@@ -38,6 +45,7 @@
         let head = format!("HTTP/1.1 200 OK\r\nid: {id}\r\nsignature: s\r\n");
         match self {
             Self::Head => head,
+            Self::UnnamedHead => "HTTP/1.1 200 OK\r\n".to_string(),
             Self::Event => format!("{head}content-type: text/event-stream\r\n\r\nid: 1\ndata: "),
             Self::Body => format!("{head}transfer-encoding: chunked\r\n\r\n"),
             Self::AfterResponse => format!("{head}content-length: 9\r\n\r\nan answer"),
@@ -47,6 +55,7 @@
     fn part(self) -> Vec<u8> {
         match self {
             Self::Head => b"another: line\r\n".to_vec(),
+            Self::UnnamedHead => b"another: line\r\n".repeat(4_096),
             Self::Body => [b"10000\r\n".as_slice(), &[b'x'; 0x10000], b"\r\n"].concat(),
             Self::Event | Self::AfterResponse => vec![b'x'; 64 * 1024],
         }
@@ -60,6 +69,8 @@
     written: Cell<usize>,
     /// Connections that its router has closed.
     closed: Cell<usize>,
+    /// Whether it waits for its router to read on.
+    is_held_up: Cell<bool>,
 }
 
 impl EndlessEngine {
@@ -101,7 +112,7 @@
         let request = String::from_utf8_lossy(&request[..length]).to_string();
         let id = request.lines().find_map(|line| line.strip_prefix("id: ")).unwrap_or_default();
         let mut part = endless.start(id).into_bytes();
-        while stream.write_all(&part).await.is_ok() {
+        while self.write(&mut stream, &part).await.is_ok() {
             self.written.set(self.written.get() + part.len());
             part = endless.part();
             if endless == Endless::Head {
@@ -111,6 +122,16 @@
         self.closed.set(self.closed.get() + 1);
     }
 
+    async fn write(&self, stream: &mut TcpStream, part: &[u8]) -> std::io::Result<()> {
+        let mut writing = std::pin::pin!(stream.write_all(part));
+        loop {
+            match tokio::time::timeout(HELD_UP_TIME, &mut writing).await {
+                Ok(result) => return result,
+                Err(_) => self.is_held_up.set(true),
+            }
+        }
+    }
+
     /// Waits until the router has closed all connections.
     async fn all_closed(&self) {
         wait_until(|| self.closed.get() == self.requests.get()).await;
@@ -129,6 +150,21 @@
     });
 }
 
+/// Guards against a link and a processor that are taken up by bytes which nobody needs.
+#[test]
+fn endless_head_that_names_no_request_is_not_read_on() {
+    run_local(async {
+        let fleet = Fleet::start().await;
+        let engine = EndlessEngine::start_alone(&fleet, Endless::UnnamedHead).await;
+        let response = fleet.ask("/once/1", "head").await;
+        assert_eq!(response.status, StatusCode::BAD_GATEWAY, "504 after the deadline");
+        wait_until(|| engine.is_held_up.get() || engine.closed.get() > 0).await;
+        assert_eq!(engine.closed.get(), 0, "the request's fate is unknown, and observed");
+        let written = engine.written.get();
+        assert!(written < HEAD_BYTES + SOCKET_BUFFER_BYTES, "{written} bytes of a head taken");
+    });
+}
+
 #[test]
 fn request_with_an_endless_head_is_retried_at_another_engine() {
     run_local(async {
