A panic under a request is answered and logged with the request's id

Cause: nothing caught it below the task of the connection.

Evidence: `caller_is_answered_after_a_panic_and_others_are_served` failed before: the caller's connection ended (`IncompleteMessage`).

Change: it is caught where a request is handled, logged as an error, and answered with 502, which does not say whether the request has run. Other requests and the connection go on.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -24,7 +24,9 @@
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use stackpost_gateway_core::{Admission, Route, RouteTable, Tenant};
 use stackpost_types::{BackEndName, Digest, Millis, ServiceName, SoftwareVersion};
+use std::any::Any;
 use std::cell::{Cell, OnceCell};
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -127,7 +129,8 @@
     };
     let id = caller.id.clone();
     let metrics_router = router.clone();
-    match handle(router, head, body, caller, arrived).await {
+    let handling = AssertUnwindSafe(handle(router, head, body, caller, arrived)).catch_unwind();
+    match handling.await.unwrap_or_else(|panic| Err(on_panic(&id, panic.as_ref()))) {
         Ok(response) => {
             metrics_router.metrics.on_response(arrived.elapsed());
             response
@@ -146,6 +149,15 @@
     }
 }
 
+/// Logs a panic under a request. It is not known whether an engine has run the request.
+fn on_panic(id: &str, panic: &(dyn Any + Send)) -> Refusal {
+    let literal = panic.downcast_ref::<&str>().copied();
+    let reason = literal.or_else(|| panic.downcast_ref::<String>().map(String::as_str));
+    let reason = reason.unwrap_or("no message");
+    log::error!(request = id, step = "request"; "panicked: {reason}");
+    Refusal::ResponseLost
+}
+
 async fn handle(
     router: Rc<Router>,
     head: request::Parts,
--- a/crates/gateway/tests/fleet/main.rs
+++ b/crates/gateway/tests/fleet/main.rs
@@ -21,6 +21,7 @@
 mod isolation;
 mod load_exchange;
 mod loan_settlement;
+mod panics;
 mod planned_stop;
 mod rate_log;
 mod rejection_log;
