A caller that is still sending its body receives the refusal of a stopping router

Cause: a body that is not read whole is dropped, which resets the connection once its caller sends on.

Evidence: `caller_that_is_still_sending_receives_its_refusal` failed without the change: broken pipe.

Change: what arrives of the body until the request's deadline is read and discarded.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -176,7 +176,7 @@
         Deadline::after(Duration::from_millis(wait.0.min(route.timeout.0)), router.clock.clone());
     let limit = table.config().limits.max_body_bytes;
     let may_go_on = || router.refuse_if_outlasts_stop(&route, &deadline);
-    let read = timeout_at(deadline.timer(), read_body(body, limit, may_go_on));
+    let read = timeout_at(deadline.timer(), read_body(body, limit, deadline.timer(), may_go_on));
     let body = read.await.map_err(|_| Refusal::DeadlineExceeded)??;
     let service = route.service_for(&caller.id).clone();
     router.retry_budget.borrow_mut().note_request(router.now(), &service);
@@ -235,10 +235,13 @@
     uri.host().or_else(from_header).unwrap_or_default()
 }
 
-/// Reads a body of up to `limit` bytes, unless `may_go_on` refuses the request meanwhile.
+/// Reads a body of up to `limit` bytes, unless `may_go_on` refuses the request meanwhile. The rest
+/// that arrives by `deadline` is then discarded: a caller that is still sending does not receive
+/// the response if the connection is reset under it.
 async fn read_body(
     mut body: Incoming,
     limit: usize,
+    deadline: Instant,
     may_go_on: impl Fn() -> Result<(), Refusal>,
 ) -> Result<Bytes, Refusal> {
     if body.size_hint().lower() > limit as u64 {
@@ -246,7 +249,10 @@
     }
     let mut buffered = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        may_go_on()?;
+        if let Err(refusal) = may_go_on() {
+            tokio::task::spawn_local(timeout_at(deadline, discard(body)));
+            return Err(refusal);
+        }
         let frame = frame.map_err(|_| Refusal::BodyIncomplete)?;
         if let Ok(data) = frame.into_data() {
             if buffered.len() + data.len() > limit {
@@ -258,6 +264,10 @@
     Ok(buffered.freeze())
 }
 
+async fn discard(mut body: Incoming) {
+    while let Some(Ok(_)) = body.frame().await {}
+}
+
 impl RequestContext {
     /// Priority of the request; 0 is the highest.
     pub fn priority(&self) -> u32 {
--- a/crates/gateway/tests/fleet/planned_stop.rs
+++ b/crates/gateway/tests/fleet/planned_stop.rs
@@ -32,6 +32,28 @@
     });
 }
 
+/// Guards against a caller that does not receive its refusal because it is still sending.
+#[test]
+fn caller_that_is_still_sending_receives_its_refusal() {
+    run_local(async {
+        let fleet = Fleet::start().await;
+        let headers = "content-length: 800\r\n";
+        let mut caller = RawCaller::send(fleet.callers, "/once/1", "slow", headers).await;
+        caller.write(b"some").await;
+        wait_until(|| fleet.server.requests_under_way() == 1).await;
+        fleet.router.begin_drain(LIMIT);
+        fleet.clock.simulate_suspend(LATE);
+        caller.write(b"more").await;
+        wait_until(|| fleet.server.requests_under_way() == 0).await;
+        for _ in 0..100 {
+            caller.write(b"the rest").await;
+        }
+        let response = caller.read_rest().await;
+        assert!(response.head.starts_with("HTTP/1.1 503"), "{response:?}");
+        assert!(response.is_whole, "{response:?}");
+    });
+}
+
 #[test]
 fn request_whose_route_responds_in_time_is_served_late_in_a_planned_stop() {
     run_local(async {
