--- a/crates/gateway-core/src/statement_times.rs
+++ b/crates/gateway-core/src/statement_times.rs
@@ -5,8 +5,8 @@
 //! differ by an unknown offset, of which the least one seen on a connection is an upper bound that
 //! is too large by the shortest transmission only.
 //!
-//! Invariant: a statement was not made later than [`StatementTimes::as_of`] says, apart from the
-//! drift between the clocks and the shortest transmission time.
+//! Invariant: [`StatementTimes::as_of`] is not later than the creation of the newest statement, apart
+//! from the drift between the clocks and the shortest transmission time.
 
 use stackpost_types::Timestamp;
 use std::collections::BTreeMap;
--- a/crates/gateway/src/planned_stop.rs
+++ b/crates/gateway/src/planned_stop.rs
@@ -40,8 +40,7 @@
         self.planned_stop.get().is_some()
     }
 
-    /// Whether a planned stop has advanced so far that requests are refused unless they are known
-    /// to end in time.
+    /// Whether a planned stop has advanced so far that new requests are refused, whatever they need.
     pub(crate) fn refuses_new_requests(&self) -> bool {
         self.has_stopped.get() || self.time_until_stop().is_some()
     }
