A response without an end is bounded by its bytes alone

An engine that had sent a few stray bytes could not show any more that it had read a request: its departure was acknowledged only at the limit of the observation, a minute later.

Cause: stopped reading 1 s after the first byte as well as after 1 MB. An engine may read a request long after it has sent stray bytes.

Change: the bound in time is gone. A response that trickles to 1 MB over the minute of the observation takes neither a link nor a processor.

--- a/crates/gateway/src/abandoned_request.rs
+++ b/crates/gateway/src/abandoned_request.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{sleep, timeout};
 
 /// Longest time for which a connection is kept open: longer than an engine waits for the
 /// acknowledgement of its departure.
@@ -24,10 +24,10 @@
 const MAX_OBSERVED: usize = 512;
 /// Size of the buffer in which received bytes are read.
 const BUFFER_BYTES: usize = 1_024;
-/// Maximum number of bytes, and longest time from their first one, for which a response without an
-/// end is read. The connection is then watched without reading, so that the engine must wait.
+/// Maximum number of bytes that are read. The connection is then watched without reading, so that
+/// an engine that sends without end must wait. There is no limit in time: an engine that has sent a
+/// few stray bytes may still show later that it has read the request.
 const MAX_READ_BYTES: usize = 1024 * 1024;
-const MAX_READ_TIME: Duration = Duration::from_secs(1);
 /// Interval between checks of a connection that is watched without reading.
 const WATCH_INTERVAL: Duration = Duration::from_millis(500);
 /// Times after the end of the engine's direction at which the socket is checked. An engine that has
@@ -49,14 +49,14 @@
 }
 
 async fn wait_for_evidence<S: EngineStream>(stream: &mut ObservedStream<S>) {
-    let mut limit = ReadLimit::default();
+    let mut bytes_left = MAX_READ_BYTES;
     // What has arrived already comes before this router's own end.
-    let mut reading = limit.read(stream).now_or_never();
+    let mut reading = read_on(stream, &mut bytes_left).now_or_never();
     if stream.evidence().is_pending() && !stream.evidence().has_ended() {
         // A failure is recorded, and the reads show it as well.
         let _ = stream.shutdown().await;
         if reading.is_none() {
-            reading = Some(limit.read(stream).await);
+            reading = Some(read_on(stream, &mut bytes_left).await);
         }
     }
     if reading == Some(Reading::LimitReached) {
@@ -81,44 +81,22 @@
     LimitReached,
 }
 
-/// What is still read of a response.
-struct ReadLimit {
-    bytes_left: usize,
-    /// Set by the first bytes.
-    until: Option<Instant>,
-}
-
-impl Default for ReadLimit {
-    fn default() -> Self {
-        Self { bytes_left: MAX_READ_BYTES, until: None }
-    }
-}
-
-impl ReadLimit {
-    async fn read<S: EngineStream>(&mut self, stream: &mut ObservedStream<S>) -> Reading {
-        let mut buffer = [0; BUFFER_BYTES];
-        while stream.evidence().is_pending() {
-            let reading = stream.read(&mut buffer);
-            let result = match self.until {
-                Some(until) => timeout_at(until, reading).await,
-                None => Ok(reading.await),
-            };
-            match result {
-                Ok(Ok(0) | Err(_)) => return Reading::Over,
-                Ok(Ok(length)) => self.on_bytes(length),
-                Err(_) => return Reading::LimitReached,
-            }
-            if self.bytes_left == 0 {
-                return Reading::LimitReached;
-            }
+/// Reads up to `bytes_left` bytes.
+async fn read_on<S: EngineStream>(
+    stream: &mut ObservedStream<S>,
+    bytes_left: &mut usize,
+) -> Reading {
+    let mut buffer = [0; BUFFER_BYTES];
+    while stream.evidence().is_pending() {
+        if *bytes_left == 0 {
+            return Reading::LimitReached;
+        }
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => return Reading::Over,
+            Ok(length) => *bytes_left = bytes_left.saturating_sub(length),
         }
-        Reading::Over
-    }
-
-    fn on_bytes(&mut self, length: usize) {
-        self.bytes_left = self.bytes_left.saturating_sub(length);
-        self.until.get_or_insert_with(|| Instant::now() + MAX_READ_TIME);
     }
+    Reading::Over
 }
 
 /// Waits until the connection shows without being read what became of the request.
