The bodies that a router buffers are bounded in sum

Cause: `read_body` bounded each body by `MaxBodyBytes` and nothing bounded their sum; a buffer that doubles holds up to twice its body. What a refused client went on sending was discarded without a bound in bytes.

Change: a body takes room before its bytes are kept, at once for a stated length, as it grows otherwise, and keeps it until its request has ended. `BodyMemory` decides without I/O: a quarter of the machine's memory in all, of which large bodies can take 75% and those above 4 KiB 90%, so that small requests are served beside any crowd of large ones. A body without room is not read, so its sender waits at the closed receive window, for a quarter of the request's time at most; then 503 `no_room_for_body`, not run, with `Retry-After`. A body that makes no progress for a second gives way to one that waits, so a crowd that stalls keeps nobody out for as long as it stays. After a refusal at most `MaxBodyBytes` are read on.

--- /dev/null
+++ b/crates/gateway-core/src/body_memory.rs
@@ -0,0 +1,238 @@
+//! Bounds on the memory for the bodies that a process holds, in sum and by size.
+//!
+//! A body takes room before its bytes are kept: at once for a stated length, and as it grows
+//! otherwise. Bodies that were received whole keep their room until their request has ended.
+//!
+//! Clients may send part of a body and then nothing more. So a body that makes no progress gives way
+//! to another one that finds no room. Room is also kept for small bodies that larger ones can't
+//! take: most requests and all announcements of engines are small.
+//!
+//! Invariants: the bodies of each size and of all larger sizes together stay within the limit of
+//! that size; only bodies that are not whole and make no progress give way, and only if the other
+//! body then finds room.
+
+use stackpost_types::{Millis, Timestamp};
+use std::collections::BTreeMap;
+
+/// The bodies may take this part of the machine's memory.
+const MEMORY_PARTS: u64 = 4;
+const BYTES_PER_MEGABYTE: u64 = 1_000_000;
+/// Bytes for all bodies on a machine whose memory is not known.
+const DEFAULT_TOTAL_BYTES: u64 = 64 * BYTES_PER_MEGABYTE;
+/// Largest tiny and largest small body.
+const TINY_BYTES: u64 = 4 * 1024;
+const SMALL_BYTES: u64 = 64 * 1024;
+/// Part of the room, in percent, that large bodies may take, and small and large ones together.
+const LARGE_PERCENT: u64 = 75;
+const SMALL_PERCENT: u64 = 90;
+/// A body makes progress if it receives this many bytes within [`STALL_TIME`].
+const PROGRESS_BYTES: u64 = 16 * 1024;
+/// Time without progress after which a body may have to give way.
+pub const STALL_TIME: Millis = Millis(1_000);
+
+/// Bound on all bodies together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyLimits {
+    /// Bytes.
+    pub total: u64,
+}
+
+impl BodyLimits {
+    /// The limits on a machine with this memory, in megabytes; `None` if it is not known.
+    pub fn of_machine(memory_mb: Option<u64>) -> Self {
+        let of_memory = |memory: u64| memory.saturating_mul(BYTES_PER_MEGABYTE) / MEMORY_PARTS;
+        Self { total: memory_mb.map_or(DEFAULT_TOTAL_BYTES, of_memory) }
+    }
+
+    /// Bytes for bodies of a size and all larger sizes together.
+    fn of_size(&self, size: BodySize) -> u64 {
+        match size {
+            BodySize::Tiny => self.total,
+            BodySize::Small => self.total * SMALL_PERCENT / 100,
+            BodySize::Large => self.total * LARGE_PERCENT / 100,
+        }
+    }
+}
+
+/// Class of a body by the room that it takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum BodySize {
+    Tiny,
+    Small,
+    Large,
+}
+
+impl BodySize {
+    const ALL: [Self; 3] = [Self::Tiny, Self::Small, Self::Large];
+
+    fn of(room: u64) -> Self {
+        if room <= TINY_BYTES {
+            Self::Tiny
+        } else if room <= SMALL_BYTES {
+            Self::Small
+        } else {
+            Self::Large
+        }
+    }
+}
+
+/// Identifies one body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BodyId(u64);
+
+/// There is no room for a body at present.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoRoom;
+
+#[derive(Clone, Copy, Debug)]
+struct Body {
+    room: u64,
+    received: u64,
+    /// When the body last made progress, and its size then.
+    progress_at: Timestamp,
+    progress_bytes: u64,
+    is_whole: bool,
+}
+
+impl Body {
+    fn is_stalled(&self, now: Timestamp) -> bool {
+        !self.is_whole && now.since(self.progress_at) >= STALL_TIME
+    }
+}
+
+/// Bytes taken by bodies, by size.
+#[derive(Clone, Copy, Debug, Default)]
+struct Taken([u64; BodySize::ALL.len()]);
+
+impl Taken {
+    fn add(&mut self, room: u64) {
+        self.0[BodySize::of(room) as usize] += room;
+    }
+
+    fn remove(&mut self, room: u64) {
+        self.0[BodySize::of(room) as usize] -= room;
+    }
+
+    /// Bytes taken by bodies of a size and all larger sizes.
+    fn from(&self, size: BodySize) -> u64 {
+        self.0[size as usize..].iter().sum()
+    }
+
+    /// The smallest size at which a body with this room would exceed its limit.
+    fn exceeded(&self, limits: &BodyLimits, room: u64) -> Option<BodySize> {
+        let mut affected = BodySize::ALL.into_iter().filter(|size| *size <= BodySize::of(room));
+        affected.find(|size| self.from(*size).saturating_add(room) > limits.of_size(*size))
+    }
+}
+
+/// The bodies that a process holds.
+#[derive(Clone, Debug)]
+pub struct BodyMemory {
+    limits: BodyLimits,
+    taken: Taken,
+    bodies: BTreeMap<BodyId, Body>,
+    next_id: u64,
+}
+
+impl BodyMemory {
+    /// Creates the state without bodies.
+    pub fn new(limits: BodyLimits) -> Self {
+        Self { limits, taken: Taken::default(), bodies: BTreeMap::new(), next_id: 0 }
+    }
+
+    /// Bytes taken by all bodies.
+    pub fn taken(&self) -> u64 {
+        self.taken.from(BodySize::Tiny)
+    }
+
+    /// Adds a body that takes no room yet.
+    pub fn open(&mut self, now: Timestamp) -> BodyId {
+        let id = BodyId(self.next_id);
+        self.next_id += 1;
+        let body =
+            Body { room: 0, received: 0, progress_at: now, progress_bytes: 0, is_whole: false };
+        self.bodies.insert(id, body);
+        id
+    }
+
+    /// Takes `room` bytes for a body, including what it has already. Returns the bodies that have
+    /// given way; their requests are to be refused.
+    ///
+    /// # Errors
+    ///
+    /// There is no room, not even if all bodies without progress give way. Nothing has changed.
+    pub fn take(&mut self, now: Timestamp, id: BodyId, room: u64) -> Result<Vec<BodyId>, NoRoom> {
+        let Some(before) = self.bodies.get(&id).map(|body| body.room) else {
+            return Err(NoRoom);
+        };
+        let mut taken = self.taken;
+        taken.remove(before);
+        let given_way = self.bodies_giving_way(now, id, room, &mut taken)?;
+        taken.add(room);
+        self.taken = taken;
+        for stalled in &given_way {
+            self.bodies.remove(stalled);
+        }
+        if let Some(body) = self.bodies.get_mut(&id) {
+            body.room = room;
+        }
+        Ok(given_way)
+    }
+
+    /// The bodies that give way to one with this room, the longest without progress first. Removes
+    /// them from `taken`.
+    fn bodies_giving_way(
+        &self,
+        now: Timestamp,
+        id: BodyId,
+        room: u64,
+        taken: &mut Taken,
+    ) -> Result<Vec<BodyId>, NoRoom> {
+        if taken.exceeded(&self.limits, room).is_none() {
+            return Ok(Vec::new());
+        }
+        let mut stalled: Vec<(Timestamp, BodyId, u64)> = self
+            .bodies
+            .iter()
+            .filter(|(other, body)| **other != id && body.is_stalled(now))
+            .map(|(other, body)| (body.progress_at, *other, body.room))
+            .collect();
+        stalled.sort_unstable();
+        let mut given_way = Vec::new();
+        for (_, other, other_room) in stalled {
+            let Some(exceeded) = taken.exceeded(&self.limits, room) else {
+                break;
+            };
+            if BodySize::of(other_room) >= exceeded {
+                taken.remove(other_room);
+                given_way.push(other);
+            }
+        }
+        if taken.exceeded(&self.limits, room).is_some() { Err(NoRoom) } else { Ok(given_way) }
+    }
+
+    /// Records bytes that were received of a body.
+    pub fn on_received(&mut self, now: Timestamp, id: BodyId, bytes: u64) {
+        if let Some(body) = self.bodies.get_mut(&id) {
+            body.received += bytes;
+            if body.received - body.progress_bytes >= PROGRESS_BYTES {
+                body.progress_at = now;
+                body.progress_bytes = body.received;
+            }
+        }
+    }
+
+    /// Records that a body was received whole. It no longer gives way.
+    pub fn on_whole(&mut self, id: BodyId) {
+        if let Some(body) = self.bodies.get_mut(&id) {
+            body.is_whole = true;
+        }
+    }
+
+    /// Removes a body; its room is free.
+    pub fn close(&mut self, id: BodyId) {
+        if let Some(body) = self.bodies.remove(&id) {
+            self.taken.remove(body.room);
+        }
+    }
+}
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -34,6 +34,7 @@
 //!   state.
 //! - [`StreamBuffers`]: when a router stops reading for a caller that reads slowly, and which caller
 //!   is cut off.
+//! - [`BodyMemory`]: which bodies find room in a process, and which give way.
 //! - [`AdmissionOrder`]: the same for every plain service that is short of capacity, with or without
 //!   stated rates.
 //! - [`StreamVersions`]: which software version began a stream.
@@ -56,6 +57,7 @@
 mod account_owners;
 mod admission_order;
 mod backoff;
+mod body_memory;
 mod capacity_estimate;
 mod class_demand;
 mod cold_engines;
@@ -124,6 +126,7 @@
     AdmissionDecision, AdmissionOrder, KnownCapacity, ShortageChange, SlotUse,
 };
 pub use backoff::{BackoffChange, BackoffTracker};
+pub use body_memory::{BodyId, BodyLimits, BodyMemory, NoRoom, STALL_TIME};
 pub use class_demand::RequestClass;
 pub use cold_engines::{ColdDelta, ColdEngines, ColdNotice};
 pub use cold_schedule::ColdSchedule;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: a request is sent to one engine, up to the head of the response.
 
+use crate::bounded_bodies::WholeBody;
 use crate::connection_headers::{asks_to_close, keep_alive_timeout};
 use crate::connection_pool::EngineConnection;
 use crate::decision_log;
@@ -28,7 +29,7 @@
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: WholeBody,
     pub caller: CallerRequest,
 }
 
@@ -450,7 +451,7 @@
     payload: &Payload,
     engine_headers: &EngineRequestHeaders<'_>,
 ) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(payload.body.clone()));
+    let mut request = Request::new(Full::new(payload.body.bytes().clone()));
     *request.method_mut() = payload.method.clone();
     *request.uri_mut() = payload.uri.clone();
     let mut headers = payload.headers.clone();
--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -50,7 +50,7 @@
             host: host(uri, &self.payload.headers),
             path: uri.path_and_query().map_or("", |path| path.as_str()),
             tenant: self.tenant.as_ref().map(|tenant| &tenant.name),
-            body: &self.payload.body,
+            body: self.payload.body.bytes(),
         })
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod admission;
 mod attempt;
 mod body;
+pub mod bounded_bodies;
 mod buffered_response;
 mod byte_channel;
 mod caller_connections;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -3,6 +3,7 @@
 use crate::body::GatewayBody;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
+use stackpost_gateway_core::STALL_TIME;
 use stackpost_types::Millis;
 
 /// Time within which a restarted router usually has its configuration: 0.5 to 0.7 s after a power
@@ -43,6 +44,9 @@
     BodyTooLarge,
     /// The body was not received completely.
     BodyIncomplete,
+    /// The bodies of other requests leave no memory for this one, or it made no progress and gave
+    /// way to another one.
+    NoRoomForBody,
     /// Prompt and generated text exceed the memory of any engine of the service.
     ExceedsEngineMemory,
     /// The tenant's budget does not cover the request at present.
@@ -113,6 +117,7 @@
             Self::Malformed => "malformed",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyIncomplete => "body_incomplete",
+            Self::NoRoomForBody => "no_room_for_body",
             Self::ExceedsEngineMemory => "exceeds_engine_memory",
             Self::BudgetExhausted => "budget_exhausted",
             Self::BudgetUnavailable => "budget_out_of_reach",
@@ -141,6 +146,7 @@
             Self::NotConfigured
             | Self::Stopping
             | Self::ConfigMayBeStale
+            | Self::NoRoomForBody
             | Self::NoEngine
             | Self::StreamUnknown
             | Self::NoEngineOfVersion
@@ -163,6 +169,8 @@
             Self::ConfigMayBeStale => Some(Millis(400)),
             Self::NoEngine | Self::Unreachable | Self::DeadlineExceeded => Some(Millis(200)),
             Self::Stopping => Some(Millis(50)),
+            // Bodies without progress give way by then.
+            Self::NoRoomForBody => Some(STALL_TIME),
             Self::EnginesFull { retry_after }
             | Self::EnginesBackingOff { retry_after }
             | Self::RateLimitsExhausted { retry_after }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -2,6 +2,7 @@
 
 use crate::attempt::{AttemptStart, EngineResponse, Payload};
 use crate::body::GatewayBody;
+use crate::bounded_bodies::{BodyReadError, WholeBody, discard};
 use crate::buffered_response::BufferedResponse;
 use crate::connection_headers::strip_connection_headers;
 use crate::deadline::Deadline;
@@ -15,10 +16,8 @@
 use crate::retry::NoRetry;
 use crate::router::Router;
 use crate::select_engine::max_permit_wait;
-use bytes::{Bytes, BytesMut};
 use futures::FutureExt;
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header;
 use hyper::http::request;
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
@@ -34,6 +33,9 @@
 /// Longest wait for tokens, in percent of the objective: a later refusal costs more than the wait
 /// saves.
 const TOKEN_WAIT_PERCENT: u64 = 22;
+/// Longest wait for memory for the body, in percent of the time for the request: the request
+/// itself needs the rest.
+const ROOM_WAIT_PERCENT: u32 = 25;
 /// Timeout of requests whose caller states none.
 const DEFAULT_CALLER_TIMEOUT: Millis = Millis(15_000);
 
@@ -174,10 +176,9 @@
     let wait = caller.wait.unwrap_or(DEFAULT_CALLER_TIMEOUT);
     let deadline =
         Deadline::after(Duration::from_millis(wait.0.min(route.timeout.0)), router.clock.clone());
-    let limit = table.config().limits.max_body_bytes;
-    let may_go_on = || router.refuse_if_outlasts_stop(&route, &deadline);
-    let read = timeout_at(deadline.timer(), read_body(body, limit, deadline.timer(), may_go_on));
-    let body = read.await.map_err(|_| Refusal::DeadlineExceeded)??;
+    let read = read_body(&router, &table, &route, &deadline, body);
+    let body =
+        timeout_at(deadline.timer(), read).await.map_err(|_| Refusal::DeadlineExceeded)??;
     let service = route.service_for(&caller.id).clone();
     router.retry_budget.borrow_mut().note_request(router.now(), &service);
     let mut headers = head.headers;
@@ -235,37 +236,26 @@
     uri.host().or_else(from_header).unwrap_or_default()
 }
 
-/// Reads a body of up to `limit` bytes, unless `may_go_on` refuses the request meanwhile. The rest
-/// that arrives by `deadline` is then discarded: a caller that is still sending does not receive
-/// the response if the connection is reset under it.
+/// Reads the body of a request, unless the request is to be refused meanwhile.
 async fn read_body(
+    router: &Router,
+    table: &RouteTable,
+    route: &Route,
+    deadline: &Deadline,
     mut body: Incoming,
-    limit: usize,
-    deadline: Instant,
-    may_go_on: impl Fn() -> Result<(), Refusal>,
-) -> Result<Bytes, Refusal> {
-    if body.size_hint().lower() > limit as u64 {
-        return Err(Refusal::BodyTooLarge);
-    }
-    let mut buffered = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        if let Err(refusal) = may_go_on() {
-            tokio::task::spawn_local(timeout_at(deadline, discard(body)));
-            return Err(refusal);
-        }
-        let frame = frame.map_err(|_| Refusal::BodyIncomplete)?;
-        if let Ok(data) = frame.into_data() {
-            if buffered.len() + data.len() > limit {
-                return Err(Refusal::BodyTooLarge);
-            }
-            buffered.extend_from_slice(&data);
-        }
-    }
-    Ok(buffered.freeze())
-}
-
-async fn discard(mut body: Incoming) {
-    while let Some(Ok(_)) = body.frame().await {}
+) -> Result<WholeBody, Refusal> {
+    let limit = table.config().limits.max_body_bytes;
+    let wait = deadline.remaining() * ROOM_WAIT_PERCENT / 100;
+    let may_go_on = || router.refuse_if_outlasts_stop(route, deadline);
+    let refusal = match router.bodies.read(&mut body, limit, wait, may_go_on).await {
+        Ok(whole) => return Ok(whole),
+        Err(BodyReadError::TooLarge { .. }) => return Err(Refusal::BodyTooLarge),
+        Err(BodyReadError::Failed(_)) => return Err(Refusal::BodyIncomplete),
+        Err(BodyReadError::NoRoom | BodyReadError::GaveWay) => Refusal::NoRoomForBody,
+        Err(BodyReadError::Unwanted(refusal)) => refusal,
+    };
+    tokio::task::spawn_local(discard(body, limit, deadline.timer()));
+    Err(refusal)
 }
 
 impl RequestContext {
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -1,6 +1,7 @@
 //! The state of a router, shared by all its requests.
 
 use crate::abandoned_request::ObservedConnections;
+use crate::bounded_bodies::BoundedBodies;
 use crate::byte_channel::CallerBuffers;
 use crate::congestion::Congestion;
 use crate::connection_pool::ConnectionPool;
@@ -21,10 +22,10 @@
 use stackpost_clock::{BootInstant, MachineClock};
 use stackpost_coordinator::{Document, DocumentCodec, DocumentDelta};
 use stackpost_gateway_core::{
-    AccountHolders, AccountOwners, AdmissionOrder, BufferLimits, CrashTracker, DepartureDelta,
-    EngineDirectory, EnginePicker, EngineReachability, EngineTraffic, Evacuations, LeaveHints,
-    LoadShedder, Placement, RankedRouters, RelayRouters, ResponseTimes, RetryBudget, RetryLimits,
-    RouteTable, ServiceAvailability, StreamBuffers,
+    AccountHolders, AccountOwners, AdmissionOrder, BodyLimits, BufferLimits, CrashTracker,
+    DepartureDelta, EngineDirectory, EnginePicker, EngineReachability, EngineTraffic, Evacuations,
+    LeaveHints, LoadShedder, Placement, RankedRouters, RelayRouters, ResponseTimes, RetryBudget,
+    RetryLimits, RouteTable, ServiceAvailability, StreamBuffers,
 };
 use stackpost_prepaid::{BudgetForecast, Wallet};
 use stackpost_telemetry::{LineLimit, Meter};
@@ -117,6 +118,8 @@
     pub(crate) stream_records: StreamRecords,
     /// Bytes held for callers that have not taken them yet.
     pub(crate) caller_buffers: CallerBuffers,
+    /// The bodies of callers' requests.
+    pub(crate) bodies: Rc<BoundedBodies>,
     malformed_header_lines: LineLimit,
     document: RefCell<Option<Document>>,
     /// The departure records of engines are known completely up to this revision.
@@ -190,6 +193,7 @@
             ranked_routers: RefCell::default(),
             stream_records: StreamRecords::default(),
             caller_buffers: CallerBuffers::new(StreamBuffers::new(buffer_limits)),
+            bodies: BoundedBodies::new(BodyLimits::of_machine(settings.load.machine.memory_mb)),
             malformed_header_lines: LineLimit::default(),
             document: RefCell::default(),
             departures_revision: Cell::new(0),
