The connections of callers at a router are bounded

Without a free descriptor a router accepts nobody and opens no connection to engines, other routers or control either.

Cause: every accepted connection was kept for its idle time, in any number.

Change: `ConnectionTable` decides without I/O which connections are kept: 60% of the descriptors that are not for files, and a quarter of the memory at 12 KiB each. Beyond that a new connection takes the place of one without a request under way: an unfinished head that has taken over a second, else the connection that has been idle longest; never one whose response is not complete. If there is none, the new one is reset before anything is read of it, so its client knows that nothing has run. The memory of unfinished heads is bounded in sum as well.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -35,6 +35,7 @@
 //! - [`StreamBuffers`]: when a router stops reading for a caller that reads slowly, and which caller
 //!   is cut off.
 //! - [`BodyMemory`]: which bodies find room in a process, and which give way.
+//! - [`ConnectionTable`]: which connections of clients a process keeps.
 //! - [`AdmissionOrder`]: the same for every plain service that is short of capacity, with or without
 //!   stated rates.
 //! - [`StreamVersions`]: which software version began a stream.
@@ -65,6 +66,7 @@
 mod common_version;
 mod config;
 mod connection_shedding;
+mod connection_table;
 mod crash_tracker;
 mod decode_speed;
 mod departure_progress;
@@ -138,6 +140,7 @@
 pub use connection_shedding::{
     ConnectionShedder, LinkTraffic, SheddingChange, SheddingInputs, busiest_connections,
 };
+pub use connection_table::{Admitted, ConnectionId, ConnectionLimits, ConnectionTable};
 pub use crash_tracker::{CrashReport, CrashTracker};
 pub use decode_speed::DecodeSpeed;
 pub use departure_progress::{
--- /dev/null
+++ b/crates/gateway-core/tests/connection_table.rs
@@ -0,0 +1,149 @@
+//! Bounds on the connections of clients, over drawn histories.
+
+use proptest::prelude::*;
+use stackpost_gateway_core::*;
+use stackpost_types::*;
+use std::collections::BTreeMap;
+
+const CONNECTIONS: u64 = 8;
+const HEAD_BYTES: u64 = 64 * 1024;
+const LIMITS: ConnectionLimits =
+    ConnectionLimits { connections: CONNECTIONS, head_bytes: HEAD_BYTES };
+const HEAD_TIMEOUT: Millis = Millis(3_000);
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::PROCESS_START + Millis(ms)
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Open,
+    Receive { connection: usize, bytes: u64 },
+    Request { connection: usize },
+    End { connection: usize },
+    Close { connection: usize },
+    Wait { ms: u64 },
+    CloseOverdue,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let connection = || 0..16usize;
+    prop_oneof![
+        4 => Just(Step::Open),
+        4 => (connection(), 1..20_000u64)
+            .prop_map(|(connection, bytes)| Step::Receive { connection, bytes }),
+        3 => connection().prop_map(|connection| Step::Request { connection }),
+        2 => connection().prop_map(|connection| Step::End { connection }),
+        1 => connection().prop_map(|connection| Step::Close { connection }),
+        2 => (0..2_000u64).prop_map(|ms| Step::Wait { ms }),
+        1 => Just(Step::CloseOverdue),
+    ]
+}
+
+/// What the test knows of a connection.
+#[derive(Clone, Copy, Debug, Default)]
+struct Known {
+    head_bytes: u64,
+    head_since: Option<Timestamp>,
+    has_request: bool,
+}
+
+proptest! {
+    /// Guards against more connections or heads than the limits, and against closing a connection
+    /// with a request under way.
+    #[test]
+    fn connections_stay_within_their_limits_and_none_with_a_request_is_closed(
+        steps in prop::collection::vec(step(), 1..200)
+    ) {
+        let (mut table, mut now) = (ConnectionTable::new(LIMITS), at(0));
+        let mut known: BTreeMap<ConnectionId, Known> = BTreeMap::new();
+        for step in steps {
+            let pick = |connection: usize| {
+                known.keys().nth(connection % known.len().max(1)).copied()
+            };
+            let mut closed = Vec::new();
+            match step {
+                Step::Open => match table.open(now) {
+                    Some(admitted) => {
+                        closed.extend(admitted.replaces);
+                        known.insert(admitted.id, Known::default());
+                    }
+                    None => {
+                        prop_assert_eq!(known.len() as u64, CONNECTIONS);
+                        prop_assert!(known.values().all(|one| one.has_request));
+                    }
+                },
+                Step::Receive { connection, bytes } => {
+                    let Some(id) = pick(connection) else { continue };
+                    closed.extend(table.on_received(now, id, bytes));
+                    let one = known.get_mut(&id).expect("picked");
+                    if !one.has_request {
+                        one.head_bytes += bytes;
+                        one.head_since.get_or_insert(now);
+                    }
+                }
+                Step::Request { connection } => {
+                    let Some(id) = pick(connection) else { continue };
+                    table.on_request(id);
+                    known.insert(id, Known { has_request: true, ..Known::default() });
+                }
+                Step::End { connection } => {
+                    let Some(id) = pick(connection) else { continue };
+                    table.on_request_ended(now, id);
+                    known.insert(id, Known::default());
+                }
+                Step::Close { connection } => {
+                    let Some(id) = pick(connection) else { continue };
+                    table.close(id);
+                    known.remove(&id);
+                }
+                Step::Wait { ms } => now = now + Millis(ms),
+                Step::CloseOverdue => {
+                    closed = table.close_overdue_heads(now, HEAD_TIMEOUT);
+                    for id in &closed {
+                        let since = known[id].head_since.expect("a head has begun");
+                        prop_assert!(now.since(since) >= HEAD_TIMEOUT);
+                    }
+                }
+            }
+            for id in closed {
+                let one = known.remove(&id).expect("an open connection is closed");
+                prop_assert!(!one.has_request, "a connection with a request is closed");
+            }
+            prop_assert_eq!(table.open_connections(), known.len() as u64);
+            prop_assert!(table.open_connections() <= CONNECTIONS);
+            let heads: u64 = known.values().map(|one| one.head_bytes).sum();
+            prop_assert!(heads <= HEAD_BYTES, "the unfinished heads take too much");
+        }
+    }
+}
+
+#[test]
+fn overdue_heads_give_way_before_idle_connections() {
+    let mut table = ConnectionTable::new(LIMITS);
+    let open = |table: &mut ConnectionTable, now| table.open(now).expect("admitted").id;
+    let idle = open(&mut table, at(0));
+    let head = open(&mut table, at(1));
+    table.on_received(at(1), head, 100);
+    for _ in 2..CONNECTIONS {
+        open(&mut table, at(2));
+    }
+    let next = table.open(at(1_500)).expect("admitted");
+    assert_eq!(next.replaces, Some(head));
+    let next = table.open(at(1_500)).expect("admitted");
+    assert_eq!(next.replaces, Some(idle));
+}
+
+#[test]
+fn a_connection_that_ended_a_request_counts_as_idle_from_then_on() {
+    let mut table = ConnectionTable::new(LIMITS);
+    let first = table.open(at(0)).expect("admitted").id;
+    let second = table.open(at(1)).expect("admitted").id;
+    table.on_request(first);
+    for _ in 2..CONNECTIONS {
+        let id = table.open(at(2)).expect("admitted").id;
+        table.on_request(id);
+    }
+    table.on_request_ended(at(10), first);
+    assert_eq!(table.open(at(11)).expect("admitted").replaces, Some(second));
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod byte_channel;
 mod caller_connections;
 mod caller_resumption;
+pub mod client_connections;
 pub mod congestion;
 mod connection_headers;
 mod connection_pool;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,6 +1,8 @@
 //! Accepts callers' connections and shuts them down in order.
 
+use crate::body::GatewayBody;
 use crate::caller_connections::CallerConnection;
+use crate::client_connections::{ClientConnection, ClientConnections, GuardedBody};
 use crate::metered_stream::MeteredStream;
 use crate::request;
 use crate::router::Router;
@@ -11,6 +13,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
+use stackpost_gateway_core::ConnectionLimits;
 use stackpost_types::{PeerError, Step};
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -43,6 +46,8 @@
     connections: Cell<usize>,
     requests: Cell<usize>,
     closing: watch::Sender<bool>,
+    /// Bounds the connections.
+    clients: Rc<ClientConnections>,
 }
 
 /// Starts to serve callers at `address`. Must be called inside a `LocalSet`.
@@ -54,8 +59,11 @@
         .await
         .map_err(|error| PeerError::new(Step::Listen, address, error))?;
     let (closing, _) = watch::channel(false);
-    let server =
-        Rc::new(Server { router, connections: Cell::new(0), requests: Cell::new(0), closing });
+    let machine = router.load_settings().machine;
+    let limits = ConnectionLimits::of_process(machine.descriptors, machine.memory_mb);
+    let clients = ClientConnections::new(limits);
+    let (connections, requests) = (Cell::new(0), Cell::new(0));
+    let server = Rc::new(Server { router, connections, requests, closing, clients });
     tokio::task::spawn_local(server.clone().accept(listener));
     Ok(server)
 }
@@ -87,9 +95,12 @@
     async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) if self.router.admits_connection() => {
-                    tokio::task::spawn_local(self.clone().serve_connection(stream));
-                }
+                Ok((stream, _)) if self.router.admits_connection() => match self.clients.open() {
+                    Some(client) => {
+                        tokio::task::spawn_local(self.clone().serve_connection(stream, client));
+                    }
+                    None => reset(stream),
+                },
                 Ok((stream, _)) => reset(stream),
                 Err(error) => {
                     log::warn!(step = "accept"; "{error}");
@@ -99,7 +110,16 @@
         }
     }
 
-    async fn serve_connection(self: Rc<Self>, stream: TcpStream) {
+    /// Serves a connection until it ends, or has to be closed for another one.
+    async fn serve_connection(self: Rc<Self>, stream: TcpStream, client: Rc<ClientConnection>) {
+        tokio::select! {
+            biased;
+            () = client.closed() => {}
+            () = self.serve_requests(stream, &client) => {}
+        }
+    }
+
+    async fn serve_requests(self: &Rc<Self>, stream: TcpStream, client: &Rc<ClientConnection>) {
         let _guard = CounterGuard::new(self.clone(), |server| &server.connections);
         // Only shortens delays; the connection works without it.
         let _ = SockRef::from(&stream).set_tcp_nodelay(true);
@@ -107,8 +127,11 @@
         let open = control.callers.open();
         let connection = open.connection.clone();
         let bytes = connection.bytes.clone();
-        let stream = MeteredStream::of_caller(stream, control.meter.clone(), bytes);
-        let service = service_fn(move |request| server.clone().handle(connection.clone(), request));
+        let stream = MeteredStream::of_caller(client.wrap(stream), control.meter.clone(), bytes);
+        let client = client.clone();
+        let service = service_fn(move |request| {
+            server.clone().handle(connection.clone(), client.clone(), request)
+        });
         let opened_late = *self.closing.borrow();
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -137,14 +160,16 @@
     async fn handle(
         self: Rc<Self>,
         connection: Rc<CallerConnection>,
+        client: Rc<ClientConnection>,
         request: Request<Incoming>,
-    ) -> Result<Response<crate::GatewayBody>, Infallible> {
+    ) -> Result<Response<GuardedBody<GatewayBody>>, Infallible> {
         let _guard = CounterGuard::new(self.clone(), |server| &server.requests);
+        let under_way = client.begin_request();
         let mut response = request::serve(self.router.clone(), request).await;
         if self.router.is_draining() || connection.closes() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        Ok(response)
+        Ok(response.map(|body| GuardedBody::new(body, under_way)))
     }
 
     fn idle_timeout(&self) -> Duration {
