Heads of requests are bounded by MaxHeaderBytes and HeaderTimeoutMs

Clients that began a head and stopped kept their connections for the idle time (16 to 22 s in the users' trial, with HeaderTimeoutMs 3,000): 4,500 of them took a router to 169 MB. In the crowd test, whose idle time is 600 s, 60 such connections were not closed within 120 s.

Cause: both limits of the configuration were read and used nowhere. The server bounded the time from the end of a request to the end of the next head by the idle time, and a head by 64 KiB.

Change: the time of a head counts from its first byte, so a client may take up a connection that has rested for most of its idle time. Overdue heads are looked for every quarter of a second; not after the process has stood still, since what has arrived meanwhile is read first. A connection's buffer has the size that MaxHeaderBytes needs, 20 KiB as a rule, which also bounds what is read ahead of a body.

--- a/crates/gateway/src/client_connections.rs
+++ b/crates/gateway/src/client_connections.rs
@@ -14,10 +14,14 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::sleep;
+
+/// Interval at which unfinished heads are looked at.
+const HEAD_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The connections of clients at one port.
 #[derive(Debug)]
@@ -54,6 +58,20 @@
         Some(Rc::new(ClientConnection { connections: self.clone(), id, closing }))
     }
 
+    /// Closes connections whose heads take longer than `timeout` returns; never returns.
+    pub async fn run_head_timeout(self: Rc<Self>, timeout: impl Fn() -> Millis) {
+        loop {
+            let before = Instant::now();
+            sleep(HEAD_CHECK_INTERVAL).await;
+            if before.elapsed() > 2 * HEAD_CHECK_INTERVAL {
+                // The process stood still. What has arrived meanwhile is read first.
+                continue;
+            }
+            let overdue = self.table.borrow_mut().close_overdue_heads(self.now(), timeout());
+            overdue.into_iter().for_each(|id| self.close(id, "an unfinished head"));
+        }
+    }
+
     fn close(&self, id: ConnectionId, what: &str) {
         if let Some(closing) = self.closing.borrow().get(&id) {
             closing.notify_one();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -14,18 +14,25 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
 use stackpost_gateway_core::ConnectionLimits;
-use stackpost_types::{PeerError, Step};
+use stackpost_types::{Millis, PeerError, Step};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
-/// Size limit of a request's headers.
-const MAX_HEADER_BYTES: usize = 64 * 1024;
+/// Size limit of a request's headers while there is no configuration.
+const DEFAULT_MAX_HEADER_BYTES: usize = 64 * 1024;
+/// Added to the size limit of the headers, for the request line.
+const REQUEST_LINE_BYTES: usize = 4 * 1024;
+/// The smallest buffer that a connection can have, and the largest that it gets.
+const BUFFER_BYTES: RangeInclusive<usize> = 8 * 1024..=1024 * 1024;
+/// Time limit of a request's headers while there is no configuration.
+const DEFAULT_HEADER_TIMEOUT: Millis = Millis(10_000);
 /// Idle timeout between requests while there is no configuration.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Added to the idle timeout that callers are promised, for the transmission time of their bytes.
@@ -65,6 +72,9 @@
     let (connections, requests) = (Cell::new(0), Cell::new(0));
     let server = Rc::new(Server { router, connections, requests, closing, clients });
     tokio::task::spawn_local(server.clone().accept(listener));
+    let timeouts = server.clone();
+    let timeout = move || timeouts.header_timeout();
+    tokio::task::spawn_local(server.clients.clone().run_head_timeout(timeout));
     Ok(server)
 }
 
@@ -136,7 +146,7 @@
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(if opened_late { DRAIN_IDLE_TIMEOUT } else { self.idle_timeout() })
-            .max_buf_size(MAX_HEADER_BYTES)
+            .max_buf_size(self.buffer_bytes())
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
         if opened_late {
@@ -172,6 +182,21 @@
         Ok(response.map(|body| GuardedBody::new(body, under_way)))
     }
 
+    /// Size of a connection's buffer, which bounds the head of a request.
+    fn buffer_bytes(&self) -> usize {
+        let table = self.router.table();
+        let configured = table.map(|table| table.config().limits.max_header_bytes);
+        let bytes =
+            configured.unwrap_or(DEFAULT_MAX_HEADER_BYTES).saturating_add(REQUEST_LINE_BYTES);
+        bytes.clamp(*BUFFER_BYTES.start(), *BUFFER_BYTES.end())
+    }
+
+    /// Longest time from the first byte of a request to the end of its head.
+    fn header_timeout(&self) -> Millis {
+        let table = self.router.table();
+        table.map_or(DEFAULT_HEADER_TIMEOUT, |table| table.config().limits.header_timeout)
+    }
+
     fn idle_timeout(&self) -> Duration {
         let table = self.router.table();
         let configured =
