Bodies that wait for room get it in their order

Cause, by reading the code of: all waiting bodies tried again each time that room became free, so the next one was drawn by chance; a body in chunks had to win that draw at each doubling; and a body that waited counted as one without progress, so it gave way to others while it could not read.

Change: waiting bodies queue by size, those that hold room first; a body in the queue need make no progress. A large body in chunks takes the room of the largest one at once if there is some, and gives back what it does not need once it is whole. The time without progress is half a second, the bodies' part of the memory 30% (80% of it for large ones), so that five bodies of 4 MB fit on the smallest machine.

--- a/crates/gateway-core/src/body_memory.rs
+++ b/crates/gateway-core/src/body_memory.rs
@@ -5,30 +5,33 @@
 //!
 //! Clients may send part of a body and then nothing more. So a body that makes no progress gives way
 //! to another one that finds no room. Room is also kept for small bodies that larger ones can't
-//! take: most requests and all announcements of engines are small.
+//! take: most requests and all announcements of engines are small. Bodies that wait for room get it
+//! in the order in which they came, those that hold some already first.
 //!
 //! Invariants: the bodies of each size and of all larger sizes together stay within the limit of
-//! that size; only bodies that are not whole and make no progress give way, and only if the other
-//! body then finds room.
+//! that size; only bodies that are not whole, make no progress and do not wait for room give way,
+//! and only if the other body then finds room; a waiting body is not overtaken by a later one of its
+//! size.
 
 use stackpost_types::{Millis, Timestamp};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-/// The bodies may take this part of the machine's memory.
-const MEMORY_PARTS: u64 = 4;
+/// The bodies may take this part of the machine's memory, in percent.
+const MEMORY_PERCENT: u64 = 30;
 const BYTES_PER_MEGABYTE: u64 = 1_000_000;
 /// Bytes for all bodies on a machine whose memory is not known.
 const DEFAULT_TOTAL_BYTES: u64 = 64 * BYTES_PER_MEGABYTE;
-/// Largest tiny and largest small body.
-const TINY_BYTES: u64 = 4 * 1024;
-const SMALL_BYTES: u64 = 64 * 1024;
+/// Size of the largest tiny body.
+const MAX_TINY_BODY: u64 = 4 * 1024;
+/// Size of the largest small body, in bytes.
+pub const MAX_SMALL_BODY: u64 = 64 * 1024;
 /// Part of the room, in percent, that large bodies may take, and small and large ones together.
-const LARGE_PERCENT: u64 = 75;
+const LARGE_PERCENT: u64 = 80;
 const SMALL_PERCENT: u64 = 90;
 /// A body makes progress if it receives this many bytes within [`STALL_TIME`].
 const PROGRESS_BYTES: u64 = 16 * 1024;
 /// Time without progress after which a body may have to give way.
-pub const STALL_TIME: Millis = Millis(1_000);
+pub const STALL_TIME: Millis = Millis(500);
 
 /// Bound on all bodies together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,7 +43,8 @@
 impl BodyLimits {
     /// The limits on a machine with this memory, in megabytes; `None` if it is not known.
     pub fn of_machine(memory_mb: Option<u64>) -> Self {
-        let of_memory = |memory: u64| memory.saturating_mul(BYTES_PER_MEGABYTE) / MEMORY_PARTS;
+        let of_memory =
+            |memory: u64| memory.saturating_mul(BYTES_PER_MEGABYTE / 100 * MEMORY_PERCENT);
         Self { total: memory_mb.map_or(DEFAULT_TOTAL_BYTES, of_memory) }
     }
 
@@ -66,9 +70,9 @@
     const ALL: [Self; 3] = [Self::Tiny, Self::Small, Self::Large];
 
     fn of(room: u64) -> Self {
-        if room <= TINY_BYTES {
+        if room <= MAX_TINY_BODY {
             Self::Tiny
-        } else if room <= SMALL_BYTES {
+        } else if room <= MAX_SMALL_BODY {
             Self::Small
         } else {
             Self::Large
@@ -92,14 +96,26 @@
     progress_at: Timestamp,
     progress_bytes: u64,
     is_whole: bool,
+    /// Its place in the queue for room, while it waits.
+    turn: Option<Turn>,
 }
 
 impl Body {
     fn is_stalled(&self, now: Timestamp) -> bool {
-        !self.is_whole && now.since(self.progress_at) >= STALL_TIME
+        let may_progress = !self.is_whole && self.turn.is_none();
+        may_progress && now.since(self.progress_at) >= STALL_TIME
     }
 }
 
+/// Place in the queue for room among bodies of the same size; the lowest is served first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Turn {
+    size: BodySize,
+    /// Whether the body holds no room yet.
+    is_new: bool,
+    number: u64,
+}
+
 /// Bytes taken by bodies, by size.
 #[derive(Clone, Copy, Debug, Default)]
 struct Taken([u64; BodySize::ALL.len()]);
@@ -131,13 +147,22 @@
     limits: BodyLimits,
     taken: Taken,
     bodies: BTreeMap<BodyId, Body>,
+    queue: BTreeSet<(Turn, BodyId)>,
     next_id: u64,
+    next_turn: u64,
 }
 
 impl BodyMemory {
     /// Creates the state without bodies.
     pub fn new(limits: BodyLimits) -> Self {
-        Self { limits, taken: Taken::default(), bodies: BTreeMap::new(), next_id: 0 }
+        Self {
+            limits,
+            taken: Taken::default(),
+            bodies: BTreeMap::new(),
+            queue: BTreeSet::new(),
+            next_id: 0,
+            next_turn: 0,
+        }
     }
 
     /// Bytes taken by all bodies.
@@ -149,8 +174,14 @@
     pub fn open(&mut self, now: Timestamp) -> BodyId {
         let id = BodyId(self.next_id);
         self.next_id += 1;
-        let body =
-            Body { room: 0, received: 0, progress_at: now, progress_bytes: 0, is_whole: false };
+        let body = Body {
+            room: 0,
+            received: 0,
+            progress_at: now,
+            progress_bytes: 0,
+            is_whole: false,
+            turn: None,
+        };
         self.bodies.insert(id, body);
         id
     }
@@ -160,25 +191,66 @@
     ///
     /// # Errors
     ///
-    /// There is no room, not even if all bodies without progress give way. Nothing has changed.
+    /// There is no room, not even if all bodies without progress give way, or others come first.
+    /// Nothing has changed.
     pub fn take(&mut self, now: Timestamp, id: BodyId, room: u64) -> Result<Vec<BodyId>, NoRoom> {
-        let Some(before) = self.bodies.get(&id).map(|body| body.room) else {
+        let Some(body) = self.bodies.get(&id).copied() else {
             return Err(NoRoom);
         };
+        if !self.is_first(&body, room) {
+            return Err(NoRoom);
+        }
         let mut taken = self.taken;
-        taken.remove(before);
+        taken.remove(body.room);
         let given_way = self.bodies_giving_way(now, id, room, &mut taken)?;
         taken.add(room);
         self.taken = taken;
         for stalled in &given_way {
             self.bodies.remove(stalled);
         }
+        self.leave_queue(now, id);
         if let Some(body) = self.bodies.get_mut(&id) {
             body.room = room;
         }
         Ok(given_way)
     }
 
+    /// Lets a body wait for room until it takes some or is closed. While it waits, it need not make
+    /// progress.
+    pub fn wait_for(&mut self, id: BodyId, room: u64) {
+        let number = self.next_turn;
+        let Some(body) = self.bodies.get_mut(&id).filter(|body| body.turn.is_none()) else {
+            return;
+        };
+        let turn = Turn { size: BodySize::of(room), is_new: body.room == 0, number };
+        body.turn = Some(turn);
+        self.queue.insert((turn, id));
+        self.next_turn += 1;
+    }
+
+    /// The waiting bodies whose turn it is, one of each size.
+    pub fn first_waiting(&self) -> Vec<BodyId> {
+        let of_size = |size| self.queue.iter().find(move |(turn, _)| turn.size == size);
+        BodySize::ALL.into_iter().filter_map(of_size).map(|(_, id)| *id).collect()
+    }
+
+    /// Whether no other body of its size comes before this one.
+    fn is_first(&self, body: &Body, room: u64) -> bool {
+        let size = BodySize::of(room);
+        let first = self.queue.iter().find(|(turn, _)| turn.size == size).map(|(turn, _)| *turn);
+        let own = Turn { size, is_new: body.room == 0, number: self.next_turn };
+        first.is_none_or(|first| body.turn.unwrap_or(own) <= first)
+    }
+
+    fn leave_queue(&mut self, now: Timestamp, id: BodyId) {
+        if let Some(body) = self.bodies.get_mut(&id)
+            && let Some(turn) = body.turn.take()
+        {
+            self.queue.remove(&(turn, id));
+            body.progress_at = now;
+        }
+    }
+
     /// The bodies that give way to one with this room, the longest without progress first. Removes
     /// them from `taken`.
     fn bodies_giving_way(
@@ -222,9 +294,13 @@
         }
     }
 
-    /// Records that a body was received whole. It no longer gives way.
-    pub fn on_whole(&mut self, id: BodyId) {
+    /// Records that a body was received whole and takes `room` bytes, no more than before. It no
+    /// longer gives way.
+    pub fn on_whole(&mut self, id: BodyId, room: u64) {
         if let Some(body) = self.bodies.get_mut(&id) {
+            self.taken.remove(body.room);
+            body.room = room.min(body.room);
+            self.taken.add(body.room);
             body.is_whole = true;
         }
     }
@@ -233,6 +309,9 @@
     pub fn close(&mut self, id: BodyId) {
         if let Some(body) = self.bodies.remove(&id) {
             self.taken.remove(body.room);
+            if let Some(turn) = body.turn {
+                self.queue.remove(&(turn, id));
+            }
         }
     }
 }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -128,7 +128,7 @@
     AdmissionDecision, AdmissionOrder, KnownCapacity, ShortageChange, SlotUse,
 };
 pub use backoff::{BackoffChange, BackoffTracker};
-pub use body_memory::{BodyId, BodyLimits, BodyMemory, NoRoom, STALL_TIME};
+pub use body_memory::{BodyId, BodyLimits, BodyMemory, MAX_SMALL_BODY, NoRoom, STALL_TIME};
 pub use class_demand::RequestClass;
 pub use cold_engines::{ColdDelta, ColdEngines, ColdNotice};
 pub use cold_schedule::ColdSchedule;
--- a/crates/gateway/src/bounded_bodies.rs
+++ b/crates/gateway/src/bounded_bodies.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use stackpost_gateway_core::{BodyId, BodyLimits, BodyMemory, NoRoom};
+use stackpost_gateway_core::{BodyId, BodyLimits, BodyMemory, MAX_SMALL_BODY, NoRoom};
 use stackpost_types::{Millis, Timestamp};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -19,8 +19,8 @@
 
 /// Room that a body without a stated length takes at first. It is doubled as the body grows.
 const FIRST_ROOM_BYTES: usize = 4 * 1024;
-/// Interval at which a waiting body looks again for room, beside each time that some becomes free:
-/// another body may have made no progress meanwhile.
+/// Interval at which a waiting body looks again for room, beside each time that its turn may have
+/// come: another body may have made no progress meanwhile.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Why a body is not read to its end.
@@ -50,13 +50,19 @@
 #[derive(Debug)]
 pub struct BoundedBodies {
     memory: RefCell<BodyMemory>,
-    /// Notified when the body of this id gives way.
-    given_way: RefCell<HashMap<BodyId, Rc<Notify>>>,
-    /// Notified when room becomes free.
-    freed: Notify,
+    signals: RefCell<HashMap<BodyId, Rc<Signals>>>,
     started: Instant,
 }
 
+/// What a body is told while it is read.
+#[derive(Debug, Default)]
+struct Signals {
+    /// It has to give way.
+    given_way: Notify,
+    /// Its turn for room may have come.
+    turn: Notify,
+}
+
 /// A whole body. It takes room until it is dropped.
 #[derive(Debug)]
 pub struct WholeBody {
@@ -77,8 +83,7 @@
     pub fn new(limits: BodyLimits) -> Rc<Self> {
         Rc::new(Self {
             memory: RefCell::new(BodyMemory::new(limits)),
-            given_way: RefCell::default(),
-            freed: Notify::new(),
+            signals: RefCell::default(),
             started: Instant::now(),
         })
     }
@@ -106,8 +111,9 @@
         }
         let room = BodyRoom::open(self, wait);
         let mut bytes = Vec::new();
-        let stated = size.exact().unwrap_or_default() as usize;
-        room.grow(&mut bytes, stated).await?;
+        if let Some(stated) = size.exact() {
+            room.grow(&mut bytes, stated as usize, stated as usize).await?;
+        }
         while let Some(frame) = room.unless_given_way(body.frame()).await? {
             may_go_on().map_err(BodyReadError::Unwanted)?;
             let frame = frame.map_err(|error| BodyReadError::Failed(error.to_string()))?;
@@ -118,14 +124,14 @@
             if needed > limit {
                 return Err(BodyReadError::TooLarge { limit });
             }
-            if needed > room.taken.get() {
-                let doubled = (2 * room.taken.get()).max(FIRST_ROOM_BYTES).min(limit);
-                room.grow(&mut bytes, doubled.max(needed)).await?;
+            if needed > bytes.capacity() {
+                let doubled = (2 * bytes.capacity()).max(FIRST_ROOM_BYTES).min(limit);
+                room.grow(&mut bytes, doubled.max(needed), limit).await?;
             }
             bytes.extend_from_slice(&data);
             room.on_received(data.len());
         }
-        room.on_whole();
+        room.on_whole(bytes.capacity());
         Ok(WholeBody { bytes: bytes.into(), _room: Some(room) })
     }
 
@@ -136,12 +142,22 @@
     /// Takes room for a body, and tells the bodies that give way to it.
     fn take(&self, id: BodyId, room: usize) -> Result<(), NoRoom> {
         let given_way = self.memory.borrow_mut().take(self.now(), id, room as u64)?;
-        let waiting = self.given_way.borrow();
-        for notify in given_way.iter().filter_map(|id| waiting.get(id)) {
-            notify.notify_one();
+        let signals = self.signals.borrow();
+        for signals in given_way.iter().filter_map(|id| signals.get(id)) {
+            signals.given_way.notify_one();
         }
         Ok(())
     }
+
+    /// Tells the waiting bodies whose turn may have come.
+    fn notify_first_waiting(&self) {
+        let signals = self.signals.borrow();
+        for first in self.memory.borrow().first_waiting() {
+            if let Some(signals) = signals.get(&first) {
+                signals.turn.notify_one();
+            }
+        }
+    }
 }
 
 /// The room that a body takes, until it is dropped.
@@ -149,7 +165,7 @@
 struct BodyRoom {
     bodies: Rc<BoundedBodies>,
     id: BodyId,
-    given_way: Rc<Notify>,
+    signals: Rc<Signals>,
     /// Bytes.
     taken: Cell<usize>,
     /// How much longer the body may wait for room.
@@ -159,35 +175,56 @@
 impl BodyRoom {
     fn open(bodies: &Rc<BoundedBodies>, wait: Duration) -> Self {
         let id = bodies.memory.borrow_mut().open(bodies.now());
-        let given_way = Rc::<Notify>::default();
-        bodies.given_way.borrow_mut().insert(id, given_way.clone());
+        let signals = Rc::<Signals>::default();
+        bodies.signals.borrow_mut().insert(id, signals.clone());
         let (taken, wait_left) = (Cell::new(0), Cell::new(wait));
-        Self { bodies: bodies.clone(), id, given_way, taken, wait_left }
+        Self { bodies: bodies.clone(), id, signals, taken, wait_left }
     }
 
-    /// Takes room for `room` bytes in all, and memory in `bytes`.
-    async fn grow<E>(&self, bytes: &mut Vec<u8>, room: usize) -> Result<(), BodyReadError<E>> {
-        self.unless_given_way(self.take(room)).await?.map_err(|NoRoom| BodyReadError::NoRoom)?;
-        bytes.reserve_exact(room - bytes.len());
+    /// Grows `bytes` to a capacity of `needed`. A large body takes room for `most` at once if there
+    /// is some, so that it need not wait again as it grows.
+    async fn grow<E>(
+        &self,
+        bytes: &mut Vec<u8>,
+        needed: usize,
+        most: usize,
+    ) -> Result<(), BodyReadError<E>> {
+        if needed > self.taken.get() {
+            let at_once = if needed as u64 > MAX_SMALL_BODY { most.max(needed) } else { needed };
+            let taking = self.take(needed, at_once);
+            self.unless_given_way(taking).await?.map_err(|NoRoom| BodyReadError::NoRoom)?;
+        }
+        bytes.reserve_exact(needed - bytes.len());
         Ok(())
     }
 
-    async fn take(&self, room: usize) -> Result<(), NoRoom> {
+    /// Takes room for `most` bytes in all, or for those that are needed.
+    async fn take(&self, needed: usize, most: usize) -> Result<(), NoRoom> {
         let started = Instant::now();
         let wait_until = tokio::time::Instant::from_std(started) + self.wait_left.get();
-        while self.bodies.take(self.id, room).is_err() {
-            if tokio::time::Instant::now() >= wait_until {
+        while !self.try_take(most) && !self.try_take(needed) {
+            let now = tokio::time::Instant::now();
+            if now >= wait_until {
                 return Err(NoRoom);
             }
-            let retry_at = (tokio::time::Instant::now() + RETRY_INTERVAL).min(wait_until);
-            // Whether room became free or the time has passed, the body looks again.
-            let _ = timeout_at(retry_at, self.bodies.freed.notified()).await;
+            self.bodies.memory.borrow_mut().wait_for(self.id, needed as u64);
+            let retry_at = (now + RETRY_INTERVAL).min(wait_until);
+            // Whether its turn has come or the time has passed, the body looks again.
+            let _ = timeout_at(retry_at, self.signals.turn.notified()).await;
         }
-        self.taken.set(room);
         self.wait_left.set(self.wait_left.get().saturating_sub(started.elapsed()));
+        self.bodies.notify_first_waiting();
         Ok(())
     }
 
+    fn try_take(&self, room: usize) -> bool {
+        let is_taken = self.bodies.take(self.id, room).is_ok();
+        if is_taken {
+            self.taken.set(room);
+        }
+        is_taken
+    }
+
     /// The result of `work`, unless the body has to give way meanwhile.
     async fn unless_given_way<T, E>(
         &self,
@@ -195,7 +232,7 @@
     ) -> Result<T, BodyReadError<E>> {
         tokio::select! {
             biased;
-            () = self.given_way.notified() => Err(BodyReadError::GaveWay),
+            () = self.signals.given_way.notified() => Err(BodyReadError::GaveWay),
             result = work => Ok(result),
         }
     }
@@ -205,16 +242,17 @@
         self.bodies.memory.borrow_mut().on_received(now, self.id, bytes as u64);
     }
 
-    fn on_whole(&self) {
-        self.bodies.memory.borrow_mut().on_whole(self.id);
+    fn on_whole(&self, room: usize) {
+        self.bodies.memory.borrow_mut().on_whole(self.id, room as u64);
+        self.bodies.notify_first_waiting();
     }
 }
 
 impl Drop for BodyRoom {
     fn drop(&mut self) {
         self.bodies.memory.borrow_mut().close(self.id);
-        self.bodies.given_way.borrow_mut().remove(&self.id);
-        self.bodies.freed.notify_waiters();
+        self.bodies.signals.borrow_mut().remove(&self.id);
+        self.bodies.notify_first_waiting();
     }
 }
 
