What lies unread on a caller's connection is bounded

Bytes that have arrived in a process's sockets count towards the memory of its machine. Clients whose bodies wait for room filled their sockets: up to 45 MB for 60 of them (crowd test of unfinished bodies in pieces), 6.8 MB in the run of the new test, on a machine of 88 MB.

Cause: the kernel grows the receive buffer of a connection by itself, to several megabytes.

Change: the receive buffer of a client's connection has 32 KiB, which the kernel doubles for its own bookkeeping. Over a path of 6 ms that still carries 5 MB a second.

--- a/crates/gateway/src/client_connections.rs
+++ b/crates/gateway/src/client_connections.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
+use socket2::SockRef;
 use stackpost_gateway_core::{ConnectionId, ConnectionLimits, ConnectionTable};
 use stackpost_telemetry::LineLimit;
 use stackpost_types::{Millis, Timestamp};
@@ -20,6 +21,9 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+/// Receive buffer of a client's connection: what may lie there unread. The kernel doubles it for
+/// its own bookkeeping.
+const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
 /// Interval at which unfinished heads are looked at.
 const HEAD_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -103,6 +107,10 @@
 impl ClientConnection {
     /// Wraps the connection's stream, whose bytes are counted.
     pub fn wrap(self: &Rc<Self>, stream: TcpStream) -> ClientStream {
+        // Without the option the kernel's own limits apply.
+        if let Err(error) = SockRef::from(&stream).set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+            log::debug!(step = "receive buffer"; "{error}");
+        }
         ClientStream { stream, connection: self.clone() }
     }
 
