Connections between processes hold little before the other end has said who it is

Any host that reaches the ports between processes could take a process out of memory: 20 connections with an unfinished frame of 16 MiB each took the leader to 337 MB and a router to 338 MB (crowd tests, of 76 MB).

Cause: the first frame of a connection, which names the other end, could be as large as any other one, and connections without it were accepted in any number, also at the relay port.

Change: the first frame may have 4 KiB; larger ones are allowed once it is read. At each of these ports 256 connections wait for their first message at most; a further one takes the place of the one that has waited longest. A connection at the relay port counts as relayed once its request is read, so connections without one no longer keep routers from relaying.

What remains: an end that names itself falsely is believed, and its frames may then have 16 MiB each.

--- a/crates/gateway/src/engine_relay/server.rs
+++ b/crates/gateway/src/engine_relay/server.rs
@@ -4,6 +4,7 @@
 use crate::router::Router;
 use crate::socket_options::set_options;
 use stackpost_gateway_core::EngineRecord;
+use stackpost_mesh::{PendingConnection, PendingConnections};
 use stackpost_types::{BackEndName, PeerError, Step};
 use std::io;
 use std::net::SocketAddr;
@@ -28,6 +29,8 @@
 /// Accepts other routers' connections and forwards them to engines.
 pub(crate) struct RelayServer {
     router: Rc<Router>,
+    /// Connections without a request yet.
+    pending: Rc<PendingConnections>,
 }
 
 impl RelayServer {
@@ -38,7 +41,8 @@
         let listener = TcpListener::bind(address)
             .await
             .map_err(|error| PeerError::new(Step::Listen, address, error))?;
-        tokio::task::spawn_local(Rc::new(Self { router }).accept(listener));
+        let server = Rc::new(Self { router, pending: Rc::default() });
+        tokio::task::spawn_local(server.accept(listener));
         Ok(())
     }
 
@@ -46,7 +50,8 @@
         loop {
             match listener.accept().await {
                 Ok((stream, peer)) => {
-                    tokio::task::spawn_local(self.clone().serve(stream, peer));
+                    let pending = self.pending.open();
+                    tokio::task::spawn_local(self.clone().serve(stream, peer, pending));
                 }
                 Err(error) => {
                     log::warn!(step = "accept relay"; "{error}");
@@ -56,17 +61,25 @@
         }
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream, peer: SocketAddr) {
-        let _guard = self.router.relayed.count();
-        if let Err(error) = self.relay(stream).await {
+    async fn serve(
+        self: Rc<Self>,
+        stream: TcpStream,
+        peer: SocketAddr,
+        pending: PendingConnection,
+    ) {
+        if let Err(error) = self.relay(stream, pending).await {
             log::debug!(step = "relay", peer = peer.to_string(); "{error}");
         }
     }
 
-    async fn relay(&self, mut stream: TcpStream) -> io::Result<()> {
+    async fn relay(&self, mut stream: TcpStream, pending: PendingConnection) -> io::Result<()> {
         set_options(&stream);
         let reading = timeout(REQUEST_TIMEOUT, read_message::<RelayRequest>(&mut stream));
-        let request = reading.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        let Some(request) = pending.first_message(reading).await else {
+            return Err(io::Error::other("too many connections without a request"));
+        };
+        let request = request.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        let _guard = self.router.relayed.count();
         let connected = self.connect(&request.engine).await;
         self.router.metrics.on_relayed(connected.is_ok());
         let engine = match connected {
--- a/crates/mesh/src/connection.rs
+++ b/crates/mesh/src/connection.rs
@@ -1,6 +1,6 @@
 //! One connection: exchanges frames in both directions until it breaks.
 
-use crate::{CONNECTION_IDLE_TIMEOUT, MAX_FRAME_BYTES};
+use crate::{CONNECTION_IDLE_TIMEOUT, MAX_FIRST_FRAME_BYTES, MAX_FRAME_BYTES};
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
 use socket2::SockRef;
@@ -37,16 +37,22 @@
     Ok(frame_stream(stream))
 }
 
-/// Wraps an accepted or opened stream in the frame codec.
+/// Wraps an accepted or opened stream in the frame codec. Frames are small until
+/// [`allow_large_frames`].
 pub(crate) fn frame_stream(stream: TcpStream) -> FrameStream {
     let socket = SockRef::from(&stream);
     // Both options only reduce latency, so failures to set them are ignored.
     let _ = socket.set_tcp_nodelay(true);
     let _ = socket.set_tcp_user_timeout(Some(CONNECTION_IDLE_TIMEOUT));
-    let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+    let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FIRST_FRAME_BYTES).new_codec();
     Framed::new(stream, codec)
 }
 
+/// Allows frames of the full size, once the other end has said who it is.
+pub(crate) fn allow_large_frames(stream: &mut FrameStream) {
+    stream.codec_mut().set_max_frame_length(MAX_FRAME_BYTES);
+}
+
 /// Reads the next frame; fails if none arrives within [`CONNECTION_IDLE_TIMEOUT`].
 pub(crate) async fn next_frame(stream: &mut FrameStream) -> io::Result<Bytes> {
     match timeout(CONNECTION_IDLE_TIMEOUT, stream.next()).await {
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -2,6 +2,7 @@
 
 use crate::MAX_FRAME_BYTES;
 use crate::connection::{self, FrameStream};
+use crate::pending::{PendingConnection, PendingConnections};
 use crate::traffic::{MessageKind, SentByKind};
 use bytes::Bytes;
 use futures::SinkExt;
@@ -142,13 +143,14 @@
             .await
             .map_err(|error| PeerError::new(Step::Listen, address, error))?;
         let mesh = self.clone();
+        let pending = Rc::<PendingConnections>::default();
         tokio::task::spawn_local(async move {
             loop {
                 match listener.accept().await {
                     Ok((stream, _)) => {
-                        let mesh = mesh.clone();
+                        let (mesh, pending) = (mesh.clone(), pending.open());
                         tokio::task::spawn_local(async move {
-                            mesh.serve(connection::frame_stream(stream), None).await;
+                            mesh.serve_accepted(connection::frame_stream(stream), pending).await;
                         });
                     }
                     Err(_) => sleep(MAX_RECONNECT_PAUSE).await,
@@ -169,7 +171,7 @@
             let mut pause = FIRST_RECONNECT_PAUSE;
             while mesh.shared.dialed.borrow().contains(&address) {
                 if let Ok(stream) = connection::connect(mesh.shared.source, address).await {
-                    mesh.serve(stream, Some(address)).await;
+                    mesh.serve_dialed(stream, address).await;
                     pause = FIRST_RECONNECT_PAUSE;
                 }
                 sleep(pause).await;
@@ -219,20 +221,34 @@
         }
     }
 
-    async fn serve(&self, mut stream: FrameStream, dialed: Option<SocketAddr>) {
+    async fn serve_accepted(&self, mut stream: FrameStream, pending: PendingConnection) {
+        if let Some(Some(peer)) = pending.first_message(self.introduce(&mut stream)).await {
+            self.exchange(stream, peer, None).await;
+        }
+    }
+
+    async fn serve_dialed(&self, mut stream: FrameStream, address: SocketAddr) {
+        if let Some(peer) = self.introduce(&mut stream).await {
+            self.exchange(stream, peer, Some(address)).await;
+        }
+    }
+
+    /// Says who this end is and learns who the other end is.
+    async fn introduce(&self, stream: &mut FrameStream) -> Option<PeerInfo> {
         let own_info_frame = Bytes::from(
             postcard::to_stdvec(&self.shared.own).expect("peer information can be encoded"),
         );
-        if stream.send(own_info_frame).await.is_err() {
-            return;
-        }
-        let Ok(frame) = connection::next_frame(&mut stream).await else {
-            return;
-        };
-        let peer = match postcard::from_bytes::<PeerInfo>(&frame) {
-            Ok(peer) => peer,
-            Err(error) => return self.log_undecodable("peer information", &error),
-        };
+        stream.send(own_info_frame).await.ok()?;
+        let frame = connection::next_frame(stream).await.ok()?;
+        let peer = postcard::from_bytes::<PeerInfo>(&frame);
+        let peer =
+            peer.inspect_err(|error| self.log_undecodable("peer information", error)).ok()?;
+        connection::allow_large_frames(stream);
+        Some(peer)
+    }
+
+    /// Exchanges messages until the connection ends.
+    async fn exchange(&self, stream: FrameStream, peer: PeerInfo, dialed: Option<SocketAddr>) {
         let link = LinkId(self.shared.next_link.get());
         self.shared.next_link.set(link.0 + 1);
         let (sender, mut outgoing) = mpsc::channel(MAX_QUEUED_FRAMES);
