A response that is not written completely keeps its connection, but not for ever

By reading, two defects of: a connection counted as idle once the server had handed over the last part of a response, although part of it may not be written yet, so a new connection could take its place and cut the response off; and a client that takes nothing of such a response kept its connection for as long as it wanted, since the idle time begins only after it.

Change: such a connection is a state of its own in `ConnectionTable`.

Evidence: a test of both without I/O (before, the table has no such state), and the state in the property test; the crowd tests of connections and heads pass.

--- a/crates/gateway-core/src/connection_table.rs
+++ b/crates/gateway-core/src/connection_table.rs
@@ -4,7 +4,9 @@
 //! Clients may open connections and send nothing, or part of a head. Both take descriptors and
 //! memory that others need. So a new connection takes the place of one that has no request under
 //! way: of the oldest unfinished head, if that has taken long, else of the connection that has been
-//! idle longest. A connection with a request under way is never closed for another one.
+//! idle longest. A connection with a request under way, or with a response that is not written
+//! completely, is never closed for another one; but one whose client takes nothing of its response
+//! for long is closed.
 //!
 //! Invariants: no more connections than the limit are open; the unfinished heads of all of them
 //! together take no more than theirs.
@@ -76,6 +78,17 @@
     Head { since: Timestamp, bytes: u64 },
     /// A request is under way.
     Request,
+    /// The response is complete, and part of it is not written yet. Since when nothing was.
+    Sending { since: Timestamp },
+}
+
+/// How long a client may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClientTimeouts {
+    /// From the first byte of a head to its end.
+    pub head: Millis,
+    /// Without taking anything of a complete response.
+    pub send: Millis,
 }
 
 /// A connection that is admitted.
@@ -94,6 +107,7 @@
     phases: HashMap<ConnectionId, Phase>,
     idle: BTreeSet<(Timestamp, ConnectionId)>,
     heads: BTreeSet<(Timestamp, ConnectionId)>,
+    sending: BTreeSet<(Timestamp, ConnectionId)>,
     head_bytes: u64,
     next_id: u64,
 }
@@ -106,6 +120,7 @@
             phases: HashMap::new(),
             idle: BTreeSet::new(),
             heads: BTreeSet::new(),
+            sending: BTreeSet::new(),
             head_bytes: 0,
             next_id: 0,
         }
@@ -116,7 +131,8 @@
         self.phases.len() as u64
     }
 
-    /// Admits a new connection; `None` if requests are under way on all others.
+    /// Admits a new connection; `None` if all others have a request under way or a response that is
+    /// not written.
     pub fn open(&mut self, now: Timestamp) -> Option<Admitted> {
         let mut replaces = None;
         if self.open_connections() >= self.limits.connections {
@@ -150,7 +166,7 @@
             Phase::Head { since, bytes: before } => {
                 self.enter(id, Phase::Head { since, bytes: before + bytes });
             }
-            Phase::Request => return None,
+            Phase::Request | Phase::Sending { .. } => return None,
         }
         if self.head_bytes <= self.limits.head_bytes {
             return None;
@@ -167,20 +183,35 @@
         }
     }
 
-    /// Records that a request has ended.
+    /// Records that the response to a request is complete, though not yet written.
     pub fn on_request_ended(&mut self, now: Timestamp, id: ConnectionId) {
         if self.phases.contains_key(&id) {
+            self.enter(id, Phase::Sending { since: now });
+        }
+    }
+
+    /// Records that the client has taken bytes.
+    pub fn on_sent(&mut self, now: Timestamp, id: ConnectionId) {
+        if let Some(Phase::Sending { .. }) = self.phases.get(&id) {
+            self.enter(id, Phase::Sending { since: now });
+        }
+    }
+
+    /// Records that everything is written.
+    pub fn on_all_sent(&mut self, now: Timestamp, id: ConnectionId) {
+        if let Some(Phase::Sending { .. }) = self.phases.get(&id) {
             self.enter(id, Phase::Idle { since: now });
         }
     }
 
-    /// Removes and returns the connections whose heads have taken longer than `timeout`.
-    pub fn close_overdue_heads(&mut self, now: Timestamp, timeout: Millis) -> Vec<ConnectionId> {
-        let overdue: Vec<ConnectionId> = self
-            .heads
-            .iter()
-            .take_while(|(since, _)| now.since(*since) >= timeout)
-            .map(|(_, id)| *id)
+    /// Removes and returns the connections whose clients take too long.
+    pub fn close_overdue(&mut self, now: Timestamp, timeouts: ClientTimeouts) -> Vec<ConnectionId> {
+        let heads = self.heads.iter().map(|entry| (entry, timeouts.head));
+        let sending = self.sending.iter().map(|entry| (entry, timeouts.send));
+        let overdue: Vec<ConnectionId> = heads
+            .chain(sending)
+            .filter(|((since, _), timeout)| now.since(*since) >= *timeout)
+            .map(|((_, id), _)| *id)
             .collect();
         overdue.iter().for_each(|id| self.close(*id));
         overdue
@@ -199,6 +230,7 @@
                 self.heads.insert((since, id));
                 self.head_bytes += bytes;
             }
+            Phase::Sending { since } => drop(self.sending.insert((since, id))),
             Phase::Request => {}
         }
         self.phases.insert(id, phase);
@@ -211,6 +243,7 @@
                 self.heads.remove(&(since, id));
                 self.head_bytes -= bytes;
             }
+            Some(Phase::Sending { since }) => drop(self.sending.remove(&(since, id))),
             Some(Phase::Request) | None => {}
         }
     }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -140,7 +140,9 @@
 pub use connection_shedding::{
     ConnectionShedder, LinkTraffic, SheddingChange, SheddingInputs, busiest_connections,
 };
-pub use connection_table::{Admitted, ConnectionId, ConnectionLimits, ConnectionTable};
+pub use connection_table::{
+    Admitted, ClientTimeouts, ConnectionId, ConnectionLimits, ConnectionTable,
+};
 pub use crash_tracker::{CrashReport, CrashTracker};
 pub use decode_speed::DecodeSpeed;
 pub use departure_progress::{
--- a/crates/gateway-core/tests/connection_table.rs
+++ b/crates/gateway-core/tests/connection_table.rs
@@ -9,7 +9,7 @@
 const HEAD_BYTES: u64 = 64 * 1024;
 const LIMITS: ConnectionLimits =
     ConnectionLimits { connections: CONNECTIONS, head_bytes: HEAD_BYTES };
-const HEAD_TIMEOUT: Millis = Millis(3_000);
+const TIMEOUTS: ClientTimeouts = ClientTimeouts { head: Millis(3_000), send: Millis(5_000) };
 
 fn at(ms: u64) -> Timestamp {
     Timestamp::PROCESS_START + Millis(ms)
@@ -21,6 +21,8 @@
     Receive { connection: usize, bytes: u64 },
     Request { connection: usize },
     End { connection: usize },
+    Send { connection: usize },
+    SendAll { connection: usize },
     Close { connection: usize },
     Wait { ms: u64 },
     CloseOverdue,
@@ -34,6 +36,8 @@
             .prop_map(|(connection, bytes)| Step::Receive { connection, bytes }),
         3 => connection().prop_map(|connection| Step::Request { connection }),
         2 => connection().prop_map(|connection| Step::End { connection }),
+        1 => connection().prop_map(|connection| Step::Send { connection }),
+        2 => connection().prop_map(|connection| Step::SendAll { connection }),
         1 => connection().prop_map(|connection| Step::Close { connection }),
         2 => (0..2_000u64).prop_map(|ms| Step::Wait { ms }),
         1 => Just(Step::CloseOverdue),
@@ -46,6 +50,13 @@
     head_bytes: u64,
     head_since: Option<Timestamp>,
     has_request: bool,
+    sending_since: Option<Timestamp>,
+}
+
+impl Known {
+    fn is_in_use(&self) -> bool {
+        self.has_request || self.sending_since.is_some()
+    }
 }
 
 proptest! {
@@ -70,14 +81,14 @@
                     }
                     None => {
                         prop_assert_eq!(known.len() as u64, CONNECTIONS);
-                        prop_assert!(known.values().all(|one| one.has_request));
+                        prop_assert!(known.values().all(Known::is_in_use));
                     }
                 },
                 Step::Receive { connection, bytes } => {
                     let Some(id) = pick(connection) else { continue };
                     closed.extend(table.on_received(now, id, bytes));
                     let one = known.get_mut(&id).expect("picked");
-                    if !one.has_request {
+                    if !one.is_in_use() {
                         one.head_bytes += bytes;
                         one.head_since.get_or_insert(now);
                     }
@@ -90,7 +101,18 @@
                 Step::End { connection } => {
                     let Some(id) = pick(connection) else { continue };
                     table.on_request_ended(now, id);
-                    known.insert(id, Known::default());
+                    known.insert(id, Known { sending_since: Some(now), ..Known::default() });
+                }
+                Step::Send { connection } => {
+                    let Some(id) = pick(connection) else { continue };
+                    table.on_sent(now, id);
+                    let one = known.get_mut(&id).expect("picked");
+                    one.sending_since = one.sending_since.and(Some(now));
+                }
+                Step::SendAll { connection } => {
+                    let Some(id) = pick(connection) else { continue };
+                    table.on_all_sent(now, id);
+                    known.get_mut(&id).expect("picked").sending_since = None;
                 }
                 Step::Close { connection } => {
                     let Some(id) = pick(connection) else { continue };
@@ -99,16 +121,22 @@
                 }
                 Step::Wait { ms } => now = now + Millis(ms),
                 Step::CloseOverdue => {
-                    closed = table.close_overdue_heads(now, HEAD_TIMEOUT);
-                    for id in &closed {
-                        let since = known[id].head_since.expect("a head has begun");
-                        prop_assert!(now.since(since) >= HEAD_TIMEOUT);
+                    for id in table.close_overdue(now, TIMEOUTS) {
+                        let one = known.remove(&id).expect("an open connection is closed");
+                        let is_overdue = |since: Option<Timestamp>, timeout| {
+                            since.is_some_and(|since| now.since(since) >= timeout)
+                        };
+                        prop_assert!(!one.has_request, "a connection with a request is closed");
+                        prop_assert!(
+                            is_overdue(one.head_since, TIMEOUTS.head)
+                                || is_overdue(one.sending_since, TIMEOUTS.send)
+                        );
                     }
                 }
             }
             for id in closed {
                 let one = known.remove(&id).expect("an open connection is closed");
-                prop_assert!(!one.has_request, "a connection with a request is closed");
+                prop_assert!(!one.is_in_use(), "a connection in use is closed");
             }
             prop_assert_eq!(table.open_connections(), known.len() as u64);
             prop_assert!(table.open_connections() <= CONNECTIONS);
@@ -145,5 +173,23 @@
         table.on_request(id);
     }
     table.on_request_ended(at(10), first);
+    table.on_all_sent(at(10), first);
     assert_eq!(table.open(at(11)).expect("admitted").replaces, Some(second));
 }
+
+/// Guards against responses that are cut off for a new connection, and against clients that keep
+/// their connections by reading nothing.
+#[test]
+fn a_connection_with_an_unwritten_response_is_closed_only_when_its_client_takes_nothing() {
+    let mut table = ConnectionTable::new(LIMITS);
+    for _ in 0..CONNECTIONS {
+        let id = table.open(at(0)).expect("admitted").id;
+        table.on_request(id);
+        table.on_request_ended(at(0), id);
+        table.on_sent(at(1_000), id);
+    }
+    assert_eq!(table.open(at(5_999)), None);
+    assert_eq!(table.close_overdue(at(5_999), TIMEOUTS), Vec::new());
+    assert_eq!(table.close_overdue(at(6_000), TIMEOUTS).len() as u64, CONNECTIONS);
+    assert!(table.open(at(6_000)).is_some());
+}
--- a/crates/gateway/src/client_connections.rs
+++ b/crates/gateway/src/client_connections.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use socket2::SockRef;
-use stackpost_gateway_core::{ConnectionId, ConnectionLimits, ConnectionTable};
+use stackpost_gateway_core::{ClientTimeouts, ConnectionId, ConnectionLimits, ConnectionTable};
 use stackpost_telemetry::LineLimit;
 use stackpost_types::{Millis, Timestamp};
 use std::cell::RefCell;
@@ -24,8 +24,8 @@
 /// Receive buffer of a client's connection: what may lie there unread. The kernel doubles it for
 /// its own bookkeeping.
 const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
-/// Interval at which unfinished heads are looked at.
-const HEAD_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval at which clients are looked for that take too long.
+const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The connections of clients at one port.
 #[derive(Debug)]
@@ -62,17 +62,17 @@
         Some(Rc::new(ClientConnection { connections: self.clone(), id, closing }))
     }
 
-    /// Closes connections whose heads take longer than `timeout` returns; never returns.
-    pub async fn run_head_timeout(self: Rc<Self>, timeout: impl Fn() -> Millis) {
+    /// Closes connections whose clients take longer than `timeouts` returns; never returns.
+    pub async fn run_timeouts(self: Rc<Self>, timeouts: impl Fn() -> ClientTimeouts) {
         loop {
             let before = Instant::now();
-            sleep(HEAD_CHECK_INTERVAL).await;
-            if before.elapsed() > 2 * HEAD_CHECK_INTERVAL {
+            sleep(TIMEOUT_CHECK_INTERVAL).await;
+            if before.elapsed() > 2 * TIMEOUT_CHECK_INTERVAL {
                 // The process stood still. What has arrived meanwhile is read first.
                 continue;
             }
-            let overdue = self.table.borrow_mut().close_overdue_heads(self.now(), timeout());
-            overdue.into_iter().for_each(|id| self.close(id, "an unfinished head"));
+            let overdue = self.table.borrow_mut().close_overdue(self.now(), timeouts());
+            overdue.into_iter().for_each(|id| self.close(id, "a client that takes too long"));
         }
     }
 
@@ -125,6 +125,14 @@
         RequestGuard { connection: self.clone() }
     }
 
+    fn on_sent(&self) {
+        self.connections.table.borrow_mut().on_sent(self.connections.now(), self.id);
+    }
+
+    fn on_all_sent(&self) {
+        self.connections.table.borrow_mut().on_all_sent(self.connections.now(), self.id);
+    }
+
     fn on_received(&self, bytes: usize) {
         let now = self.connections.now();
         let closed = self.connections.table.borrow_mut().on_received(now, self.id, bytes as u64);
@@ -217,7 +225,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = ready!(Pin::new(&mut self.stream).poll_write(context, bytes))?;
+        self.connection.on_sent();
+        Poll::Ready(Ok(written))
     }
 
     fn poll_write_vectored(
@@ -225,15 +235,20 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, slices))?;
+        self.connection.on_sent();
+        Poll::Ready(Ok(written))
     }
 
     fn is_write_vectored(&self) -> bool {
         self.stream.is_write_vectored()
     }
 
+    /// Called once the server has written everything that it holds.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        ready!(Pin::new(&mut self.stream).poll_flush(context))?;
+        self.connection.on_all_sent();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -13,7 +13,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
-use stackpost_gateway_core::ConnectionLimits;
+use stackpost_gateway_core::{ClientTimeouts, ConnectionLimits};
 use stackpost_types::{Millis, PeerError, Step};
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -72,9 +72,9 @@
     let (connections, requests) = (Cell::new(0), Cell::new(0));
     let server = Rc::new(Server { router, connections, requests, closing, clients });
     tokio::task::spawn_local(server.clone().accept(listener));
-    let timeouts = server.clone();
-    let timeout = move || timeouts.header_timeout();
-    tokio::task::spawn_local(server.clients.clone().run_head_timeout(timeout));
+    let timed = server.clone();
+    let timeouts = server.clients.clone().run_timeouts(move || timed.client_timeouts());
+    tokio::task::spawn_local(timeouts);
     Ok(server)
 }
 
@@ -191,10 +191,12 @@
         bytes.clamp(*BUFFER_BYTES.start(), *BUFFER_BYTES.end())
     }
 
-    /// Longest time from the first byte of a request to the end of its head.
-    fn header_timeout(&self) -> Millis {
+    /// A client may leave a response unread for as long as a connection may be idle.
+    fn client_timeouts(&self) -> ClientTimeouts {
         let table = self.router.table();
-        table.map_or(DEFAULT_HEADER_TIMEOUT, |table| table.config().limits.header_timeout)
+        let head =
+            table.map_or(DEFAULT_HEADER_TIMEOUT, |table| table.config().limits.header_timeout);
+        ClientTimeouts { head, send: Millis(self.idle_timeout().as_millis() as u64) }
     }
 
     fn idle_timeout(&self) -> Duration {
