Only so many bodies wait for room as their unread bytes have room themselves

By reading: up to 64 KiB of each waiting body lie unread in its socket, and any number of bodies could wait, so 1,725 callers (the most that the smallest router machine accepts) could fill 113 MB of 88.

Change: of each size as many bodies wait as have room at 64 KiB each in a quarter of the bodies' part: 100 on that machine. Further ones are refused at once.

Evidence: a test without I/O, which fails before (any number waits, its loop ends at 1,000). A trial with 1,500 unfinished bodies of 4 MB at a router of 88 MB with 3,075 descriptors (debug program): 54 MB of 76 at most, 7 MB of them unread; ordinary requests are served beside it.

--- a/crates/gateway-core/src/body_memory.rs
+++ b/crates/gateway-core/src/body_memory.rs
@@ -11,7 +11,8 @@
 //! Invariants: the bodies of each size and of all larger sizes together stay within the limit of
 //! that size; only bodies that are not whole, make no progress and do not wait for room give way,
 //! and only if the other body then finds room; a waiting body is not overtaken by a later one of its
-//! size.
+//! size, and no more bodies wait than the limit allows, since what has arrived of each lies unread in
+//! its socket.
 
 use stackpost_types::{Millis, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
@@ -28,6 +29,10 @@
 /// Part of the room, in percent, that large bodies may take, and small and large ones together.
 const LARGE_PERCENT: u64 = 80;
 const SMALL_PERCENT: u64 = 90;
+/// What lies unread for the waiting bodies of a size may take this part of the room.
+const WAITING_PARTS: u64 = 4;
+/// Bytes that lie unread for a waiting body at most.
+const UNREAD_BYTES: u64 = 64 * 1024;
 /// A body makes progress if it receives this many bytes within [`STALL_TIME`].
 const PROGRESS_BYTES: u64 = 16 * 1024;
 /// Time without progress after which a body may have to give way.
@@ -48,6 +53,11 @@
         Self { total: memory_mb.map_or(DEFAULT_TOTAL_BYTES, of_memory) }
     }
 
+    /// Bodies of one size that may wait for room.
+    fn waiting(&self) -> u64 {
+        self.total / WAITING_PARTS / UNREAD_BYTES
+    }
+
     /// Bytes for bodies of a size and all larger sizes together.
     fn of_size(&self, size: BodySize) -> u64 {
         match size {
@@ -217,15 +227,25 @@
 
     /// Lets a body wait for room until it takes some or is closed. While it waits, it need not make
     /// progress.
-    pub fn wait_for(&mut self, id: BodyId, room: u64) {
-        let number = self.next_turn;
-        let Some(body) = self.bodies.get_mut(&id).filter(|body| body.turn.is_none()) else {
-            return;
-        };
-        let turn = Turn { size: BodySize::of(room), is_new: body.room == 0, number };
+    ///
+    /// # Errors
+    ///
+    /// Too many bodies of its size wait already.
+    pub fn wait_for(&mut self, id: BodyId, room: u64) -> Result<(), NoRoom> {
+        let (size, number) = (BodySize::of(room), self.next_turn);
+        let waiting = self.queue.iter().filter(|(turn, _)| turn.size == size).count() as u64;
+        let body = self.bodies.get_mut(&id).ok_or(NoRoom)?;
+        if body.turn.is_some() {
+            return Ok(());
+        }
+        if waiting >= self.limits.waiting() {
+            return Err(NoRoom);
+        }
+        let turn = Turn { size, is_new: body.room == 0, number };
         body.turn = Some(turn);
         self.queue.insert((turn, id));
         self.next_turn += 1;
+        Ok(())
     }
 
     /// The waiting bodies whose turn it is, one of each size.
--- a/crates/gateway-core/tests/body_memory.rs
+++ b/crates/gateway-core/tests/body_memory.rs
@@ -195,7 +195,7 @@
     let (first, second) = (memory.open(at(0)), memory.open(at(0)));
     for (id, room) in [(first, LARGE), (second, LARGE), (grows, LARGE)] {
         assert_eq!(memory.take(at(1), id, room), Err(NoRoom));
-        memory.wait_for(id, room);
+        assert_eq!(memory.wait_for(id, room), Ok(()));
     }
     let late = at(10 * STALL_TIME.0);
     memory.on_received(late, holder, PROGRESS);
@@ -211,6 +211,24 @@
     assert_eq!(memory.take(late, first, LARGE), Ok(Vec::new()));
 }
 
+/// Guards against waiting bodies whose bytes pile up in sockets.
+#[test]
+fn only_so_many_bodies_wait_as_their_unread_bytes_have_room() {
+    let mut memory = memory();
+    admitted(&mut memory, at(0), LARGE);
+    let mut waiting = 0;
+    while memory.taken() > 0 {
+        let id = memory.open(at(0));
+        assert_eq!(memory.take(at(0), id, LARGE), Err(NoRoom));
+        match memory.wait_for(id, LARGE) {
+            Ok(()) => waiting += 1,
+            Err(NoRoom) => break,
+        }
+        assert!(waiting < 1_000, "any number of bodies may wait");
+    }
+    assert_eq!(waiting, TOTAL / 4 / (64 * 1024));
+}
+
 #[test]
 fn small_bodies_find_room_beside_large_ones_with_progress() {
     let mut memory = memory();
--- a/crates/gateway/src/bounded_bodies.rs
+++ b/crates/gateway/src/bounded_bodies.rs
@@ -207,7 +207,7 @@
             if now >= wait_until {
                 return Err(NoRoom);
             }
-            self.bodies.memory.borrow_mut().wait_for(self.id, needed as u64);
+            self.bodies.memory.borrow_mut().wait_for(self.id, needed as u64)?;
             let retry_at = (now + RETRY_INTERVAL).min(wait_until);
             // Whether its turn has come or the time has passed, the body looks again.
             let _ = timeout_at(retry_at, self.signals.turn.notified()).await;
