A body that can never find room is refused at its head

A configuration may allow bodies that the machine can't hold: with MaxBodyBytes above 24% of the memory (21 MB on the smallest router machine) a larger body waited for a quarter of its time and was refused with 503 and Retry-After, each time again (by reading). It is known at the head that it can't be served: it is refused at once with 413 now. A test without I/O states that the largest body does find room.

--- a/crates/gateway-core/src/body_memory.rs
+++ b/crates/gateway-core/src/body_memory.rs
@@ -175,6 +175,11 @@
         }
     }
 
+    /// Size of the largest body that finds room when there is no other one, in bytes.
+    pub fn largest_body(&self) -> u64 {
+        self.limits.of_size(BodySize::Large)
+    }
+
     /// Bytes taken by all bodies.
     pub fn taken(&self) -> u64 {
         self.taken.from(BodySize::Tiny)
--- a/crates/gateway-core/tests/body_memory.rs
+++ b/crates/gateway-core/tests/body_memory.rs
@@ -211,6 +211,16 @@
     assert_eq!(memory.take(late, first, LARGE), Ok(Vec::new()));
 }
 
+#[test]
+fn the_largest_body_finds_room_when_there_is_no_other_one() {
+    let mut memory = memory();
+    let largest = memory.largest_body();
+    let id = admitted(&mut memory, at(0), largest);
+    memory.close(id);
+    let id = memory.open(at(0));
+    assert_eq!(memory.take(at(0), id, largest + 1), Err(NoRoom));
+}
+
 /// Guards against waiting bodies whose bytes pile up in sockets.
 #[test]
 fn only_so_many_bodies_wait_as_their_unread_bytes_have_room() {
--- a/crates/gateway/src/bounded_bodies.rs
+++ b/crates/gateway/src/bounded_bodies.rs
@@ -102,6 +102,8 @@
         wait: Duration,
         may_go_on: impl Fn() -> Result<(), E>,
     ) -> Result<WholeBody, BodyReadError<E>> {
+        // A larger body would wait in vain.
+        let limit = limit.min(self.memory.borrow().largest_body() as usize);
         let size = body.size_hint();
         if size.lower() > limit as u64 {
             return Err(BodyReadError::TooLarge { limit });
