--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,7 +7,8 @@
 //! router cannot connect itself, `engine_relay` connects through another router. `fleet_link` keeps
 //! the router's state up to date, and `load_exchange` sends this router's load on the engines to the
 //! other routers. `pressure_control` measures the use of the router's machine and decides by it which
-//! new connections are kept. A [`HeaderCodec`] defines which header carries what.
+//! new connections are kept. `client_connections` and `bounded_bodies` bound what all clients together
+//! hold. A [`HeaderCodec`] defines which header carries what.
 
 mod abandoned_request;
 mod admission;
