A body that stalls does not keep its connection from others

By reading: a connection whose request had a body that does not end counted as one with a request under way.

Change: such a connection is a state of its own in `ConnectionTable`. When there are too many connections, the one whose body has made no progress for longest, and for over a second, gives way: its request was passed on to nobody. A body that is whole or makes progress is never closed.

Evidence: `stalled_bodies_give_way_before_idle_connections` without I/O (before, the table had no such state and reset the newcomer), and the state in the property test.

--- a/crates/gateway-core/src/connection_table.rs
+++ b/crates/gateway-core/src/connection_table.rs
@@ -2,11 +2,11 @@
 //! requests do not end.
 //!
 //! Clients may open connections and send nothing, or part of a head. Both take descriptors and
-//! memory that others need. So a new connection takes the place of one that has no request under
-//! way: of the oldest unfinished head, if that has taken long, else of the connection that has been
-//! idle longest. A connection with a request under way, or with a response that is not written
-//! completely, is never closed for another one; but one whose client takes nothing of its response
-//! for long is closed.
+//! memory that others need. So a new connection takes the place of one that has no whole request:
+//! of the oldest unfinished head, if that has taken long, else of the body that has made no progress
+//! for longest, else of the connection that has been idle longest. A connection with a whole request
+//! under way, or with a response that is not written completely, is never closed for another one; but
+//! one whose client takes nothing of its response for long is closed.
 //!
 //! Invariants: no more connections than the limit are open; the unfinished heads of all of them
 //! together take no more than theirs.
@@ -30,8 +30,11 @@
 const HEAD_PARTS: u64 = 4;
 /// The buffer of a head is up to twice as large as what has arrived of it.
 const BUFFER_FACTOR: u64 = 2;
-/// Time after which an unfinished head gives way before idle connections do.
-const HEAD_GRACE: Millis = Millis(1_000);
+/// Time after which an unfinished head, and a body without progress, give way before idle
+/// connections do.
+const STALL_GRACE: Millis = Millis(1_000);
+/// A body makes progress with this many bytes.
+const PROGRESS_BYTES: u64 = 16 * 1024;
 const BYTES_PER_MEGABYTE: u64 = 1_000_000;
 
 /// Limits on the connections of clients.
@@ -76,7 +79,9 @@
     Idle { since: Timestamp },
     /// Part of a head has arrived.
     Head { since: Timestamp, bytes: u64 },
-    /// A request is under way.
+    /// Part of a body has arrived. When it last made progress, and what has arrived since.
+    Body { progress_at: Timestamp, bytes: u64 },
+    /// A whole request is under way.
     Request,
     /// The response is complete, and part of it is not written yet. Since when nothing was.
     Sending { since: Timestamp },
@@ -107,6 +112,7 @@
     phases: HashMap<ConnectionId, Phase>,
     idle: BTreeSet<(Timestamp, ConnectionId)>,
     heads: BTreeSet<(Timestamp, ConnectionId)>,
+    bodies: BTreeSet<(Timestamp, ConnectionId)>,
     sending: BTreeSet<(Timestamp, ConnectionId)>,
     head_bytes: u64,
     next_id: u64,
@@ -120,6 +126,7 @@
             phases: HashMap::new(),
             idle: BTreeSet::new(),
             heads: BTreeSet::new(),
+            bodies: BTreeSet::new(),
             sending: BTreeSet::new(),
             head_bytes: 0,
             next_id: 0,
@@ -131,8 +138,8 @@
         self.phases.len() as u64
     }
 
-    /// Admits a new connection; `None` if all others have a request under way or a response that is
-    /// not written.
+    /// Admits a new connection; `None` if all others have a whole request under way, a body that
+    /// makes progress or a response that is not written.
     pub fn open(&mut self, now: Timestamp) -> Option<Admitted> {
         let mut replaces = None;
         if self.open_connections() >= self.limits.connections {
@@ -147,8 +154,9 @@
     }
 
     fn replaceable(&self, now: Timestamp) -> Option<ConnectionId> {
-        let head = self.heads.first();
-        let overdue = head.filter(|(since, _)| now.since(*since) >= HEAD_GRACE);
+        let (head, body) = (self.heads.first(), self.bodies.first());
+        let is_overdue = |(since, _): &&(Timestamp, ConnectionId)| now.since(*since) >= STALL_GRACE;
+        let overdue = head.filter(is_overdue).or(body.filter(is_overdue));
         overdue.or(self.idle.first()).or(head).map(|(_, id)| *id)
     }
 
@@ -158,14 +166,18 @@
         &mut self,
         now: Timestamp,
         id: ConnectionId,
-        bytes: u64,
+        received: u64,
     ) -> Option<ConnectionId> {
-        let bytes = bytes * BUFFER_FACTOR;
+        let bytes = received * BUFFER_FACTOR;
         match *self.phases.get(&id)? {
             Phase::Idle { .. } => self.enter(id, Phase::Head { since: now, bytes }),
             Phase::Head { since, bytes: before } => {
                 self.enter(id, Phase::Head { since, bytes: before + bytes });
             }
+            Phase::Body { progress_at, bytes: before } => {
+                self.on_body_received(now, id, progress_at, before + received);
+                return None;
+            }
             Phase::Request | Phase::Sending { .. } => return None,
         }
         if self.head_bytes <= self.limits.head_bytes {
@@ -176,9 +188,38 @@
         Some(oldest)
     }
 
-    /// Records that the head of a request is complete.
-    pub fn on_request(&mut self, id: ConnectionId) {
+    fn on_body_received(
+        &mut self,
+        now: Timestamp,
+        id: ConnectionId,
+        progress_at: Timestamp,
+        bytes: u64,
+    ) {
+        self.enter(
+            id,
+            match bytes >= PROGRESS_BYTES {
+                true => Phase::Body { progress_at: now, bytes: 0 },
+                false => Phase::Body { progress_at, bytes },
+            },
+        );
+    }
+
+    /// Records that the head of a request is complete, and whether a body follows.
+    pub fn on_request(&mut self, now: Timestamp, id: ConnectionId, has_body: bool) {
         if self.phases.contains_key(&id) {
+            self.enter(
+                id,
+                match has_body {
+                    true => Phase::Body { progress_at: now, bytes: 0 },
+                    false => Phase::Request,
+                },
+            );
+        }
+    }
+
+    /// Records that the body of a request is whole, or that the rest of it is not wanted.
+    pub fn on_body_ended(&mut self, id: ConnectionId) {
+        if let Some(Phase::Body { .. }) = self.phases.get(&id) {
             self.enter(id, Phase::Request);
         }
     }
@@ -230,6 +271,7 @@
                 self.heads.insert((since, id));
                 self.head_bytes += bytes;
             }
+            Phase::Body { progress_at, .. } => drop(self.bodies.insert((progress_at, id))),
             Phase::Sending { since } => drop(self.sending.insert((since, id))),
             Phase::Request => {}
         }
@@ -243,6 +285,7 @@
                 self.heads.remove(&(since, id));
                 self.head_bytes -= bytes;
             }
+            Some(Phase::Body { progress_at, .. }) => drop(self.bodies.remove(&(progress_at, id))),
             Some(Phase::Sending { since }) => drop(self.sending.remove(&(since, id))),
             Some(Phase::Request) | None => {}
         }
--- a/crates/gateway-core/tests/connection_table.rs
+++ b/crates/gateway-core/tests/connection_table.rs
@@ -9,6 +9,9 @@
 const HEAD_BYTES: u64 = 64 * 1024;
 const LIMITS: ConnectionLimits =
     ConnectionLimits { connections: CONNECTIONS, head_bytes: HEAD_BYTES };
+/// Time without progress after which a body gives way, and the bytes that are progress.
+const STALL_GRACE: Millis = Millis(1_000);
+const PROGRESS: u64 = 16 * 1024;
 const TIMEOUTS: ClientTimeouts = ClientTimeouts { head: Millis(3_000), send: Millis(5_000) };
 
 fn at(ms: u64) -> Timestamp {
@@ -19,7 +22,8 @@
 enum Step {
     Open,
     Receive { connection: usize, bytes: u64 },
-    Request { connection: usize },
+    Request { connection: usize, has_body: bool },
+    EndBody { connection: usize },
     End { connection: usize },
     Send { connection: usize },
     SendAll { connection: usize },
@@ -34,7 +38,9 @@
         4 => Just(Step::Open),
         4 => (connection(), 1..20_000u64)
             .prop_map(|(connection, bytes)| Step::Receive { connection, bytes }),
-        3 => connection().prop_map(|connection| Step::Request { connection }),
+        3 => (connection(), any::<bool>())
+            .prop_map(|(connection, has_body)| Step::Request { connection, has_body }),
+        1 => connection().prop_map(|connection| Step::EndBody { connection }),
         2 => connection().prop_map(|connection| Step::End { connection }),
         1 => connection().prop_map(|connection| Step::Send { connection }),
         2 => connection().prop_map(|connection| Step::SendAll { connection }),
@@ -50,6 +56,8 @@
     head_bytes: u64,
     head_since: Option<Timestamp>,
     has_request: bool,
+    /// When its body last made progress, while it is not whole, and what has arrived since.
+    body: Option<(Timestamp, u64)>,
     sending_since: Option<Timestamp>,
 }
 
@@ -57,6 +65,11 @@
     fn is_in_use(&self) -> bool {
         self.has_request || self.sending_since.is_some()
     }
+
+    /// Whether its body is not whole and makes no progress.
+    fn is_stalled(&self, now: Timestamp) -> bool {
+        self.body.is_some_and(|(progress_at, _)| now.since(progress_at) >= STALL_GRACE)
+    }
 }
 
 proptest! {
@@ -81,22 +94,34 @@
                     }
                     None => {
                         prop_assert_eq!(known.len() as u64, CONNECTIONS);
-                        prop_assert!(known.values().all(Known::is_in_use));
+                        prop_assert!(known.values().all(|one| one.is_in_use() || !one.is_stalled(now)));
+                        prop_assert!(known.values().all(|one| one.is_in_use() || one.body.is_some()));
                     }
                 },
                 Step::Receive { connection, bytes } => {
                     let Some(id) = pick(connection) else { continue };
                     closed.extend(table.on_received(now, id, bytes));
                     let one = known.get_mut(&id).expect("picked");
-                    if !one.is_in_use() {
+                    if let Some((progress_at, before)) = one.body {
+                        let bytes = before + bytes;
+                        one.body =
+                            Some(if bytes >= PROGRESS { (now, 0) } else { (progress_at, bytes) });
+                    } else if !one.is_in_use() {
                         one.head_bytes += bytes;
                         one.head_since.get_or_insert(now);
                     }
                 }
-                Step::Request { connection } => {
+                Step::Request { connection, has_body } => {
+                    let Some(id) = pick(connection) else { continue };
+                    table.on_request(now, id, has_body);
+                    let body = has_body.then_some((now, 0));
+                    known.insert(id, Known { has_request: !has_body, body, ..Known::default() });
+                }
+                Step::EndBody { connection } => {
                     let Some(id) = pick(connection) else { continue };
-                    table.on_request(id);
-                    known.insert(id, Known { has_request: true, ..Known::default() });
+                    table.on_body_ended(id);
+                    let one = known.get_mut(&id).expect("picked");
+                    one.has_request |= one.body.take().is_some();
                 }
                 Step::End { connection } => {
                     let Some(id) = pick(connection) else { continue };
@@ -137,6 +162,7 @@
             for id in closed {
                 let one = known.remove(&id).expect("an open connection is closed");
                 prop_assert!(!one.is_in_use(), "a connection in use is closed");
+                prop_assert!(one.body.is_none() || one.is_stalled(now), "progress is lost");
             }
             prop_assert_eq!(table.open_connections(), known.len() as u64);
             prop_assert!(table.open_connections() <= CONNECTIONS);
@@ -167,10 +193,10 @@
     let mut table = ConnectionTable::new(LIMITS);
     let first = table.open(at(0)).expect("admitted").id;
     let second = table.open(at(1)).expect("admitted").id;
-    table.on_request(first);
+    table.on_request(at(2), first, false);
     for _ in 2..CONNECTIONS {
         let id = table.open(at(2)).expect("admitted").id;
-        table.on_request(id);
+        table.on_request(at(2), id, false);
     }
     table.on_request_ended(at(10), first);
     table.on_all_sent(at(10), first);
@@ -184,7 +210,7 @@
     let mut table = ConnectionTable::new(LIMITS);
     for _ in 0..CONNECTIONS {
         let id = table.open(at(0)).expect("admitted").id;
-        table.on_request(id);
+        table.on_request(at(0), id, false);
         table.on_request_ended(at(0), id);
         table.on_sent(at(1_000), id);
     }
@@ -193,3 +219,18 @@
     assert_eq!(table.close_overdue(at(6_000), TIMEOUTS).len() as u64, CONNECTIONS);
     assert!(table.open(at(6_000)).is_some());
 }
+
+/// Guards against clients that keep all connections with bodies that they do not finish.
+#[test]
+fn stalled_bodies_give_way_before_idle_connections() {
+    let mut table = ConnectionTable::new(LIMITS);
+    let idle = table.open(at(0)).expect("admitted").id;
+    let stalled = table.open(at(1)).expect("admitted").id;
+    table.on_request(at(1), stalled, true);
+    for _ in 2..CONNECTIONS {
+        let id = table.open(at(2)).expect("admitted").id;
+        table.on_request(at(1_500), id, true);
+    }
+    assert_eq!(table.open(at(1_600)).expect("admitted").replaces, Some(stalled));
+    assert_eq!(table.open(at(1_600)).expect("admitted").replaces, Some(idle));
+}
--- a/crates/gateway/src/client_connections.rs
+++ b/crates/gateway/src/client_connections.rs
@@ -55,7 +55,7 @@
             return None;
         };
         if let Some(replaced) = admitted.replaces {
-            self.close(replaced, "a connection without a request");
+            self.close(replaced, "a connection without a whole request");
         }
         let (id, closing) = (admitted.id, Rc::<Notify>::default());
         self.closing.borrow_mut().insert(id, closing.clone());
@@ -119,12 +119,18 @@
         self.closing.notified().await;
     }
 
-    /// Records that a request is under way until the guard is dropped.
-    pub fn begin_request(self: &Rc<Self>) -> RequestGuard {
-        self.connections.table.borrow_mut().on_request(self.id);
+    /// Records that a request is under way until the guard is dropped, and whether a body follows.
+    pub fn begin_request(self: &Rc<Self>, has_body: bool) -> RequestGuard {
+        let connections = &self.connections;
+        connections.table.borrow_mut().on_request(connections.now(), self.id, has_body);
         RequestGuard { connection: self.clone() }
     }
 
+    /// Records that the body of the request is whole, or that the rest of it is not wanted.
+    pub fn on_body_ended(&self) {
+        self.connections.table.borrow_mut().on_body_ended(self.id);
+    }
+
     fn on_sent(&self) {
         self.connections.table.borrow_mut().on_sent(self.connections.now(), self.id);
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,6 +4,7 @@
 use crate::body::GatewayBody;
 use crate::bounded_bodies::{BodyReadError, WholeBody, discard};
 use crate::buffered_response::BufferedResponse;
+use crate::client_connections::ClientConnection;
 use crate::connection_headers::strip_connection_headers;
 use crate::deadline::Deadline;
 use crate::header_codec::CallerRequest;
@@ -119,7 +120,11 @@
 
 /// Serves one request. The future is dropped when the caller disconnects, which cancels the attempt
 /// in progress.
-pub(crate) async fn serve(router: Rc<Router>, request: Request<Incoming>) -> Response<GatewayBody> {
+pub(crate) async fn serve(
+    router: Rc<Router>,
+    client: &ClientConnection,
+    request: Request<Incoming>,
+) -> Response<GatewayBody> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
     let caller = match router.header_codec.read_request(&head.headers) {
@@ -131,7 +136,8 @@
     };
     let id = caller.id.clone();
     let metrics_router = router.clone();
-    let handling = AssertUnwindSafe(handle(router, head, body, caller, arrived)).catch_unwind();
+    let handling =
+        AssertUnwindSafe(handle(router, client, head, body, caller, arrived)).catch_unwind();
     match handling.await.unwrap_or_else(|panic| Err(on_panic(&id, panic.as_ref()))) {
         Ok(response) => {
             metrics_router.metrics.on_response(arrived.elapsed());
@@ -162,6 +168,7 @@
 
 async fn handle(
     router: Rc<Router>,
+    client: &ClientConnection,
     head: request::Parts,
     body: Incoming,
     caller: CallerRequest,
@@ -179,6 +186,7 @@
     let read = read_body(&router, &table, &route, &deadline, body);
     let body =
         timeout_at(deadline.timer(), read).await.map_err(|_| Refusal::DeadlineExceeded)??;
+    client.on_body_ended();
     let service = route.service_for(&caller.id).clone();
     router.retry_budget.borrow_mut().note_request(router.now(), &service);
     let mut headers = head.headers;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -6,7 +6,7 @@
 use crate::metered_stream::MeteredStream;
 use crate::request;
 use crate::router::Router;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -174,8 +174,8 @@
         request: Request<Incoming>,
     ) -> Result<Response<GuardedBody<GatewayBody>>, Infallible> {
         let _guard = CounterGuard::new(self.clone(), |server| &server.requests);
-        let under_way = client.begin_request();
-        let mut response = request::serve(self.router.clone(), request).await;
+        let under_way = client.begin_request(!request.body().is_end_stream());
+        let mut response = request::serve(self.router.clone(), &client, request).await;
         if self.router.is_draining() || connection.closes() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
