A client that still sends a refused body keeps its connection until it has its answer

By reading, a defect of: once the response to a refused request was written, what its client went on sending of the body counted as an unfinished head, so the connection was closed after HeaderTimeoutMs, or earlier for want of memory for heads.

Change: while the rest of a refused body is discarded, the request counts as under way.

--- a/crates/gateway-core/src/connection_table.rs
+++ b/crates/gateway-core/src/connection_table.rs
@@ -195,25 +195,18 @@
         progress_at: Timestamp,
         bytes: u64,
     ) {
-        self.enter(
-            id,
-            match bytes >= PROGRESS_BYTES {
-                true => Phase::Body { progress_at: now, bytes: 0 },
-                false => Phase::Body { progress_at, bytes },
-            },
-        );
+        if bytes >= PROGRESS_BYTES {
+            self.enter(id, Phase::Body { progress_at: now, bytes: 0 });
+        } else {
+            self.enter(id, Phase::Body { progress_at, bytes });
+        }
     }
 
     /// Records that the head of a request is complete, and whether a body follows.
     pub fn on_request(&mut self, now: Timestamp, id: ConnectionId, has_body: bool) {
         if self.phases.contains_key(&id) {
-            self.enter(
-                id,
-                match has_body {
-                    true => Phase::Body { progress_at: now, bytes: 0 },
-                    false => Phase::Request,
-                },
-            );
+            let body = Phase::Body { progress_at: now, bytes: 0 };
+            self.enter(id, if has_body { body } else { Phase::Request });
         }
     }
 
--- a/crates/gateway/src/bounded_bodies.rs
+++ b/crates/gateway/src/bounded_bodies.rs
@@ -4,6 +4,7 @@
 //! room and applies its decisions. Nothing is read for a body that has no room, so its sender is
 //! held up by the receive window of its connection.
 
+use crate::client_connections::RequestGuard;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -259,8 +260,14 @@
 }
 
 /// Reads on and drops up to `limit` bytes of a body whose request is refused, until `deadline`: a
-/// sender whose connection is reset while it still sends does not receive the response.
-pub async fn discard(mut body: Incoming, limit: usize, deadline: tokio::time::Instant) {
+/// sender whose connection is reset while it still sends does not receive the response. The request
+/// counts as under way meanwhile.
+pub async fn discard(
+    mut body: Incoming,
+    limit: usize,
+    deadline: tokio::time::Instant,
+    _under_way: RequestGuard,
+) {
     let read = async {
         let mut left = limit;
         while let Some(Ok(frame)) = body.frame().await {
--- a/crates/gateway/src/client_connections.rs
+++ b/crates/gateway/src/client_connections.rs
@@ -9,7 +9,7 @@
 use stackpost_gateway_core::{ClientTimeouts, ConnectionId, ConnectionLimits, ConnectionTable};
 use stackpost_telemetry::LineLimit;
 use stackpost_types::{Millis, Timestamp};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -59,7 +59,8 @@
         }
         let (id, closing) = (admitted.id, Rc::<Notify>::default());
         self.closing.borrow_mut().insert(id, closing.clone());
-        Some(Rc::new(ClientConnection { connections: self.clone(), id, closing }))
+        let guards = Cell::new(0);
+        Some(Rc::new(ClientConnection { connections: self.clone(), id, closing, guards }))
     }
 
     /// Closes connections whose clients take longer than `timeouts` returns; never returns.
@@ -102,6 +103,8 @@
     connections: Rc<ClientConnections>,
     id: ConnectionId,
     closing: Rc<Notify>,
+    /// Number of guards of the request under way.
+    guards: Cell<usize>,
 }
 
 impl ClientConnection {
@@ -123,6 +126,12 @@
     pub fn begin_request(self: &Rc<Self>, has_body: bool) -> RequestGuard {
         let connections = &self.connections;
         connections.table.borrow_mut().on_request(connections.now(), self.id, has_body);
+        self.guard_request()
+    }
+
+    /// Another guard of the request under way, which lasts until all its guards are dropped.
+    pub fn guard_request(self: &Rc<Self>) -> RequestGuard {
+        self.guards.set(self.guards.get() + 1);
         RequestGuard { connection: self.clone() }
     }
 
@@ -163,8 +172,11 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        let (connections, id) = (&self.connection.connections, self.connection.id);
-        connections.table.borrow_mut().on_request_ended(connections.now(), id);
+        let ClientConnection { connections, id, guards, .. } = &*self.connection;
+        guards.set(guards.get() - 1);
+        if guards.get() == 0 {
+            connections.table.borrow_mut().on_request_ended(connections.now(), *id);
+        }
     }
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -122,7 +122,7 @@
 /// in progress.
 pub(crate) async fn serve(
     router: Rc<Router>,
-    client: &ClientConnection,
+    client: &Rc<ClientConnection>,
     request: Request<Incoming>,
 ) -> Response<GatewayBody> {
     let arrived = Instant::now();
@@ -168,7 +168,7 @@
 
 async fn handle(
     router: Rc<Router>,
-    client: &ClientConnection,
+    client: &Rc<ClientConnection>,
     head: request::Parts,
     body: Incoming,
     caller: CallerRequest,
@@ -183,7 +183,7 @@
     let wait = caller.wait.unwrap_or(DEFAULT_CALLER_TIMEOUT);
     let deadline =
         Deadline::after(Duration::from_millis(wait.0.min(route.timeout.0)), router.clock.clone());
-    let read = read_body(&router, &table, &route, &deadline, body);
+    let read = read_body(&router, client, &table, &route, &deadline, body);
     let body =
         timeout_at(deadline.timer(), read).await.map_err(|_| Refusal::DeadlineExceeded)??;
     client.on_body_ended();
@@ -247,6 +247,7 @@
 /// Reads the body of a request, unless the request is to be refused meanwhile.
 async fn read_body(
     router: &Router,
+    client: &Rc<ClientConnection>,
     table: &RouteTable,
     route: &Route,
     deadline: &Deadline,
@@ -262,7 +263,7 @@
         Err(BodyReadError::NoRoom | BodyReadError::GaveWay) => Refusal::NoRoomForBody,
         Err(BodyReadError::Unwanted(refusal)) => refusal,
     };
-    tokio::task::spawn_local(discard(body, limit, deadline.timer()));
+    tokio::task::spawn_local(discard(body, limit, deadline.timer(), client.guard_request()));
     Err(refusal)
 }
 
