At least one body may wait for room, however small the memory

Traced from the sockets of the test's process: the large body had been refused with 503 while both others stayed, and the test waited for the refusal of one of them.

Cause: lets as many bodies wait as have room for their unread bytes; with the 192 KiB of this test that is none, so a body is refused at once instead of waiting for half a second.

Change: one may always wait.

--- a/crates/gateway-core/src/body_memory.rs
+++ b/crates/gateway-core/src/body_memory.rs
@@ -55,7 +55,7 @@
 
     /// Bodies of one size that may wait for room.
     fn waiting(&self) -> u64 {
-        self.total / WAITING_PARTS / UNREAD_BYTES
+        (self.total / WAITING_PARTS / UNREAD_BYTES).max(1)
     }
 
     /// Bytes for bodies of a size and all larger sizes together.
